--- a/modules/snowrudder_core/ids/Signature.cpp
+++ b/modules/snowrudder_core/ids/Signature.cpp
@@ -15,12 +15,24 @@
 namespace
 {
 
-auto hmacHex (std::string_view secret, std::string_view text) -> std::string
+auto signedText (std::string_view name, std::string_view time, std::string_view message) -> std::string
+{
+    std::string text (name);
+    text += ';';
+    text += time;
+    text += ';';
+    text += message;
+    return text;
+}
+
+} // namespace
+
+auto keyedDigest (std::string_view secret, std::string_view message) -> std::string
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest;
     auto length = 0U;
     HMAC (EVP_sha256(), secret.data(), static_cast<int> (secret.size()),
-          reinterpret_cast<const unsigned char*> (text.data()), text.size(), digest.data(), &length);
+          reinterpret_cast<const unsigned char*> (message.data()), message.size(), digest.data(), &length);
 
     std::string hex;
 
@@ -30,23 +42,11 @@
     return hex;
 }
 
-auto signedText (std::string_view name, std::string_view time, std::string_view message) -> std::string
-{
-    std::string text (name);
-    text += ';';
-    text += time;
-    text += ';';
-    text += message;
-    return text;
-}
-
-} // namespace
-
 auto signMessage (std::string_view secret, std::string_view name, WallTime time, std::string_view message)
     -> std::string
 {
     const auto timeText = std::to_string (time.time_since_epoch().count());
-    return std::string (name) + ";" + timeText + ";" + hmacHex (secret, signedText (name, timeText, message));
+    return std::string (name) + ";" + timeText + ";" + keyedDigest (secret, signedText (name, timeText, message));
 }
 
 auto checkSignature (std::string_view secret,
@@ -64,7 +64,7 @@
     const auto name = signature.substr (0, first);
     const auto timeText = signature.substr (first + 1, second - first - 1);
     const auto given = signature.substr (second + 1);
-    const auto expected = hmacHex (secret, signedText (name, timeText, message));
+    const auto expected = keyedDigest (secret, signedText (name, timeText, message));
 
     if (given.size() != expected.size() ||
         CRYPTO_memcmp (given.data(), expected.data(), expected.size()) != 0)
--- a/modules/snowrudder_core/ids/Signature.h
+++ b/modules/snowrudder_core/ids/Signature.h
@@ -9,6 +9,9 @@
 namespace snowrudder
 {
 
+/** @returns HMAC-SHA256 of a message as 64 hexadecimal digits. */
+auto keyedDigest (std::string_view secret, std::string_view message) -> std::string;
+
 /** Proves that a message between routers comes from one that knows the fleet's secret: `NAME;MILLISECONDS;HMAC`, the
     last being HMAC-SHA256 over name, time and the message.
 
--- a/modules/snowrudder_core/log/Log.cpp
+++ b/modules/snowrudder_core/log/Log.cpp
@@ -1,5 +1,7 @@
 #include "Log.h"
 
+#include "BoundedAppender.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -51,6 +53,20 @@
     return value.empty() || value.find_first_of (" \"=\n\r\t") != std::string_view::npos;
 }
 
+/** Owned by the logger; null while lines go elsewhere. */
+BoundedAppender* boundedAppender = nullptr;
+
+auto useAppender (const log4cplus::SharedAppenderPtr& appender, std::string_view program, LogLevel level) -> void
+{
+    auto& logger = rootLogger();
+    const auto pattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + std::string (program) + " %m%n";
+    appender->setLayout (std::make_unique<log4cplus::PatternLayout> (pattern));
+
+    logger.removeAllAppenders();
+    logger.addAppender (appender);
+    logger.setLogLevel (toLog4cplus (level));
+}
+
 } // namespace
 
 auto LogLine::with (std::string_view name, std::string_view value) -> LogLine&
@@ -99,18 +115,23 @@
 
 auto startLogging (std::string_view program, LogLevel level) -> void
 {
-    auto& logger = rootLogger();
     const auto logToStandardError = true;
     const auto flushAtEachLine = true;
+    useAppender (log4cplus::SharedAppenderPtr (
+                     new log4cplus::ConsoleAppender (logToStandardError, flushAtEachLine)),
+                 program, level);
+}
 
-    log4cplus::SharedAppenderPtr appender (
-        new log4cplus::ConsoleAppender (logToStandardError, flushAtEachLine));
-    const auto pattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + std::string (program) + " %m%n";
-    appender->setLayout (std::make_unique<log4cplus::PatternLayout> (pattern));
+auto startBoundedLogging (std::string_view program, LogLevel level) -> void
+{
+    boundedAppender = new BoundedAppender;
+    useAppender (log4cplus::SharedAppenderPtr (boundedAppender), program, level);
+}
 
-    logger.removeAllAppenders();
-    logger.addAppender (appender);
-    logger.setLogLevel (toLog4cplus (level));
+auto flushLog() -> void
+{
+    if (boundedAppender != nullptr)
+        boundedAppender->flush();
 }
 
 auto isLogged (LogLevel level) -> bool
--- a/modules/snowrudder_core/log/Log.h
+++ b/modules/snowrudder_core/log/Log.h
@@ -58,6 +58,12 @@
 */
 auto startLogging (std::string_view program, LogLevel level) -> void;
 
+/** Sends log lines to standard output instead, without ever waiting for it; see BoundedAppender. */
+auto startBoundedLogging (std::string_view program, LogLevel level) -> void;
+
+/** Writes gathered lines as far as standard output takes them now. Call some times a second. */
+auto flushLog() -> void;
+
 /** @returns whether lines of a level are written; lets callers skip costly lines. */
 auto isLogged (LogLevel level) -> bool;
 
--- a/modules/snowrudder_router/state/Pause.cpp
+++ b/modules/snowrudder_core/random/Jitter.cpp
@@ -1,4 +1,4 @@
-#include "Pause.h"
+#include "Jitter.h"
 
 #include <random>
 
--- /dev/null
+++ b/modules/snowrudder_core/random/Jitter.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "../time/Time.h"
+
+namespace snowrudder
+{
+
+/** @returns a random number from 0 to 1. */
+auto drawJitter() -> double;
+
+/** @returns a pause of half to one and a half times the given one, so that nodes don't come back all at once. */
+inline auto jittered (Duration pause) -> Duration
+{
+    constexpr auto least = 0.5;
+    return std::chrono::duration_cast<Duration> (pause * (least + drawJitter()));
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_core/snowrudder_core.h
+++ b/modules/snowrudder_core/snowrudder_core.h
@@ -24,5 +24,6 @@
 #include "log/Log.h"
 #include "metrics/Metrics.h"
 #include "program/Program.h"
+#include "random/Jitter.h"
 #include "time/Time.h"
 #include "json/JsonFields.h"
--- a/modules/snowrudder_fakes/common/FakeServer.cpp
+++ b/modules/snowrudder_fakes/common/FakeServer.cpp
@@ -11,7 +11,7 @@
                     ExchangeHandler handler) -> int
 {
     ServerLimits limits;
-    limits.headerTimeout = 3600s;
+    limits.headerTimeout = limits.idleTimeout = 3600s;
     limits.bodyBytes = 64 * 1024 * 1024;
     return runServer (loop, listen, program, limits, std::move (handler));
 }
--- a/modules/snowrudder_fakes/engine/FakeEngine.cpp
+++ b/modules/snowrudder_fakes/engine/FakeEngine.cpp
@@ -246,7 +246,7 @@
 
     streams.emplace (id, stream);
     workSignal->notify();
-    exchange.watchCaller (stream->signal);
+    exchange.watchCaller ([signal = stream->signal] { signal->notify(); });
 
     if (request.stream)
     {
--- a/modules/snowrudder_net/client/ConnectionPool.cpp
+++ b/modules/snowrudder_net/client/ConnectionPool.cpp
@@ -35,13 +35,23 @@
         auto connection = std::move (connections.back());
         connections.pop_back();
 
-        if (now - connection->idleSince < longestIdle && isSilent (connection->stream))
+        if (now - connection->idleSince < connection->longestIdle && isSilent (connection->stream))
             return connection;
     }
 
     return nullptr;
 }
 
+auto ConnectionPool::closeOld (TimePoint now) -> void
+{
+    for (auto& [endpoint, connections] : idle)
+        std::erase_if (connections,
+                       [now] (const auto& connection)
+                       { return now - connection->idleSince >= connection->longestIdle; });
+
+    std::erase_if (idle, [] (const auto& entry) { return entry.second.empty(); });
+}
+
 auto ConnectionPool::giveBack (const tcp::endpoint& endpoint,
                                std::unique_ptr<UpstreamConnection> connection,
                                TimePoint now) -> void
--- a/modules/snowrudder_net/client/ConnectionPool.h
+++ b/modules/snowrudder_net/client/ConnectionPool.h
@@ -28,6 +28,8 @@
     Watchdog::Watch deadline;
     beast::flat_buffer buffer;
     TimePoint idleSince {};
+    /** How long it may rest before it is used again. */
+    Duration longestIdle {};
 };
 
 /** Idle connections of one event loop, by address. Belongs to its loop's thread; needs no lock. */
@@ -53,12 +55,10 @@
                    std::unique_ptr<UpstreamConnection> connection,
                    TimePoint now) -> void;
 
-    /** Closes all idle connections to an address. */
-    auto forget (const tcp::endpoint& endpoint) -> void { idle.erase (endpoint); }
+    /** Closes idle connections that have rested too long. */
+    auto closeOld (TimePoint now) -> void;
 
 private:
-    /** A peer's keep-alive time is not known, so idle connections are closed early. */
-    static constexpr auto longestIdle = 10s;
     static constexpr auto mostIdleAnAddress = std::size_t { 64 };
 
     asio::any_io_executor executor;
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -1,6 +1,8 @@
 #include "UpstreamCall.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 
 namespace snowrudder
@@ -11,12 +13,46 @@
 
 constexpr auto largestHeader = std::uint32_t { 64 * 1024 };
 
+/** Where an upstream says nothing of its keep-alive time, idle connections are closed early. */
+constexpr auto usualLongestIdle = Duration (10s);
+
+/** @returns how long a connection may rest: four fifths of the upstream's `Keep-Alive: timeout=N` (RFC 2068, 19.7.1),
+    so that it is not closed while a request is on its way.
+*/
+auto keepAliveTime (std::string_view header) -> Duration
+{
+    constexpr auto parameter = std::string_view ("timeout=");
+    const auto place = header.find (parameter);
+
+    if (place == std::string_view::npos)
+        return usualLongestIdle;
+
+    auto whole = std::uint32_t { 0 };
+    const auto text = header.substr (place + parameter.size());
+    const auto [end, error] = std::from_chars (text.data(), text.data() + text.size(), whole);
+
+    if (error != std::errc())
+        return usualLongestIdle;
+
+    return std::min<Duration> (std::chrono::milliseconds (whole * std::int64_t { 800 }), usualLongestIdle);
+}
+
 } // namespace
 
-UpstreamCall::~UpstreamCall() = default;
+UpstreamCall::~UpstreamCall()
+{
+    if (! reusable || connection->buffer.size() > 0)
+        return;
+
+    connection->longestIdle = keepAliveTime (toView (parser->get()["Keep-Alive"]));
+    pool.giveBack (endpoint, std::move (connection), SteadyClock::now());
+}
 
 auto UpstreamCall::connect (bool mayReuse) -> Task<std::error_code>
 {
+    if (cancelled)
+        co_return make_error_code (std::errc::operation_canceled);
+
     if (mayReuse)
         connection = pool.takeIdle (endpoint, SteadyClock::now());
 
@@ -24,7 +60,7 @@
         co_return std::error_code();
 
     connection = pool.makeNew();
-    connection->deadline.start (timeouts.connect);
+    startDeadline (timeouts.connect);
     const auto [error] = co_await connection->stream.async_connect (endpoint, asTuple);
 
     if (! error)
@@ -41,7 +77,7 @@
     if (cancelled)
         co_return make_error_code (std::errc::operation_canceled);
 
-    connection->deadline.start (timeouts.firstByte);
+    startDeadline (timeouts.firstByte);
     reached = CallStage::sending;
     const auto [error, bytes] = co_await http::async_write (connection->stream, request, asTuple);
 
@@ -55,7 +91,7 @@
 
 auto UpstreamCall::readHeader() -> Task<std::error_code>
 {
-    connection->deadline.start (timeouts.firstByte);
+    startDeadline (timeouts.firstByte);
 
     for (auto isInterim = true; isInterim;)
     {
@@ -92,7 +128,7 @@
         body.size = piece.size();
         body.more = true;
 
-        connection->deadline.start (timeouts.idle);
+        startDeadline (timeouts.idle);
         const auto [readError, count] =
             co_await http::async_read_some (connection->stream, connection->buffer, *parser, asTuple);
         const auto error = takeBuffered (readError);
@@ -144,6 +180,12 @@
     co_return std::error_code();
 }
 
+auto UpstreamCall::startDeadline (Duration wait) -> void
+{
+    const auto left = timeouts.end - SteadyClock::now();
+    connection->deadline.start (std::clamp<Duration> (left, 0ms, wait));
+}
+
 auto UpstreamCall::told (boost::system::error_code error) const -> std::error_code
 {
     if (error && connection->deadline.hasExpired())
@@ -172,8 +214,7 @@
 {
     reached = CallStage::finished;
 
-    if (parser->get().keep_alive() && ! parser->need_eof() && connection->buffer.size() == 0)
-        pool.giveBack (endpoint, std::move (connection), SteadyClock::now());
+    reusable = parser->get().keep_alive() && ! parser->need_eof();
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -17,6 +17,8 @@
     Duration connect = 1s;
     Duration firstByte = 60s;
     Duration idle = 30s;
+    /** When the whole call must be over, whatever the waits above leave. */
+    TimePoint end = TimePoint::max();
 };
 
 /** One call to one upstream, step by step. Dropping it closes its connection, unless the answer was read whole. */
@@ -70,6 +72,9 @@
     /** @returns the body's length when the header states it. */
     [[nodiscard]] auto contentLength() const -> std::optional<std::uint64_t>;
 
+    /** Closes the connection at the call's end: what came on it can't be trusted. */
+    auto distrust() -> void { reusable = false; }
+
     /** Tells the parser that the request was HEAD, whose answer has no body. */
     auto expectNoBody() -> void { headOnly = true; }
 
@@ -87,6 +92,9 @@
     */
     auto takeBuffered (boost::system::error_code error) -> boost::system::error_code;
 
+    /** Bounds the step that begins now: its own wait, or what is left of the whole call. */
+    auto startDeadline (Duration wait) -> void;
+
     /** @returns an error as the caller is told: a cancelled operation whose time ran out has timed out. */
     [[nodiscard]] auto told (boost::system::error_code error) const -> std::error_code;
 
@@ -98,6 +106,8 @@
     std::array<char, pieceBytes> piece;
     CallStage reached = CallStage::planned;
     bool headOnly = false;
+    /** Whether the answer was read whole and the connection may serve another call. */
+    bool reusable = false;
     bool cancelled = false;
 };
 
--- /dev/null
+++ b/modules/snowrudder_net/concurrency/Pause.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "AsioNames.h"
+
+#include "snowrudder_core/time/Time.h"
+
+namespace snowrudder
+{
+
+/** Waits on an event loop. */
+inline auto pauseFor (asio::io_context& loop, Duration time) -> Task<void>
+{
+    asio::steady_timer timer (loop, time);
+    co_await timer.async_wait (asTuple);
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_net/server/Exchange.cpp
+++ b/modules/snowrudder_net/server/Exchange.cpp
@@ -12,7 +12,7 @@
 
 /** Waits for the socket to become readable, which for a caller that awaits its answer means that it went. */
 template <typename Watch>
-auto watchSocket (tcp::socket& socket, std::shared_ptr<Watch> watch, std::shared_ptr<Signal> signal)
+auto watchSocket (tcp::socket& socket, std::shared_ptr<Watch> watch, std::function<void()> onGone)
     -> Task<void>
 {
     const auto [error] = co_await socket.async_wait (tcp::socket::wait_read, asTuple);
@@ -28,7 +28,7 @@
         co_return;
 
     watch->gone = true;
-    signal->notify();
+    onGone();
 }
 
 } // namespace
@@ -166,10 +166,10 @@
     co_return error;
 }
 
-auto Exchange::watchCaller (std::shared_ptr<Signal> signal) -> void
+auto Exchange::watchCaller (std::function<void()> onGone) -> void
 {
     watch = std::make_shared<Watch>();
-    asio::co_spawn (executor(), watchSocket (stream, watch, std::move (signal)), asio::detached);
+    asio::co_spawn (executor(), watchSocket (stream, watch, std::move (onGone)), asio::detached);
 }
 
 auto Exchange::stopWatching() -> void
--- a/modules/snowrudder_net/server/Exchange.h
+++ b/modules/snowrudder_net/server/Exchange.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "../concurrency/AsioNames.h"
-#include "../concurrency/Signal.h"
 #include "../concurrency/Watchdog.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,6 +19,9 @@
 {
     std::uint32_t headerBytes = 16 * 1024;
     std::uint32_t bodyBytes = 8 * 1024 * 1024;
+    /** For a kept connection that rests between requests. */
+    Duration idleTimeout = 30s;
+    /** From a header's first byte to its last. */
     Duration headerTimeout = 30s;
     Duration bodyTimeout = 30s;
     /** For one write to a caller that reads slowly. */
@@ -78,10 +81,11 @@
     /** Closes the connection after this answer. */
     auto closeAfter() -> void { closing = true; }
 
-    /** Watches the connection while an answer is being made: notifies the signal once the caller has gone.
-        The watch ends with stopWatching() or with the exchange.
+    /** Watches the connection while an answer is being made.
+
+        @param onGone  called on the event loop once the caller has gone; never after stopWatching()
     */
-    auto watchCaller (std::shared_ptr<Signal> signal) -> void;
+    auto watchCaller (std::function<void()> onGone) -> void;
     auto stopWatching() -> void;
     [[nodiscard]] auto callerGone() const -> bool { return watch && watch->gone; }
 
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -124,10 +124,8 @@
     boost::system::error_code error;
     socket.set_option (tcp::no_delay (true), error);
 
-    connections.fetch_add (1);
     co_await serveRequests (socket);
     socket.shutdown (tcp::socket::shutdown_send, error);
-    connections.fetch_sub (1);
 }
 
 auto HttpServer::serveRequests (tcp::socket& stream) -> Task<void>
@@ -170,6 +168,16 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit (limits.headerBytes);
     parser.body_limit (limits.bodyBytes);
+
+    if (buffer.size() == 0)
+    {
+        deadline.start (limits.idleTimeout);
+        const auto [waitError] = co_await stream.async_wait (tcp::socket::wait_read, asTuple);
+
+        if (waitError)
+            co_return ConnectionEnd {};
+    }
+
     deadline.start (limits.headerTimeout);
 
     const auto [headerError, headerBytes] =
--- a/modules/snowrudder_net/server/HttpServer.h
+++ b/modules/snowrudder_net/server/HttpServer.h
@@ -41,7 +41,8 @@
     */
     auto drain() -> void;
 
-    [[nodiscard]] auto openConnections() const -> std::size_t { return connections.load(); }
+    /** Puts other bounds in force for requests that are read from now on. Call on the event loop. */
+    auto setLimits (const ServerLimits& changed) -> void { limits = changed; }
 
     /** @returns connections whose request is being answered. */
     [[nodiscard]] auto busyConnections() const -> std::size_t { return busy.load(); }
@@ -68,7 +69,6 @@
     tcp::acceptor acceptor;
     Watchdog watchdog;
     bool draining = false;
-    std::atomic<std::size_t> connections { 0 };
     std::atomic<std::size_t> busy { 0 };
 };
 
--- a/modules/snowrudder_requests/retry/RetryBudget.h
+++ b/modules/snowrudder_requests/retry/RetryBudget.h
@@ -16,17 +16,18 @@
     double left = 1.0;
 };
 
-/** Most retries saved up. */
-inline constexpr auto mostSavedRetries = 10.0;
+/** Most retries saved up, where nothing else is set. */
+inline constexpr auto usualSavedRetries = 10.0;
 
 /** Adds a request's share.
 
-    @param percent  retries allowed for each 100 requests
+    @param percent    retries allowed for each 100 requests
+    @param mostSaved  retries that can be saved up
 */
-inline auto earnRetry (RetryBudget& budget, double percent) -> void
+inline auto earnRetry (RetryBudget& budget, double percent, double mostSaved = usualSavedRetries) -> void
 {
     constexpr auto whole = 100.0;
-    budget.left = std::min (mostSavedRetries, budget.left + percent / whole);
+    budget.left = std::min (mostSaved, budget.left + percent / whole);
 }
 
 /** Takes a retry if one is there. */
@@ -43,10 +44,13 @@
 class RetryBudgets
 {
 public:
+    /** @param mostSaved  retries that can be saved up for an account and service */
+    explicit RetryBudgets (double mostSaved = usualSavedRetries) : saved (mostSaved) {}
+
     auto earn (const std::string& account, const std::string& service, double percent) -> void
     {
         const std::lock_guard lock (mutex);
-        earnRetry (budgets[account + "|" + service], percent);
+        earnRetry (budgets[account + "|" + service], percent, saved);
     }
 
     auto take (const std::string& account, const std::string& service) -> bool
@@ -56,6 +60,7 @@
     }
 
 private:
+    const double saved;
     std::mutex mutex;
     std::map<std::string, RetryBudget> budgets;
 };
--- a/modules/snowrudder_requests/retry/RetryDecision.h
+++ b/modules/snowrudder_requests/retry/RetryDecision.h
@@ -9,6 +9,9 @@
 namespace snowrudder
 {
 
+/** Most attempts for one request, where its route or service does not say. */
+inline constexpr auto usualMostAttempts = std::uint32_t { 4 };
+
 /** What the decision needs to know of a request. */
 struct RetryInput
 {
@@ -20,6 +23,8 @@
     bool answerBegun = false;
     /** Attempts made, the failed one included; moves are not counted. */
     std::uint32_t attempts = 1;
+    /** Most attempts for the request. */
+    std::uint32_t mostAttempts = usualMostAttempts;
     /** Whether the retry budget has something left. */
     bool budgetLeft = true;
     TimePoint deadline {};
@@ -40,9 +45,6 @@
     Ran ran = Ran::unknown;
 };
 
-/** Most attempts for one request. */
-inline constexpr auto mostAttempts = std::uint32_t { 4 };
-
 /** Decides what follows a failed attempt.
 
     A request that may not repeat gets another attempt only when every attempt so far is proved not to have run. A
--- a/modules/snowrudder_router/gateway/CallerScope.h
+++ b/modules/snowrudder_router/gateway/CallerScope.h
@@ -56,32 +56,6 @@
     bool admitted = false;
 };
 
-/** A place before a service's upstreams, given back at its end. */
-class PlaceGuard
-{
-public:
-    PlaceGuard (RouterState& routerState, std::string serviceName, std::string accountName)
-        : state (routerState), service (std::move (serviceName)), account (std::move (accountName)),
-          since (SteadyClock::now())
-    {
-    }
-
-    ~PlaceGuard()
-    {
-        const auto now = SteadyClock::now();
-        state.queues.leave (service, account, now - since, now);
-    }
-
-    PlaceGuard (const PlaceGuard&) = delete;
-    auto operator= (const PlaceGuard&) -> PlaceGuard& = delete;
-
-private:
-    RouterState& state;
-    std::string service;
-    std::string account;
-    TimePoint since;
-};
-
 /** @returns a problem for a request that got no place in the queue. */
 auto problemOf (const ServiceQueues::Place& place) -> Problem;
 
@@ -100,10 +74,4 @@
 /** @returns the weights of a service's choices, from its settings. */
 auto choiceWeights (const ServiceView& service) -> ChoiceWeights;
 
-/** @returns the failure that an error of a call step stands for. */
-auto failureOf (std::error_code error) -> FailureCause;
-
-/** @returns what a failed attempt says of its replica's health. */
-auto healthOf (const AttemptOutcome& outcome) -> AttemptHealth;
-
 } // namespace snowrudder
--- a/modules/snowrudder_router/model/ModelRun.cpp
+++ b/modules/snowrudder_router/model/ModelRun.cpp
@@ -99,7 +99,7 @@
 
     if (place.granted)
     {
-        const PlaceGuard guard (state, service->name, account->name);
+        const PlaceGuard guard (state.queues, service->name, account->name);
         co_await runAttempts();
     }
     else
--- a/modules/snowrudder_router/model/RecordRelay.cpp
+++ b/modules/snowrudder_router/model/RecordRelay.cpp
@@ -139,7 +139,7 @@
 {
     const auto signal = std::make_shared<Signal> (exchange.executor());
     const Reader reader (*record, signal);
-    exchange.watchCaller (signal);
+    exchange.watchCaller ([signal] { signal->notify(); });
 
     if (record->identity().stream)
         co_await relayStream (state, exchange, *record, *signal, after);
--- a/modules/snowrudder_router/plain/PlainHandler.cpp
+++ b/modules/snowrudder_router/plain/PlainHandler.cpp
@@ -3,7 +3,6 @@
 #include "../model/RecordRelay.h"
 #include "../once/OnceHandler.h"
 #include "../peers/PeerCalls.h"
-#include "AnswerRelay.h"
 #include "PlainCall.h"
 
 namespace snowrudder
@@ -168,7 +167,7 @@
         co_return;
     }
 
-    const PlaceGuard guard (state, input.service->name, input.account->name);
+    const PlaceGuard guard (state.queues, input.service->name, input.account->name);
     auto result = co_await callPlainService (state, worker, input);
 
     if (const auto* problem = std::get_if<Problem> (&result))
@@ -198,7 +197,7 @@
         co_return;
     }
 
-    const PlaceGuard guard (state, input.service->name, input.account->name);
+    const PlaceGuard guard (state.queues, input.service->name, input.account->name);
     auto result = co_await callPlainService (state, worker, input);
 
     if (auto* problem = std::get_if<Problem> (&result))
--- a/modules/snowrudder_router/resume/ResumeHandler.cpp
+++ b/modules/snowrudder_router/resume/ResumeHandler.cpp
@@ -2,7 +2,6 @@
 
 #include "../model/RecordRelay.h"
 #include "../peers/PeerCalls.h"
-#include "../plain/AnswerRelay.h"
 
 #include <charconv>
 
--- a/modules/snowrudder_router/state/Pause.h
+++ b/modules/snowrudder_router/state/Pause.h
@@ -12,14 +12,4 @@
     co_await timer.async_wait (asTuple);
 }
 
-/** @returns a random number from 0 to 1. */
-auto drawJitter() -> double;
-
-/** @returns a pause of half to one and a half times the given one, so that routers don't come back all at once. */
-inline auto jittered (Duration pause) -> Duration
-{
-    constexpr auto least = 0.5;
-    return std::chrono::duration_cast<Duration> (pause * (least + drawJitter()));
-}
-
 } // namespace snowrudder
--- a/modules/snowrudder_router/state/RouterState.h
+++ b/modules/snowrudder_router/state/RouterState.h
@@ -3,7 +3,6 @@
 #include "OnceState.h"
 #include "RouterMetrics.h"
 #include "RouterTimeouts.h"
-#include "ServiceQueues.h"
 
 #include "process_settings.pb.h"
 
@@ -11,6 +10,7 @@
 #include "snowrudder_limits/snowrudder_limits.h"
 #include "snowrudder_requests/snowrudder_requests.h"
 #include "snowrudder_routing/snowrudder_routing.h"
+#include "snowrudder_serving/snowrudder_serving.h"
 #include "snowrudder_settings/snowrudder_settings.h"
 
 #include <atomic>
--- a/modules/snowrudder_router/state/RouterTimeouts.cpp
+++ b/modules/snowrudder_router/state/RouterTimeouts.cpp
@@ -61,7 +61,7 @@
         limits.bodyBytes = settings.limits().body_bytes();
 
     if (given.has_header_milliseconds())
-        limits.headerTimeout = milliseconds (given.header_milliseconds());
+        limits.headerTimeout = limits.idleTimeout = milliseconds (given.header_milliseconds());
 
     if (given.has_body_milliseconds())
         limits.bodyTimeout = milliseconds (given.body_milliseconds());
--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -16,6 +16,9 @@
     if (input.blocks.empty())
         return 0;
 
+    if (input.anchorBlock)
+        return input.blocks[std::min (*input.anchorBlock, input.blocks.size() - 1)];
+
     const auto wanted = std::max<std::size_t> (weights.anchorBytes / promptBlockBytes, 1);
     return input.blocks[std::min (wanted, input.blocks.size()) - 1];
 }
@@ -28,7 +31,9 @@
 auto matchedTokens (const ChoiceInput& input, ReplicaNumber number) -> double
 {
     for (const auto& match : input.matches)
-        if (match.replica == number)
+        if (match.replica == number && match.blocks > 0 && ! input.blockTokens.empty())
+            return input.blockTokens[std::min (match.blocks, input.blockTokens.size()) - 1];
+        else if (match.replica == number)
             return static_cast<double> (match.blocks) * blockTokenEstimate;
 
     return 0.0;
--- a/modules/snowrudder_routing/choice/ChooseReplica.h
+++ b/modules/snowrudder_routing/choice/ChooseReplica.h
@@ -39,6 +39,10 @@
 struct ChoiceInput
 {
     std::span<const std::uint64_t> blocks;
+    /** Tokens up to each block's end, where callers state them; empty where blocks are of one size. */
+    std::span<const double> blockTokens;
+    /** The block whose hash the ranking is made for; without it, the one that `anchorBytes` names. */
+    std::optional<std::size_t> anchorBlock;
     double promptTokens = 0.0;
     /** Replicas already tried by this request. */
     std::span<const ReplicaNumber> tried;
--- a/modules/snowrudder_routing/prefix/PrefixIndex.cpp
+++ b/modules/snowrudder_routing/prefix/PrefixIndex.cpp
@@ -39,18 +39,19 @@
 
         const auto& entry = found->second;
 
-        if (index == 0)
-            for (const auto replica : std::span (entry.holders).first (entry.holderCount))
-                matches.push_back ({ replica, 0 });
-
         auto isHeld = false;
 
-        for (auto& candidate : matches)
+        // A block's hash stands for all before it too. An entry remembers few holders, so that a replica may be forgotten
+        // at a block that many share and still be known at a later one.
+        for (const auto replica : std::span (entry.holders).first (entry.holderCount))
         {
-            if (candidate.blocks != index || ! entry.holds (candidate.replica))
-                continue;
+            const auto known = std::ranges::find (matches, replica, &PrefixMatch::replica);
+
+            if (known != matches.end())
+                known->blocks = index + 1;
+            else
+                matches.push_back ({ replica, index + 1 });
 
-            candidate.blocks = index + 1;
             isHeld = true;
         }
 
--- /dev/null
+++ b/modules/snowrudder_serving/configuration/RoutingConfiguration.cpp
@@ -0,0 +1,58 @@
+#include "RoutingConfiguration.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace snowrudder
+{
+
+auto addRoute (RoutingConfiguration& configuration, Route route) -> void
+{
+    auto& ofHost = configuration.routes[route.host];
+    const auto place = std::ranges::find_if (
+        ofHost, [&] (const Route& other) { return other.pathPrefix.size() < route.pathPrefix.size(); });
+    ofHost.insert (place, std::move (route));
+}
+
+auto findRoute (const RoutingConfiguration& configuration, std::string_view host, std::string_view path)
+    -> const Route*
+{
+    const auto name = host.substr (0, host.find (':'));
+    const auto found = configuration.routes.find (std::string (name));
+
+    if (found == configuration.routes.end())
+        return nullptr;
+
+    const auto route = std::ranges::find_if (found->second, [path] (const Route& candidate)
+                                             { return path.starts_with (candidate.pathPrefix); });
+    return route == found->second.end() ? nullptr : &*route;
+}
+
+auto findAccount (const RoutingConfiguration& configuration, std::string_view key)
+    -> std::shared_ptr<const RoutedAccount>
+{
+    const auto found = configuration.accountsByKey.find (std::string (key));
+    return found == configuration.accountsByKey.end() ? nullptr : found->second;
+}
+
+auto pickService (const Route& route, double draw) -> const std::string&
+{
+    requireInvariant (! route.services.empty(), "a route names a service");
+
+    const auto whole =
+        std::accumulate (route.services.begin(), route.services.end(), 0.0,
+                         [] (double sum, const WeightedService& service) { return sum + service.weight; });
+    auto left = draw * whole;
+
+    for (const auto& service : route.services)
+    {
+        left -= service.weight;
+
+        if (left < 0.0)
+            return service.name;
+    }
+
+    return route.services.back().name;
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -0,0 +1,186 @@
+#include "../capacity/CapacityPlan.h"
+#include "DutyLoops.h"
+
+#include <map>
+#include <tuple>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+constexpr auto tick = 1s;
+
+/** After a refusal for want of reclaimable replicas, until the next try. */
+constexpr auto dryPause = Duration (3s);
+
+/** An order is given again when what serves still differs from it after the boot time and this. */
+constexpr auto repeatPause = Duration (3s);
+
+/** Prompt tokens that a replica reads a millisecond, until measured otherwise (the engines of both first sites read 64
+    and 68), and the part of its time that may go to prompts when first tokens are to come in time.
+*/
+constexpr auto promptTokensAMillisecond = 64.0;
+constexpr auto busyShare = 0.35;
+
+/** Work is averaged over this time: long against bursts of a second, short against a day's swing of 40 s. */
+constexpr auto workTime = Duration (6s);
+
+/** Before work is measured, this part of what was found is taken as needed. */
+constexpr auto startShare = 0.6;
+
+using OrderKey = std::tuple<std::string, std::string, bool>;
+
+struct GivenOrder
+{
+    std::uint32_t replicas = 0;
+    TimePoint given {};
+};
+
+/** What the holder remembers between rounds. */
+struct CapacityMemory
+{
+    std::map<OrderKey, GivenOrder> given;
+    std::map<std::pair<std::string, std::string>, TimePoint> dryUntil;
+    std::map<std::string, double> needed;
+    std::uint64_t fence = 0;
+};
+
+auto servingOf (const ReplicaDirectory& directory, const std::string& service)
+    -> std::map<std::string, DomainCapacity>
+{
+    std::map<std::string, DomainCapacity> serving;
+
+    for (const auto& [key, entry] : directory.entries)
+    {
+        if (entry.info.service != service || entry.isLeaving)
+            continue;
+
+        auto& ofDomain = serving[entry.info.failureDomain];
+        ++(entry.isReclaimable ? ofDomain.reclaimable : ofDomain.onDemand);
+    }
+
+    return serving;
+}
+
+/** @returns how many replicas the service needs, averaged; rises at once and falls slowly. */
+auto noteNeeded (const ServingState& state, CapacityMemory& memory, const std::string& service, double found,
+                 TimePoint now) -> double
+{
+    constexpr auto thousand = 1000.0;
+    const auto tokens = state.work.of (service, now) + state.peers.work (service, now);
+    const auto measured = tokens / (promptTokensAMillisecond * thousand * busyShare);
+    const auto known = memory.needed.find (service);
+
+    if (known == memory.needed.end())
+        return memory.needed[service] = std::max (measured, found * startShare);
+
+    const auto fall = std::chrono::duration<double> (tick) / std::chrono::duration<double> (workTime);
+    known->second = std::max (measured, known->second + (measured - known->second) * fall);
+    return known->second;
+}
+
+auto give (ServingState& state, const DutyCalls& calls, CapacityMemory& memory, CapacityOrder order) -> Task<void>
+{
+    const auto now = SteadyClock::now();
+
+    if (! mayAct (state.leadership, state.leadershipTimes, now))
+        co_return;
+
+    const DutyHolder holder { state.settings.node, state.leadership.fence };
+    const auto outcome = co_await calls.orderCapacity (holder, order);
+    LogLine ("capacity_ordered")
+        .with ("service", order.service)
+        .with ("failure_domain", order.failureDomain)
+        .with ("reclaimable", order.isReclaimable ? "yes" : "no")
+        .with ("replicas", order.replicas)
+        .with ("needed", memory.needed[order.service])
+        .with ("fence", holder.fence)
+        .with ("outcome", toString (outcome))
+        .info();
+
+    if (outcome == StoreOutcome::done)
+        memory.given[{ order.service, order.failureDomain, order.isReclaimable }] = { order.replicas, now };
+    else if (outcome == StoreOutcome::refused && order.isReclaimable)
+        memory.dryUntil[{ order.service, order.failureDomain }] = now + dryPause;
+}
+
+auto isDue (const CapacityMemory& memory, const CapacityOrder& order, std::uint32_t serving, Duration bootTime,
+            TimePoint now) -> bool
+{
+    const auto given = memory.given.find ({ order.service, order.failureDomain, order.isReclaimable });
+
+    if (given == memory.given.end() || given->second.replicas != order.replicas)
+        return true;
+
+    return serving != order.replicas && now - given->second.given > bootTime + repeatPause;
+}
+
+auto planService (ServingState& state, const DutyCalls& calls, CapacityMemory& memory, const UpstreamService& service)
+    -> Task<void>
+{
+    const auto now = SteadyClock::now();
+    CapacityInput input;
+    input.bounds = *service.scaling;
+    input.serving = servingOf (state.directory, service.name);
+    auto found = 0.0;
+
+    for (const auto& [domain, capacity] : input.serving)
+        found += capacity.onDemand + capacity.reclaimable;
+
+    input.needed = noteNeeded (state, memory, service.name, found, now);
+
+    for (const auto& [place, until] : memory.dryUntil)
+        if (place.first == service.name && now < until)
+            input.dry.insert (place.second);
+
+    for (const auto& [domain, wanted] : planCapacity (input))
+    {
+        const auto serving = input.serving[domain];
+
+        // Reclaimable replicas first: on-demand ones are given up only when enough of the others serve.
+        CapacityOrder reclaimable { service.name, domain, true, wanted.reclaimable };
+        CapacityOrder onDemand { service.name, domain, false, wanted.onDemand };
+
+        if (! input.dry.contains (domain) && isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
+            co_await give (state, calls, memory, std::move (reclaimable));
+
+        if (isDue (memory, onDemand, serving.onDemand, input.bounds.bootTime, now))
+            co_await give (state, calls, memory, std::move (onDemand));
+    }
+}
+
+} // namespace
+
+auto orderReplicas (ServingState& state, const DutyCalls& calls) -> Task<void>
+{
+    CapacityMemory memory;
+    asio::steady_timer timer (state.loop);
+
+    for (;;)
+    {
+        timer.expires_after (tick);
+        co_await timer.async_wait (asTuple);
+
+        const auto configuration = state.configuration.current;
+
+        if (! configuration || ! state.hasReplicas)
+            continue;
+
+        if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
+            continue;
+
+        if (memory.fence != state.leadership.fence)
+        {
+            memory = CapacityMemory();
+            memory.fence = state.leadership.fence;
+        }
+
+        for (const auto& [name, service] : configuration->services)
+            if (service.scaling)
+                co_await planService (state, calls, memory, service);
+    }
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/duties/Leadership.cpp
@@ -0,0 +1,42 @@
+#include "Leadership.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+auto noteRenewal (Leadership& own, StoreOutcome outcome, const LeadershipTimes& times, TimePoint asked) -> void
+{
+    if (outcome == StoreOutcome::done)
+    {
+        own.leaseEnd = std::max (own.leaseEnd, asked + times.lease);
+        return;
+    }
+
+    if (outcome == StoreOutcome::refused)
+        noteLost (own, "lease_ended", asked);
+}
+
+auto noteHeld (Leadership& own, std::uint64_t revision) -> void
+{
+    if (own.fence == revision)
+        return;
+
+    own.fence = revision;
+    LogLine ("duties_taken").with ("fence", revision).with ("lease", own.lease).info();
+}
+
+auto noteLost (Leadership& own, std::string_view reason, TimePoint now) -> void
+{
+    if (own.fence != 0)
+    {
+        own.heldUntil = now;
+        LogLine ("duties_lost").with ("fence", own.fence).with ("reason", reason).warning();
+    }
+
+    own.fence = 0;
+    own.lease = 0;
+    own.leaseEnd = {};
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -0,0 +1,141 @@
+#include "DutyLoops.h"
+
+#include <boost/json.hpp>
+
+#include <set>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr auto tick = 500ms;
+
+/** After a window's end, until every node's last counts of it have come in: nodes tell them twice a second. */
+constexpr auto settleTime = Duration (2500ms);
+
+/** Windows of which counts and records are kept: those that a new holder may still have to report, and some more. */
+constexpr auto keptWindows = std::uint64_t { 8 };
+
+auto usageKey (std::uint64_t window) -> std::string
+{
+    return std::string (usagePrefix) + std::to_string (window);
+}
+
+auto writeCounts (const AccountCounts& counts) -> std::string
+{
+    json::object object;
+
+    for (const auto& [account, count] : counts)
+        object[account] = count;
+
+    return json::serialize (object);
+}
+
+auto readCounts (const std::string& text) -> AccountCounts
+{
+    AccountCounts counts;
+    boost::system::error_code error;
+    const auto value = json::parse (text, error);
+
+    if (error || ! value.is_object())
+        return counts;
+
+    for (const auto& member : value.get_object())
+        counts[std::string (member.key())] = wholeNumberIn (value.get_object(), member.key());
+
+    return counts;
+}
+
+/** Writes a window's counts down, or finds those that an earlier holder wrote.
+
+    @returns nothing when the store did not answer
+*/
+auto settleCounts (ServingState& state, const StateStore& store, std::uint64_t window)
+    -> Task<std::optional<AccountCounts>>
+{
+    AccountCounts counts;
+
+    if (const auto own = state.usage.counts().find (window); own != state.usage.counts().end())
+        counts = own->second;
+
+    state.peers.addUsage (window, counts);
+
+    StoreTransaction record;
+    record.conditions.push_back ({ usageKey (window), 0 });
+    StoredItem item;
+    item.key = usageKey (window);
+    item.value = writeCounts (counts);
+    record.puts.push_back (std::move (item));
+
+    if (window > keptWindows)
+        record.removals.push_back (usageKey (window - keptWindows));
+
+    const auto result = co_await store.commit (std::move (record));
+
+    if (result.outcome == StoreOutcome::done)
+        co_return counts;
+
+    if (result.outcome == StoreOutcome::refused && ! result.items.empty() && result.items.front().revision != 0)
+        co_return readCounts (result.items.front().value);
+
+    co_return std::nullopt;
+}
+
+auto reportWindow (ServingState& state, const StateStore& store, const DutyCalls& calls, std::uint64_t window)
+    -> Task<bool>
+{
+    const auto counts = co_await settleCounts (state, store, window);
+
+    if (! counts || ! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
+        co_return false;
+
+    const DutyHolder holder { state.settings.node, state.leadership.fence };
+    const auto outcome = co_await calls.reportUsage (holder, window, *counts);
+    LogLine ("usage_reported")
+        .with ("window", window)
+        .with ("accounts", counts->size())
+        .with ("fence", holder.fence)
+        .with ("outcome", toString (outcome))
+        .info();
+    co_return outcome == StoreOutcome::done;
+}
+
+} // namespace
+
+auto reportUsage (ServingState& state, const StateStore& store, const DutyCalls& calls) -> Task<void>
+{
+    std::set<std::uint64_t> reported;
+    asio::steady_timer timer (state.loop);
+    const auto firstWindow = state.usage.windowOf (state.trueTime.now (SteadyClock::now()));
+
+    for (;;)
+    {
+        timer.expires_after (tick);
+        co_await timer.async_wait (asTuple);
+
+        const auto now = state.trueTime.now (SteadyClock::now());
+        const auto current = state.usage.windowOf (now);
+        const auto oldest = current - std::min (current, keptWindows / 2);
+        state.usage.dropBefore (current - std::min (current, keptWindows));
+        state.peers.dropUsageBefore (current - std::min (current, keptWindows));
+        reported.erase (reported.begin(), reported.lower_bound (oldest));
+
+        for (auto window = std::max (oldest, firstWindow); window < current; ++window)
+        {
+            if (reported.contains (window) || now < state.usage.endOf (window) + settleTime)
+                continue;
+
+            if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
+                break;
+
+            if (co_await reportWindow (state, store, calls, window))
+                reported.insert (window);
+        }
+    }
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -0,0 +1,135 @@
+#include "RoutedGateway.h"
+
+#include "../relay/RoutedRun.h"
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** A node without a configuration, or without a proof of its freshness, looks for one several times a second. */
+constexpr auto freshnessRetry = 500ms;
+
+/** @returns the account of a request that names a valid key, or why it is refused. */
+auto accountOf (const ServingState& state, const CallerRequest& caller, const Route& route, TimePoint now)
+    -> std::variant<std::shared_ptr<const RoutedAccount>, Refusal>
+{
+    const auto& configuration = *state.configuration.current;
+
+    if (route.isPublic || configuration.accounts.empty())
+        return std::shared_ptr<const RoutedAccount>();
+
+    if (! isFresh (state.configuration, state.freshness, now))
+        return Refusal { makeProblem (ErrorKind::noReplica, "the configuration may be out of date"), freshnessRetry };
+
+    auto account = findAccount (configuration, caller.key);
+
+    if (! account)
+        return Refusal { makeProblem (ErrorKind::unauthorized), {} };
+
+    return account;
+}
+
+auto tokensOf (const CallerRequest& caller, const RoutedAccount& account) -> double
+{
+    return caller.statesTokens ? caller.promptTokens + caller.answerTokens : account.plainTokens;
+}
+
+auto checkQuota (ServingState& state, const CallerRequest& caller, const RoutedAccount& account, TimePoint now)
+    -> std::optional<Refusal>
+{
+    const QuotaPart part { state.nodeCount (now), state.peers.demand (account.name, now),
+                           state.settings.quotaSlack };
+    const auto admission = state.quota.admit (account, tokensOf (caller, account), part, now);
+
+    if (admission.admitted)
+        return {};
+
+    return Refusal { makeProblem (ErrorKind::rateLimited), admission.retryAfter };
+}
+
+auto logRefusal (const ServingState& state, const CallerRequest& caller, const Refusal& refusal, TimePoint now)
+    -> void
+{
+    const auto& current = state.configuration.current;
+    LogLine ("refused")
+        .with ("request", caller.id)
+        .with ("kind", toString (refusal.problem.kind))
+        .with ("detail", refusal.problem.detail)
+        .with ("host", caller.host)
+        .with ("path", caller.path)
+        .with ("version", current ? current->version : 0)
+        .with ("proof_milliseconds", current ? inMilliseconds (now - state.configuration.provenAt) : -1.0)
+        .with ("retry_after_milliseconds", inMilliseconds (refusal.retryAfter))
+        .info();
+}
+
+} // namespace
+
+auto admit (ServingState& state, CallerRequest& caller, TimePoint now) -> std::variant<RoutedRequest, Refusal>
+{
+    RoutedRequest request;
+    request.configuration = state.configuration.current;
+    request.accepted = now;
+
+    if (! request.configuration)
+        return Refusal { makeProblem (ErrorKind::noReplica, "no configuration yet"), freshnessRetry };
+
+    request.route = findRoute (*request.configuration, caller.host, caller.path);
+
+    if (request.route == nullptr)
+        return Refusal { makeProblem (ErrorKind::notFound), {} };
+
+    auto account = accountOf (state, caller, *request.route, now);
+
+    if (auto* refusal = std::get_if<Refusal> (&account))
+        return std::move (*refusal);
+
+    request.account = std::get<std::shared_ptr<const RoutedAccount>> (std::move (account));
+
+    if (request.account)
+        if (auto refusal = checkQuota (state, caller, *request.account, now))
+            return std::move (*refusal);
+
+    const auto patience = caller.patience.value_or (request.route->timeout);
+    request.end = now + std::min (patience, request.route->timeout);
+    request.service = pickService (*request.route, drawJitter());
+    request.caller = std::move (caller);
+    return request;
+}
+
+auto handleRouted (ServingState& state, Exchange& exchange, std::variant<CallerRequest, Problem> read)
+    -> Task<void>
+{
+    state.counts.requests.add();
+
+    if (state.leaving)
+        exchange.closeAfter();
+
+    if (const auto* problem = std::get_if<Problem> (&read))
+    {
+        LogLine ("malformed").with ("detail", problem->detail).info();
+        auto response = state.protocol.problem (*problem, {}, {});
+        co_await exchange.respond (std::move (response));
+        co_return;
+    }
+
+    auto& caller = std::get<CallerRequest> (read);
+    const auto id = caller.id;
+    const auto now = SteadyClock::now();
+    auto admitted = admit (state, caller, now);
+
+    if (const auto* refusal = std::get_if<Refusal> (&admitted))
+    {
+        logRefusal (state, caller, *refusal, now);
+        auto response = state.protocol.problem (refusal->problem, id, refusal->retryAfter);
+        co_await exchange.respond (std::move (response));
+        co_return;
+    }
+
+    RoutedRun run (state, exchange, std::get<RoutedRequest> (std::move (admitted)));
+    co_await run.run();
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "../node/ServingState.h"
+
+namespace snowrudder
+{
+
+/** Admits or refuses a request that a face has decoded, and serves it.
+
+    @param read  the request, or what is wrong with it
+*/
+auto handleRouted (ServingState& state, Exchange& exchange, std::variant<CallerRequest, Problem> read)
+    -> Task<void>;
+
+/** What comes of a request before it waits for a place. */
+struct Refusal
+{
+    Problem problem;
+    Duration retryAfter {};
+};
+
+/** Decides whether a request is admitted, by the configuration in force, its key, its account's limit, and how fresh
+    the configuration is known to be.
+
+    @param caller  moved from where it is admitted
+*/
+auto admit (ServingState& state, CallerRequest& caller, TimePoint now) -> std::variant<RoutedRequest, Refusal>;
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "../node/ServingState.h"
+#include "../store/StateStore.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace snowrudder
+{
+
+/** Keys under which nodes note their address for datagrams, and the fleet's secret. */
+inline constexpr auto memberPrefix = std::string_view ("snowrudder/members/");
+inline constexpr auto secretKey = std::string_view ("snowrudder/secret");
+
+/** Tells the other nodes of this one by datagrams, and takes in what they tell. Nodes find each other through the state
+    store and go on exchanging while it is away; an address that is not in the store is never sent to.
+*/
+class PeerExchange
+{
+public:
+    PeerExchange (ServingState& servingState, const StateStore& stateStore);
+
+    /** Starts to listen, to tell and to look for members.
+
+        @returns an error when the address can't be listened on
+    */
+    auto start() -> std::error_code;
+
+    /** Takes this node out of the members. */
+    auto leave() -> Task<void>;
+
+private:
+    auto receiveLoop() -> Task<void>;
+    auto sendLoop() -> Task<void>;
+    auto membersLoop() -> Task<void>;
+    auto followMembers() -> Task<bool>;
+    auto agreeOnSecret() -> Task<void>;
+    auto joinMembers() -> Task<void>;
+    auto takeMembers (const ReadItems& listed) -> void;
+    auto chooseTargets() -> std::vector<asio::ip::udp::endpoint>;
+    auto ownReport() -> PeerReport;
+
+    ServingState& state;
+    const StateStore& store;
+    asio::ip::udp::socket socket;
+    std::string secret;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t lease = 0;
+    TimePoint renewed {};
+    std::map<std::string, asio::ip::udp::endpoint> members;
+    std::minstd_rand random;
+};
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -0,0 +1,88 @@
+#include "PeerTable.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+auto addCounts (AccountCounts& sum, const AccountCounts& more) -> void
+{
+    for (const auto& [account, count] : more)
+        sum[account] += count;
+}
+
+auto PeerTable::note (PeerReport report, TimePoint now) -> bool
+{
+    auto& peer = peers[report.node];
+    const auto isKnown = peer.heard != TimePoint();
+
+    if (isKnown && report.incarnation < peer.latest.incarnation)
+        return false;
+
+    if (isKnown && report.incarnation == peer.latest.incarnation && report.sequence <= peer.latest.sequence)
+        return false;
+
+    if (isKnown && report.incarnation > peer.latest.incarnation)
+        for (const auto& [window, counts] : peer.latest.usage)
+            addCounts (peer.earlierUsage[window], counts);
+
+    peer.latest = std::move (report);
+    peer.heard = now;
+    return true;
+}
+
+auto PeerTable::countHeard (TimePoint now) const -> std::size_t
+{
+    return static_cast<std::size_t> (std::ranges::count_if (
+        peers, [now] (const auto& entry)
+        { return now - entry.second.heard <= heardTime && ! entry.second.latest.leaving; }));
+}
+
+auto PeerTable::demand (const std::string& account, TimePoint now) const -> double
+{
+    auto sum = 0.0;
+
+    for (const auto& [name, peer] : peers)
+        if (const auto found = peer.latest.demand.find (account);
+            now - peer.heard <= heardTime && found != peer.latest.demand.end())
+            sum += found->second;
+
+    return sum;
+}
+
+auto PeerTable::work (const std::string& service, TimePoint now) const -> double
+{
+    auto sum = 0.0;
+
+    for (const auto& [name, peer] : peers)
+        if (const auto found = peer.latest.work.find (service);
+            now - peer.heard <= heardTime && found != peer.latest.work.end())
+            sum += found->second;
+
+    return sum;
+}
+
+auto PeerTable::addUsage (std::uint64_t window, AccountCounts& counts) const -> void
+{
+    for (const auto& [name, peer] : peers)
+    {
+        if (const auto found = peer.latest.usage.find (window); found != peer.latest.usage.end())
+            addCounts (counts, found->second);
+
+        if (const auto found = peer.earlierUsage.find (window); found != peer.earlierUsage.end())
+            addCounts (counts, found->second);
+    }
+}
+
+auto PeerTable::dropUsageBefore (std::uint64_t window) -> void
+{
+    for (auto& [name, peer] : peers)
+    {
+        auto& latest = peer.latest.usage;
+        latest.erase (latest.begin(), latest.lower_bound (window));
+        auto& earlier = peer.earlierUsage;
+        earlier.erase (earlier.begin(), earlier.lower_bound (window));
+    }
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -0,0 +1,193 @@
+#include "ServingNode.h"
+
+#include "../gateway/RoutedGateway.h"
+
+#include <csignal>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+constexpr auto sweepInterval = 100ms;
+
+/** The balancer asks each second and takes a node out after two misses: callers keep coming for so long. */
+constexpr auto balancerTime = 2500ms;
+
+/** Kept back of the grace time, for the process to end by itself. */
+constexpr auto graceMargin = 700ms;
+
+} // namespace
+
+ServingNode::ServingNode (asio::io_context& eventLoop,
+                          const ServingSettings& settings,
+                          std::function<ServingFace (ConnectionPool&)> makeFace)
+    : state (eventLoop, settings), face (makeFace (state.pool)), peers (state, face.store)
+{
+    state.protocol = face.upstreams;
+    state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
+    state.trueTime.compare (SteadyClock::now(), wallTimeNow().time_since_epoch());
+}
+
+auto ServingNode::run (const std::function<void()>& onReload) -> std::error_code
+{
+    if (const auto error = listen())
+        return error;
+
+    startBackground();
+    asio::co_spawn (state.loop, stopWhenAsked(), asio::detached);
+    asio::co_spawn (state.loop, reloadWhenAsked (onReload), asio::detached);
+
+    LogLine ("started")
+        .with ("node", state.settings.node)
+        .with ("failure_domain", state.settings.failureDomain)
+        .with ("listen", state.settings.listen)
+        .with ("store", state.settings.store)
+        .info();
+
+    state.loop.run();
+    LogLine ("stopped").info();
+    return {};
+}
+
+auto ServingNode::listen() -> std::error_code
+{
+    const ServerLimits limits;
+    callers = std::make_shared<HttpServer> (
+        state.loop, limits,
+        [this] (Exchange& exchange) { return handleRouted (state, exchange, face.readRequest (exchange.request())); },
+        face.rejection);
+    readiness = std::make_shared<HttpServer> (
+        state.loop, limits, [this] (Exchange& exchange) { return answerReadiness (exchange); }, face.rejection);
+
+    if (const auto error = callers->listen (parseEndpoint (state.settings.listen)))
+        return error;
+
+    if (const auto error = readiness->listen (parseEndpoint (state.settings.listenReadiness)))
+        return error;
+
+    if (! state.settings.listenMetrics.empty())
+    {
+        metricsServer = std::make_shared<HttpServer> (
+            state.loop, limits, [this] (Exchange& exchange) { return answerMetrics (exchange); }, face.rejection);
+
+        if (const auto error = metricsServer->listen (parseEndpoint (state.settings.listenMetrics)))
+            return error;
+    }
+
+    return peers.start();
+}
+
+auto ServingNode::startBackground() -> void
+{
+    asio::co_spawn (state.loop,
+                    followConfiguration (state, face.store, face.formats, [this] { applyConfiguration(); }),
+                    asio::detached);
+    asio::co_spawn (state.loop, followReplicas (state, face.store, face.formats), asio::detached);
+    asio::co_spawn (state.loop, sweepLoop(), asio::detached);
+
+    if (! state.settings.reportsUsage && ! state.settings.ordersReplicas)
+        return;
+
+    asio::co_spawn (state.loop, keepLeadership (state, face.store), asio::detached);
+
+    if (state.settings.reportsUsage)
+        asio::co_spawn (state.loop, reportUsage (state, face.store, face.duties), asio::detached);
+
+    if (state.settings.ordersReplicas)
+        asio::co_spawn (state.loop, orderReplicas (state, face.duties), asio::detached);
+}
+
+auto ServingNode::answerReadiness (Exchange& exchange) -> Task<void>
+{
+    const auto isReady = exchange.path() == face.readinessPath && state.isReady (SteadyClock::now());
+    const auto status = isReady ? http::status::ok : http::status::service_unavailable;
+    co_await exchange.respond (status, "text/plain", isReady ? "ready\n" : "not ready\n");
+}
+
+auto ServingNode::answerMetrics (Exchange& exchange) -> Task<void>
+{
+    co_await exchange.respond (http::status::ok, "text/plain; version=0.0.4", state.metrics.text());
+}
+
+auto ServingNode::applyConfiguration() -> void
+{
+    const auto& bounds = state.configuration.current->bounds;
+    ServerLimits limits;
+    limits.headerBytes = bounds.headerBytes;
+    limits.bodyBytes = bounds.bodyBytes;
+    limits.headerTimeout = bounds.headerTimeout;
+    limits.bodyTimeout = bounds.idleTimeout;
+    limits.idleTimeout = bounds.idleTimeout;
+    callers->setLimits (limits);
+}
+
+auto ServingNode::sweepLoop() -> Task<void>
+{
+    asio::steady_timer timer (state.loop);
+
+    for (;;)
+    {
+        const auto now = SteadyClock::now();
+        state.trueTime.compare (now, wallTimeNow().time_since_epoch());
+        state.pool.closeOld (now);
+
+        if (dropMissing (state.directory, now))
+            state.replicas.update (listedReplicas (state.directory), now);
+
+        if (state.configuration.current)
+            for (const auto& [name, service] : state.configuration.current->services)
+            {
+                const auto capacity = state.replicas.capacity (name, now);
+                state.queues.setCapacity (name, { capacity.slots, capacity.busy, state.nodeCount (now), 0.0 }, now);
+            }
+
+        flushLog();
+        timer.expires_after (sweepInterval);
+        co_await timer.async_wait (asTuple);
+    }
+}
+
+auto ServingNode::reloadWhenAsked (std::function<void()> onReload) -> Task<void>
+{
+    asio::signal_set signals (state.loop, SIGHUP);
+
+    for (;;)
+    {
+        const auto [error, number] = co_await signals.async_wait (asTuple);
+
+        if (error)
+            co_return;
+
+        LogLine ("reload").info();
+        onReload();
+    }
+}
+
+auto ServingNode::stopWhenAsked() -> Task<void>
+{
+    asio::signal_set signals (state.loop, SIGTERM, SIGINT);
+    co_await signals.async_wait (asTuple);
+
+    const auto end = SteadyClock::now() + state.settings.grace - graceMargin;
+    state.leaving = true;
+    LogLine ("leaving").with ("open_requests", state.openRequests).info();
+    co_await giveUpLeadership (state, face.store);
+
+    asio::steady_timer timer (state.loop, balancerTime);
+    co_await timer.async_wait (asTuple);
+    callers->drain();
+
+    while (SteadyClock::now() < end && (state.openRequests > 0 || callers->busyConnections() > 0))
+    {
+        timer.expires_after (sweepInterval);
+        co_await timer.async_wait (asTuple);
+    }
+
+    co_await peers.leave();
+    LogLine ("drained").with ("open_requests", state.openRequests).info();
+    state.loop.stop();
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "../capacity/WorkMeter.h"
+#include "../configuration/ConfigurationState.h"
+#include "../directory/ReplicaDirectory.h"
+#include "../duties/Leadership.h"
+#include "../duties/UsageWindows.h"
+#include "../limits/SharedQuota.h"
+#include "../members/PeerTable.h"
+#include "../members/TrueTime.h"
+#include "../queue/ServiceQueues.h"
+#include "../request/UpstreamProtocol.h"
+#include "ServingMetrics.h"
+#include "ServingSettings.h"
+
+#include "snowrudder_net/snowrudder_net.h"
+#include "snowrudder_requests/snowrudder_requests.h"
+#include "snowrudder_routing/snowrudder_routing.h"
+
+namespace snowrudder
+{
+
+/** What one node that routes by host and path works with. Belongs to one event loop; needs no lock of its own. */
+struct ServingState
+{
+    ServingState (asio::io_context& eventLoop, const ServingSettings& servingSettings)
+        : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()), counts (metrics),
+          freshness { servingSettings.revocation, FreshnessBounds().margin },
+          retryBudgets (servingSettings.retrySlack * savedShare), usage (servingSettings.usageWindow)
+    {
+    }
+
+    /** @returns whether the balancer may send callers here. */
+    [[nodiscard]] auto isReady (TimePoint now) const -> bool
+    {
+        return hasReplicas && ! leaving && isFresh (configuration, freshness, now);
+    }
+
+    /** Nodes that share limits and replicas, this one included. */
+    [[nodiscard]] auto nodeCount (TimePoint now) const -> std::size_t { return peers.countHeard (now) + 1; }
+
+    /** Part of the fleet's fixed number of retries that one node may save up: eight or nine nodes share the number,
+        and half of it is kept back for retries of retries that nobody counted.
+    */
+    static constexpr auto savedShare = 0.5 / 9.0;
+
+    asio::io_context& loop;
+    const ServingSettings settings;
+    /** Set once, before the first request. */
+    UpstreamProtocol protocol;
+    ConnectionPool pool;
+    Metrics metrics;
+    ServingMetrics counts;
+    ConfigurationState configuration;
+    const FreshnessBounds freshness;
+    ReplicaDirectory directory;
+    ReplicaTable replicas;
+    ServiceQueues queues;
+    RetryBudgets retryBudgets;
+    SharedQuota quota;
+    UsageWindows usage;
+    WorkMeter work;
+    Leadership leadership;
+    const LeadershipTimes leadershipTimes;
+    PeerTable peers;
+    TrueTime trueTime;
+    bool hasReplicas = false;
+    bool isStoreReached = true;
+    bool leaving = false;
+    std::size_t openRequests = 0;
+};
+
+} // namespace snowrudder
--- a/modules/snowrudder_router/plain/AnswerRelay.h
+++ b/modules/snowrudder_serving/relay/AnswerRelay.h
@@ -1,6 +1,8 @@
 #pragma once
 
-#include "../gateway/CallerScope.h"
+#include "snowrudder_net/snowrudder_net.h"
+
+#include <string>
 
 namespace snowrudder
 {
--- /dev/null
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -0,0 +1,433 @@
+#include "RoutedRun.h"
+
+#include "../attempt/AttemptErrors.h"
+#include "../queue/PlaceGuard.h"
+#include "AnswerRelay.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/** A connection inside the platform comes up within a few milliseconds; a VM without power never answers. */
+constexpr auto connectTime = 250ms;
+
+/** Bytes of a plain answer that are read before any is passed on: a replica lost until then can still be replaced. */
+constexpr auto readAheadBytes = std::size_t { 256 * 1024 };
+
+/** Attempts that no replica ran and that don't count against the route's own number. */
+constexpr auto freeAttempts = std::uint32_t { 2 };
+
+/** Requests of one account that may wait at this node. */
+constexpr auto mostQueued = std::uint32_t { 256 };
+
+/** Of the latency target, the part that waiting for a place may take. */
+constexpr auto queueShareOfTarget = 0.6;
+
+/** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
+constexpr auto shortRetry = 100ms;
+
+auto keepAllHeaders = [] (std::string_view) { return false; };
+
+} // namespace
+
+RoutedRun::RoutedRun (ServingState& servingState, Exchange& callerExchange, RoutedRequest routedRequest)
+    : state (servingState), exchange (callerExchange), request (std::move (routedRequest))
+{
+    for (const auto& part : request.caller.parts)
+    {
+        blocks.push_back (part.chain);
+        blockTokens.push_back (part.tokensSoFar);
+    }
+
+    ++state.openRequests;
+}
+
+RoutedRun::~RoutedRun()
+{
+    exchange.stopWatching();
+    --state.openRequests;
+}
+
+auto RoutedRun::run() -> Task<void>
+{
+    constexpr auto percent = 100.0;
+    state.retryBudgets.earn ({}, request.service, state.settings.retryShare * percent);
+    exchange.watchCaller ([this] { onCallerGone(); });
+
+    const auto place = co_await enterQueue();
+    state.counts.queueWait.add (SteadyClock::now() - request.accepted);
+
+    if (! place.granted)
+    {
+        if (! isCallerGone)
+            co_await refuse (makeProblem (ErrorKind::overloaded), place.retryAfter);
+
+        co_return;
+    }
+
+    const PlaceGuard guard (state.queues, request.service, request.accountName());
+    co_await runAttempts();
+}
+
+auto RoutedRun::enterQueue() -> Task<ServiceQueues::Place>
+{
+    const auto wait = std::chrono::duration_cast<Duration> (request.route->latencyTarget * queueShareOfTarget);
+    QueuedRequest wanted;
+    wanted.account = request.accountName();
+    wanted.cost = std::max (1.0, request.caller.promptTokens + request.caller.answerTokens);
+    wanted.deadline = std::min (request.end, request.accepted + wait);
+    return state.queues.enter (request.service, std::move (wanted), mostQueued, exchange.executor());
+}
+
+auto RoutedRun::runAttempts() -> Task<void>
+{
+    while (! isCallerGone)
+    {
+        const auto outcome = co_await attempt();
+
+        if (! outcome || isCallerGone)
+            break;
+
+        const auto decision = decide (*outcome);
+
+        LogLine ("attempt_failed")
+            .with ("request", request.caller.id)
+            .with ("attempt", sends)
+            .with ("replica", lastReplica)
+            .with ("cause", toString (outcome->cause))
+            .with ("ran", toString (ranAfter (*outcome)))
+            .with ("again", decision.again ? "yes" : "no")
+            .info();
+
+        if (! decision.again)
+        {
+            co_await fail (*outcome, decision);
+            co_return;
+        }
+
+        state.counts.retries.add();
+        asio::steady_timer pause (state.loop, decision.pause);
+        co_await pause.async_wait (asTuple);
+    }
+
+    if (isCallerGone)
+    {
+        state.counts.callersGone.add();
+        logEnd ("caller_gone", 0);
+    }
+}
+
+auto RoutedRun::attempt() -> Task<Failure>
+{
+    const auto& service = request.configuration->services.find (request.service);
+    requireInvariant (service != request.configuration->services.end(), "a route's service is configured");
+
+    auto taken = state.replicas.take (request.service, choiceInput(), ChoiceWeights(), SteadyClock::now());
+    ++sends;
+
+    if (! taken)
+    {
+        lastReplica.clear();
+        tried.clear();
+        co_return AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
+    }
+
+    state.counts.attempts.add();
+    auto ticket = taken->ticket;
+    state.work.note (request.service, ticket.expectedTokens, SteadyClock::now());
+    tried.push_back (ticket.number);
+    lastReplica = ticket.info.name;
+    LogLine ("route")
+        .with ("request", request.caller.id)
+        .with ("service", request.service)
+        .with ("attempt", sends)
+        .with ("replica", lastReplica)
+        .with ("score", taken->choice.candidates.front().score)
+        .with ("uncached", taken->choice.candidates.front().uncachedTokens)
+        .with ("reason", taken->choice.reason)
+        .with ("usable", taken->choice.usable)
+        .info();
+
+    UpstreamCall call (state.pool, parseEndpoint (ticket.info.endpoint), timeouts());
+    currentCall = &call;
+    const auto outcome = co_await callReplica (call, ticket);
+    currentCall = nullptr;
+
+    if (! outcome || ranAfter (*outcome) != Ran::no)
+        ++runs;
+
+    const auto health = isCallerGone ? AttemptHealth::neutral
+                        : outcome    ? healthOf (*outcome)
+                                     : AttemptHealth::good;
+    state.replicas.release (ticket, health, SteadyClock::now());
+    co_return outcome;
+}
+
+auto RoutedRun::callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>
+{
+    // A kept connection can die unseen under a request, and one that may run once could not be sent again.
+    if (co_await call.connect (request.route->isRepeatable()))
+        co_return failed (call, FailureCause::connectFailed);
+
+    auto& message = request.caller.message;
+    state.protocol.setFields (message, attemptFields (ticket));
+
+    if (message.method() == http::verb::head)
+        call.expectNoBody();
+
+    auto error = co_await call.send (message);
+
+    if (! error)
+        error = co_await call.readHeader();
+
+    if (error)
+        co_return failed (call, failureOf (error));
+
+    const auto answer = state.protocol.readAnswer (call.header(), request.caller.id);
+
+    if (auto failure = takeHead (call, answer, ticket))
+        co_return failure;
+
+    if (request.route->kind == RouteKind::stream && answer.isSuccess)
+        co_return co_await relayStream (call);
+
+    co_return co_await relayPlain (call);
+}
+
+auto RoutedRun::takeHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure
+{
+    const auto now = SteadyClock::now();
+
+    if (! answer.isOwn)
+    {
+        call.distrust();
+        return failed (call, FailureCause::invalid);
+    }
+
+    if (answer.load)
+        state.replicas.noteLoad (ticket.number, *answer.load, now);
+
+    if (answer.isOtherReplica)
+        state.replicas.noteLeaving (ticket.number, now);
+
+    if (answer.isNotRun)
+        return failed (call, FailureCause::refused);
+
+    if (! events.lastEvent().empty() && ! answer.isSuccess)
+        return failed (call, FailureCause::failed);
+
+    constexpr auto serverErrors = 500U;
+
+    if (call.status() >= serverErrors && mayRunAgain())
+        return failed (call, FailureCause::failed);
+
+    noteBegun();
+    state.counts.firstByte.add (now - request.accepted);
+    state.replicas.noteAnswering (ticket, blocks, request.caller.promptTokens);
+    return {};
+}
+
+auto RoutedRun::relayPlain (UpstreamCall& call) -> Task<Failure>
+{
+    std::string body;
+    std::string piece;
+
+    while (! call.isDone() && body.size() < readAheadBytes)
+    {
+        if (const auto error = co_await call.readSome (piece))
+            co_return failed (call, failureOf (error));
+
+        body += piece;
+    }
+
+    const std::string keepUpstreamsOwn;
+    const auto status = call.status();
+    co_await relayAnswer (exchange, call, std::move (body), keepUpstreamsOwn);
+    state.counts.wholeAnswer.add (SteadyClock::now() - request.accepted);
+    logEnd (exchange.hasEnded() ? "answered" : "broken_off", status);
+    co_return Failure {};
+}
+
+auto RoutedRun::relayStream (UpstreamCall& call) -> Task<Failure>
+{
+    if (! exchange.hasBegun())
+        if (co_await beginStream (call))
+            co_return Failure {};
+
+    std::string piece;
+
+    while (! call.isDone())
+    {
+        if (const auto error = co_await call.readSome (piece))
+            co_return failed (call, failureOf (error));
+
+        if (co_await exchange.writePiece (events.add (piece)))
+            co_return Failure {};
+    }
+
+    // What stands behind the last whole event belongs to the body too.
+    if (events.hasPartial())
+        if (co_await exchange.writePiece (events.partialBytes()))
+            co_return Failure {};
+
+    co_await exchange.endStream();
+    state.counts.wholeAnswer.add (SteadyClock::now() - request.accepted);
+    logEnd ("answered", call.status());
+    co_return Failure {};
+}
+
+auto RoutedRun::beginStream (const UpstreamCall& call) -> Task<std::error_code>
+{
+    http::response<http::empty_body> header (static_cast<http::status> (call.status()), 11);
+    copyEndToEndHeaders (call.header(), header, keepAllHeaders);
+    return exchange.beginStream (std::move (header));
+}
+
+auto RoutedRun::decide (const AttemptOutcome& outcome) -> RetryDecision
+{
+    RetryInput input;
+    input.repeatable = request.route->isRepeatable();
+    input.mayHaveRun = runs > 0;
+    const auto unrun = sends - runs;
+    input.attempts = std::max (1U, runs + (unrun > freeAttempts ? unrun - freeAttempts : 0));
+    // An attempt that no replica ran leaves the route's number untouched, so that one more may be sent.
+    input.mostAttempts = request.route->mostAttempts + (ranAfter (outcome) == Ran::no ? 1 : 0);
+    input.deadline = request.end;
+    input.jitter = drawJitter();
+
+    auto decision = decideAfterFailure (outcome, input, SteadyClock::now());
+    events.dropPartial();
+
+    // A connection that did not come up has reached no replica and takes nothing from the replicas' budget.
+    const auto hasArrived = outcome.stage != CallStage::planned;
+
+    if (decision.again && hasArrived && ! state.retryBudgets.take ({}, request.service))
+        decision.again = false;
+
+    if (decision.again && exchange.hasBegun())
+        state.counts.resumed.add();
+
+    return decision;
+}
+
+auto RoutedRun::fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>
+{
+    // An answer that has begun can't be taken back: the caller sees that its connection ends early.
+    if (exchange.hasBegun())
+    {
+        logEnd ("broken_off", 0);
+        co_return;
+    }
+
+    const auto isLate = SteadyClock::now() >= request.end;
+    auto problem = makeProblem (decision.kind, decision.ran, "the last attempt: " + std::string (toString (outcome.cause)));
+
+    if (runs > 0 && isLate)
+        problem.kind = ErrorKind::deadlineExceeded;
+    else if (runs > 0 && ranAfter (outcome) == Ran::no)
+        problem.kind = ErrorKind::upstreamFailed;
+    else if (runs == 0)
+        problem.kind = outcome.cause == FailureCause::refused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
+
+    problem.ran = runs > 0 ? Ran::unknown : Ran::no;
+    co_await refuse (std::move (problem), shortRetry);
+}
+
+auto RoutedRun::refuse (Problem problem, Duration retryAfter) -> Task<void>
+{
+    const auto status = answerFor (problem.kind).status;
+    logEnd (toString (problem.kind), status);
+    co_await exchange.respond (state.protocol.problem (problem, request.caller.id, retryAfter));
+}
+
+auto RoutedRun::noteBegun() -> void
+{
+    if (isCounted || ! request.account)
+        return;
+
+    isCounted = true;
+    state.usage.note (request.account->name, state.trueTime.now (SteadyClock::now()));
+}
+
+auto RoutedRun::onCallerGone() -> void
+{
+    isCallerGone = true;
+
+    if (currentCall != nullptr)
+        currentCall->cancel();
+}
+
+auto RoutedRun::logEnd (std::string_view outcome, unsigned status) -> void
+{
+    LogLine ("request_ended")
+        .with ("request", request.caller.id)
+        .with ("service", request.service)
+        .with ("account", request.accountName())
+        .with ("route", request.route->name)
+        .with ("version", request.configuration->version)
+        .with ("outcome", outcome)
+        .with ("status", status)
+        .with ("sends", sends)
+        .with ("runs", runs)
+        .with ("replica", lastReplica)
+        .with ("milliseconds", inMilliseconds (SteadyClock::now() - request.accepted))
+        .info();
+}
+
+auto RoutedRun::choiceInput() const -> ChoiceInput
+{
+    ChoiceInput input;
+    input.blocks = blocks;
+    input.blockTokens = blockTokens;
+    input.promptTokens = request.caller.promptTokens;
+    input.tried = tried;
+    input.routers = state.nodeCount (SteadyClock::now());
+
+    // The last part belongs to one session; the ranking is made for what several requests share.
+    constexpr auto ownParts = std::size_t { 2 };
+
+    if (blocks.size() >= ownParts)
+        input.anchorBlock = blocks.size() - ownParts;
+
+    return input;
+}
+
+auto RoutedRun::attemptFields (const ReplicaTicket& ticket) const -> AttemptFields
+{
+    const auto left = std::chrono::floor<milliseconds> (request.end - SteadyClock::now());
+    AttemptFields fields;
+    fields.replica = ticket.info.name;
+    fields.account = request.accountName();
+    fields.timeLeft = std::max (milliseconds (1), left);
+    fields.priority = request.route->priority;
+    fields.lastEvent = events.lastEvent();
+    return fields;
+}
+
+auto RoutedRun::timeouts() const -> CallTimeouts
+{
+    CallTimeouts waits;
+    waits.connect = connectTime;
+    waits.firstByte = waits.idle = request.end - request.accepted;
+    waits.end = request.end;
+    return waits;
+}
+
+auto RoutedRun::mayRunAgain() const -> bool
+{
+    return request.route->isRepeatable() && runs + 1 < request.route->mostAttempts &&
+           SteadyClock::now() < request.end;
+}
+
+auto RoutedRun::failed (const UpstreamCall& call, FailureCause cause) const -> AttemptOutcome
+{
+    return { call.stage(), isCallerGone ? FailureCause::abandoned : cause };
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "../node/ServingState.h"
+#include "EventAssembler.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snowrudder
+{
+
+/** Serves one admitted request: waits for a place, chooses a replica, passes the answer on as it comes, and tries
+    another replica where the request allows it. It lives as long as the caller's exchange: a caller that leaves ends it.
+*/
+class RoutedRun
+{
+public:
+    RoutedRun (ServingState& servingState, Exchange& callerExchange, RoutedRequest routedRequest);
+    ~RoutedRun();
+
+    RoutedRun (const RoutedRun&) = delete;
+    auto operator= (const RoutedRun&) -> RoutedRun& = delete;
+
+    /** Serves the request to its end. */
+    auto run() -> Task<void>;
+
+private:
+    /** Why an attempt came to nothing; nothing where the caller has its answer. */
+    using Failure = std::optional<AttemptOutcome>;
+
+    auto enterQueue() -> Task<ServiceQueues::Place>;
+    auto runAttempts() -> Task<void>;
+    auto attempt() -> Task<Failure>;
+    auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>;
+    auto takeHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
+    auto relayPlain (UpstreamCall& call) -> Task<Failure>;
+    auto relayStream (UpstreamCall& call) -> Task<Failure>;
+    auto beginStream (const UpstreamCall& call) -> Task<std::error_code>;
+    auto decide (const AttemptOutcome& outcome) -> RetryDecision;
+    auto fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
+    auto refuse (Problem problem, Duration retryAfter) -> Task<void>;
+    auto noteBegun() -> void;
+    auto onCallerGone() -> void;
+    auto logEnd (std::string_view outcome, unsigned status) -> void;
+
+    [[nodiscard]] auto choiceInput() const -> ChoiceInput;
+    [[nodiscard]] auto attemptFields (const ReplicaTicket& ticket) const -> AttemptFields;
+    [[nodiscard]] auto timeouts() const -> CallTimeouts;
+    [[nodiscard]] auto mayRunAgain() const -> bool;
+    [[nodiscard]] auto failed (const UpstreamCall& call, FailureCause cause) const -> AttemptOutcome;
+
+    ServingState& state;
+    Exchange& exchange;
+    RoutedRequest request;
+
+    std::vector<std::uint64_t> blocks;
+    std::vector<double> blockTokens;
+    std::vector<ReplicaNumber> tried;
+    /** Attempts, and those of them that may have run. */
+    std::uint32_t sends = 0;
+    std::uint32_t runs = 0;
+    std::string lastReplica;
+    UpstreamCall* currentCall = nullptr;
+    bool isCallerGone = false;
+    bool isCounted = false;
+    EventAssembler events;
+};
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "../configuration/RoutingConfiguration.h"
+
+#include "snowrudder_net/snowrudder_net.h"
+#include "snowrudder_routing/snowrudder_routing.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snowrudder
+{
+
+/** One part of a prompt. Requests whose prompts begin alike share their first parts. */
+struct PromptPart
+{
+    /** Hash of this part and all before it. */
+    std::uint64_t chain = 0;
+    /** Tokens up to this part's end. */
+    double tokensSoFar = 0.0;
+};
+
+/** What a face read from a caller's request: nothing is decided yet. */
+struct CallerRequest
+{
+    /** The caller's name of this attempt of its own. */
+    std::string id;
+    std::string host;
+    /** Without the query. */
+    std::string path;
+    std::string key;
+    /** How long the caller waits; nothing where it did not say. */
+    std::optional<Duration> patience;
+    double promptTokens = 0.0;
+    /** Most tokens of the answer. */
+    double answerTokens = 0.0;
+    bool statesTokens = false;
+    std::vector<PromptPart> parts;
+    /** As it goes to a replica, less what the node itself sets. */
+    HttpRequest message;
+};
+
+/** A request that was admitted. It keeps the configuration that it began with. */
+struct RoutedRequest
+{
+    CallerRequest caller;
+    std::shared_ptr<const RoutingConfiguration> configuration;
+    const Route* route = nullptr;
+    std::string service;
+    /** Null on public routes. */
+    std::shared_ptr<const RoutedAccount> account;
+    TimePoint accepted {};
+    /** When the caller must have its final answer. */
+    TimePoint end {};
+
+    [[nodiscard]] auto accountName() const -> std::string { return account ? account->name : std::string(); }
+};
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -0,0 +1,202 @@
+#include "StoreFollowers.h"
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** Twice within the bound on applying a configuration (2 s on the sites known). */
+constexpr auto checkInterval = 900ms;
+
+/** After a failure the store is asked again soon: freshness runs out meanwhile. */
+constexpr auto failurePause = 250ms;
+
+/** A watch that stays silent this long is followed by a new list: watches may miss changes. */
+constexpr auto watchTime = Duration (8s);
+
+auto takeConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
+{
+    const auto read = formats.readConfiguration (item);
+
+    if (! read)
+    {
+        LogLine ("configuration_unreadable").with ("revision", item.revision).error();
+        return false;
+    }
+
+    const auto before = state.configuration.current ? state.configuration.current->version : 0;
+
+    if (! adopt (state.configuration, read))
+        return false;
+
+    LogLine ("configuration_adopted")
+        .with ("version", read->version)
+        .with ("before", before)
+        .with ("revision", read->revision)
+        .with ("hosts", read->routes.size())
+        .with ("accounts", read->accounts.size())
+        .info();
+    return true;
+}
+
+/** Asks whether the configuration held is still the newest.
+
+    @returns whether the store answered
+*/
+auto checkConfiguration (ServingState& state, const StateStore& store, const StoreFormats& formats) -> Task<bool>
+{
+    const auto asked = SteadyClock::now();
+    std::vector<StoredItem> newer;
+    auto outcome = StoreOutcome::unknown;
+
+    if (state.configuration.current)
+    {
+        StoreTransaction unchanged;
+        unchanged.conditions.push_back ({ formats.configurationKey, state.configuration.current->revision });
+        auto result = co_await store.commit (std::move (unchanged));
+        outcome = result.outcome;
+        newer = std::move (result.items);
+    }
+    else
+    {
+        auto result = co_await store.read (formats.configurationKey);
+        outcome = result.outcome;
+        newer = std::move (result.items);
+    }
+
+    noteStoreAnswer (state, outcome, "configuration");
+
+    if (outcome != StoreOutcome::done && outcome != StoreOutcome::refused)
+        co_return false;
+
+    auto isNewest = outcome == StoreOutcome::done && state.configuration.current != nullptr;
+
+    for (const auto& item : newer)
+        if (item.revision > 0)
+            isNewest = takeConfiguration (state, formats, item);
+
+    if (isNewest)
+        state.configuration.provenAt = std::max (state.configuration.provenAt, asked);
+
+    co_return true;
+}
+
+auto takeList (ServingState& state, ReplicaDirectory& directory, const StoreFormats& formats, const ReadItems& read)
+    -> void
+{
+    std::vector<DirectoryEntry> entries;
+
+    for (const auto& item : read.items)
+        if (auto entry = formats.readReplica (item))
+            entries.push_back (std::move (*entry));
+        else
+            LogLine ("replica_unreadable").with ("key", item.key).warning();
+
+    applyList (directory, std::move (entries), read.revision, SteadyClock::now());
+    state.hasReplicas = state.hasReplicas || ! directory.entries.empty();
+    state.replicas.update (listedReplicas (directory), SteadyClock::now());
+}
+
+auto takeEvents (ServingState& state, ReplicaDirectory& directory, const StoreFormats& formats, const ReadItems& read)
+    -> void
+{
+    for (const auto& item : read.items)
+    {
+        if (item.isRemoved)
+        {
+            applyRemoval (directory, item.key, item.revision, SteadyClock::now());
+            continue;
+        }
+
+        if (auto entry = formats.readReplica (item))
+            applyEntry (directory, std::move (*entry));
+        else
+            LogLine ("replica_unreadable").with ("key", item.key).warning();
+    }
+
+    directory.revision = std::max (directory.revision, read.revision);
+
+    if (! read.items.empty())
+        state.replicas.update (listedReplicas (directory), SteadyClock::now());
+}
+
+} // namespace
+
+auto noteStoreAnswer (ServingState& state, StoreOutcome outcome, std::string_view purpose) -> void
+{
+    const auto isAnswered = outcome == StoreOutcome::done || outcome == StoreOutcome::refused ||
+                            outcome == StoreOutcome::historyGone;
+
+    if (isAnswered == state.isStoreReached)
+        return;
+
+    state.isStoreReached = isAnswered;
+
+    if (isAnswered)
+        state.directory.keepMissingUntil = SteadyClock::now() + lapseTime;
+
+    LogLine (isAnswered ? "store_regained" : "store_lost")
+        .with ("purpose", purpose)
+        .with ("outcome", toString (outcome))
+        .warning();
+}
+
+auto followConfiguration (ServingState& state,
+                          const StateStore& store,
+                          const StoreFormats& formats,
+                          std::function<void()> onAdopted) -> Task<void>
+{
+    auto wasFresh = false;
+
+    for (;;)
+    {
+        const auto before = state.configuration.current;
+        const auto isAnswered = co_await checkConfiguration (state, store, formats);
+
+        if (state.configuration.current != before)
+            onAdopted();
+
+        const auto now = SteadyClock::now();
+        const auto fresh = isFresh (state.configuration, state.freshness, now);
+
+        if (fresh != wasFresh)
+            LogLine (fresh ? "freshness_regained" : "freshness_lost")
+                .with ("proof_milliseconds", inMilliseconds (now - state.configuration.provenAt))
+                .warning();
+
+        wasFresh = fresh;
+        const auto isSettled = isAnswered && state.configuration.current;
+        co_await pauseFor (state.loop, isSettled ? checkInterval : failurePause);
+    }
+}
+
+auto followReplicas (ServingState& state, const StateStore& store, const StoreFormats& formats) -> Task<void>
+{
+    for (;;)
+    {
+        const auto listed = co_await store.list (formats.replicaPrefix);
+
+        if (listed.outcome != StoreOutcome::done)
+        {
+            co_await pauseFor (state.loop, failurePause);
+            continue;
+        }
+
+        takeList (state, state.directory, formats, listed);
+        auto isFollowing = true;
+
+        while (isFollowing)
+        {
+            const auto changed = co_await store.watch (formats.replicaPrefix, state.directory.revision, watchTime);
+            isFollowing = changed.outcome == StoreOutcome::done && ! changed.items.empty();
+
+            if (isFollowing)
+                takeEvents (state, state.directory, formats, changed);
+            else if (changed.outcome != StoreOutcome::done)
+                co_await pauseFor (state.loop, failurePause);
+        }
+    }
+}
+
+} // namespace snowrudder
--- a/programs/snowrudder-router.cpp
+++ b/programs/snowrudder-router.cpp
@@ -1,17 +1,25 @@
+#include "platform/PlatformFace.h"
 #include "snowrudder_router/snowrudder_router.h"
 #include "snowrudder_settings/snowrudder_settings.h"
 
 #include <cstdio>
 
-/** Takes requests from callers and relays them to upstream replicas. */
-auto main (int argumentCount, char** arguments) -> int
+namespace
 {
-    using namespace snowrudder;
-    constexpr auto program = "snowrudder-router";
 
-    const auto line = readCommandLine (
-        argumentCount, arguments,
-        { program, "Takes requests from callers, picks an upstream replica, relays the answer.", true, {} });
+using namespace snowrudder;
+
+constexpr auto program = "snowrudder-router";
+
+/** Serves the product's own interface. */
+auto runOwnFace (const CommandLine& line) -> ExitCode
+{
+    if (line.settingsFile.empty())
+    {
+        std::fprintf (stderr, "%s: --settings FILE is needed (see --help)\n", program);
+        return ExitCode::usage;
+    }
+
     const auto settings = loadProcessSettings<schema::RouterSettings> (line, program);
     startLogging (settings.node().name(), line.logLevel);
 
@@ -21,8 +29,32 @@
     {
         std::fprintf (stderr, "%s: can't listen on %s: %s\n", program, settings.listen().c_str(),
                       error.message().c_str());
-        return static_cast<int> (ExitCode::unavailable);
+        return ExitCode::unavailable;
     }
 
-    return static_cast<int> (ExitCode::success);
+    return ExitCode::success;
+}
+
+} // namespace
+
+/** Takes requests from callers and relays them to upstream replicas. */
+auto main (int argumentCount, char** arguments) -> int
+{
+    const auto needsSettings = false;
+    const auto line = readCommandLine (
+        argumentCount, arguments,
+        { program,
+          "Takes requests from callers, picks an upstream replica, relays the answer.",
+          needsSettings,
+          { { "face", "FACE", "own (the usual) or platform: whose interface is served, and whose settings are read" } } });
+    const auto face = line.option ("face", "own");
+
+    if (face == "platform")
+        return static_cast<int> (platform::runOnPlatform (line));
+
+    if (face == "own")
+        return static_cast<int> (runOwnFace (line));
+
+    std::fprintf (stderr, "%s: --face takes own or platform (see --help)\n", program);
+    return static_cast<int> (ExitCode::usage);
 }
--- a/tests/bench/ServingWorld.h
+++ b/tests/bench/ServingWorld.h
@@ -8,7 +8,7 @@
 #include "snowrudder_limits/snowrudder_limits.h"
 #include "snowrudder_load/workload/RequestSource.h"
 #include "snowrudder_requests/snowrudder_requests.h"
-#include "snowrudder_router/state/ServiceQueues.h"
+#include "snowrudder_serving/queue/ServiceQueues.h"
 
 #include <map>
 #include <memory>
