--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -93,6 +93,9 @@
     }
 
     acceptor.close (error);
+
+    for (auto* connection : resting)
+        connection->cancel (error);
 }
 
 auto HttpServer::acceptLoop() -> Task<void>
@@ -172,8 +175,11 @@
     if (buffer.size() == 0)
     {
         deadline.start (limits.idleTimeout);
+        resting.insert (&stream);
         const auto [waitError] = co_await stream.async_wait (tcp::socket::wait_read, asTuple);
 
+        resting.erase (&stream);
+
         if (waitError)
             co_return ConnectionEnd {};
     }
--- a/modules/snowrudder_net/server/HttpServer.h
+++ b/modules/snowrudder_net/server/HttpServer.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <variant>
 
 namespace snowrudder
@@ -36,8 +37,8 @@
     /** @returns the address listened on, its port filled in. */
     [[nodiscard]] auto localEndpoint() const -> tcp::endpoint;
 
-    /** Ends accepting once what already waits in the listen queue has been taken. Open connections go on; each is
-        closed after the answer it is making. Call on the event loop.
+    /** Ends accepting once what already waits in the listen queue has been taken. Connections that rest between requests
+        are closed, the others after the answer that they are making. Call on the event loop.
     */
     auto drain() -> void;
 
@@ -68,6 +69,8 @@
     RejectionHandler rejection;
     tcp::acceptor acceptor;
     Watchdog watchdog;
+    /** Connections that rest between requests. */
+    std::set<tcp::socket*> resting;
     bool draining = false;
     std::atomic<std::size_t> busy { 0 };
 };
--- a/modules/snowrudder_serving/capacity/CapacityPlan.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.cpp
@@ -22,12 +22,11 @@
     return domains;
 }
 
-/** @returns how many replicas of all kinds leave `needed` when the domain with the most of them loses its own. */
+/** @returns how many reclaimable replicas leave `needed` when one of the domains loses its own. */
 auto spreadTotal (double needed, std::size_t domains) -> std::uint32_t
 {
-    const auto whole = static_cast<std::uint32_t> (std::ceil (needed));
-    const auto others = static_cast<std::uint32_t> (std::max<std::size_t> (domains, 2) - 1);
-    return whole + (whole + others - 1) / others;
+    const auto others = static_cast<double> (std::max<std::size_t> (domains, 2) - 1);
+    return static_cast<std::uint32_t> (std::ceil (needed * (others + 1.0) / others));
 }
 
 /** Gives replicas out one by one, to the domain with the fewest, the cheapest first among equals. */
@@ -48,29 +47,31 @@
 }
 
 
-/** Adds on-demand replicas where too little serves: in the cheapest domains first. */
+/** Keeps or adds on-demand replicas for what is needed and not served by reclaimable ones. */
 auto fillGap (Plan& plan, const CapacityInput& input, const std::vector<std::string>& domains) -> void
 {
-    // What is ordered and not up yet may be dry; until it serves, on-demand replicas stand in for it.
     const auto wanted = static_cast<std::uint32_t> (std::ceil (input.needed));
-    auto kept = std::uint32_t { 0 };
+    auto served = std::uint32_t { 0 };
 
     for (const auto& [domain, capacity] : input.serving)
-        kept += std::min (capacity.reclaimable, plan[domain].reclaimable);
-
-    for (const auto& domain : domains)
-        kept += plan[domain].onDemand;
+        served += std::min (capacity.reclaimable, plan[domain].reclaimable);
 
+    // Those that serve already are kept before others are ordered: a new one takes its boot time.
     for (const auto& domain : domains)
     {
-        auto& chosen = plan[domain];
+        const auto found = input.serving.find (domain);
+        const auto there = found == input.serving.end() ? 0U : found->second.onDemand;
+        const auto kept = std::min (there, wanted - std::min (wanted, served));
+        plan[domain].onDemand += kept;
+        served += kept;
+    }
 
-        while (kept < wanted && chosen.onDemand + chosen.reclaimable < input.bounds.most)
+    for (const auto& domain : domains)
+        while (served < wanted && plan[domain].onDemand + plan[domain].reclaimable < input.bounds.most)
         {
-            ++chosen.onDemand;
-            ++kept;
+            ++plan[domain].onDemand;
+            ++served;
         }
-    }
 }
 
 } // namespace
@@ -93,7 +94,6 @@
         return plan;
     }
 
-    plan[domains.front()].onDemand = 1;
     const auto total = std::max<std::uint32_t> (spreadTotal (input.needed, domains.size()),
                                                 static_cast<std::uint32_t> (domains.size()));
     spread (plan, domains, total, input.bounds);
--- a/modules/snowrudder_serving/capacity/CapacityPlan.h
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -28,16 +27,13 @@
     std::map<std::string, DomainCapacity> serving;
     /** Replicas that the work measured keeps busy, with the headroom that the latency target needs. */
     double needed = 0.0;
-    /** Failure domains where no reclaimable replicas are to be had now. */
-    std::set<std::string> dry;
 };
 
 /** Plans the replicas of a service: the cheapest mix that still has what is needed when the failure domain with the most
     reclaimable replicas loses them all at once.
 
-    Reclaimable replicas are spread evenly; one on-demand replica stays in the cheapest domain, so that waves in all
-    domains leave something. On-demand replicas go only as reclaimable ones come up, and come back where a domain is dry
-    and what is left is less than needed.
+    Reclaimable replicas are spread evenly over the domains. On-demand ones make up for what does not serve yet, or was
+    taken away: they go as reclaimable ones come up, the dearest first, and come back where too little is left.
 */
 auto planCapacity (const CapacityInput& input) -> std::map<std::string, DomainCapacity>;
 
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -22,10 +22,12 @@
     and 68), and the part of its time that may go to prompts when first tokens are to come in time.
 */
 constexpr auto promptTokensAMillisecond = 64.0;
-constexpr auto busyShare = 0.35;
+constexpr auto busyShare = 0.15;
 
-/** Work is averaged over this time: long against bursts of a second, short against a day's swing of 40 s. */
-constexpr auto workTime = Duration (6s);
+/** What is needed falls over this time: a swing of the day takes 40 s, and a replica that is given up takes some seconds to
+    come back.
+*/
+constexpr auto fallTime = Duration (15s);
 
 /** Before work is measured, this part of what was found is taken as needed. */
 constexpr auto startShare = 0.6;
@@ -76,7 +78,11 @@
     if (known == memory.needed.end())
         return memory.needed[service] = std::max (measured, found * startShare);
 
-    const auto fall = std::chrono::duration<double> (tick) / std::chrono::duration<double> (workTime);
+    // Before the first traffic there is nothing to measure.
+    if (tokens <= 0.0)
+        return known->second;
+
+    const auto fall = std::chrono::duration<double> (tick) / std::chrono::duration<double> (fallTime);
     known->second = std::max (measured, known->second + (measured - known->second) * fall);
     return known->second;
 }
@@ -131,10 +137,6 @@
 
     input.needed = noteNeeded (state, memory, service.name, found, now);
 
-    for (const auto& [place, until] : memory.dryUntil)
-        if (place.first == service.name && now < until)
-            input.dry.insert (place.second);
-
     for (const auto& [domain, wanted] : planCapacity (input))
     {
         const auto serving = input.serving[domain];
@@ -143,7 +145,9 @@
         CapacityOrder reclaimable { service.name, domain, true, wanted.reclaimable };
         CapacityOrder onDemand { service.name, domain, false, wanted.onDemand };
 
-        if (! input.dry.contains (domain) && isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
+        const auto isDry = now < memory.dryUntil[{ service.name, domain }];
+
+        if (! isDry && isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
             co_await give (state, calls, memory, std::move (reclaimable));
 
         if (isDue (memory, onDemand, serving.onDemand, input.bounds.bootTime, now))
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -11,6 +11,9 @@
 /** A node without a configuration, or without a proof of its freshness, looks for one several times a second. */
 constexpr auto freshnessRetry = 500ms;
 
+/** Another node takes the request as soon as the caller asks it. */
+constexpr auto leavingRetry = 10ms;
+
 /** @returns the account of a request that names a valid key, or why it is refused. */
 auto accountOf (const ServingState& state, const CallerRequest& caller, const Route& route, TimePoint now)
     -> std::variant<std::shared_ptr<const RoutedAccount>, Refusal>
@@ -39,9 +42,8 @@
 auto checkQuota (ServingState& state, const CallerRequest& caller, const RoutedAccount& account, TimePoint now)
     -> std::optional<Refusal>
 {
-    const QuotaPart part { state.nodeCount (now), state.peers.demand (account.name, now),
-                           state.settings.quotaSlack };
-    const auto admission = state.quota.admit (account, tokensOf (caller, account), part, now);
+    const QuotaBounds bounds { state.settings.quotaSlack, state.quotaShare (now) };
+    const auto admission = state.quota.admit (account, tokensOf (caller, account), bounds, now);
 
     if (admission.admitted)
         return {};
@@ -73,6 +75,10 @@
     request.configuration = state.configuration.current;
     request.accepted = now;
 
+    // Too late to be sure of an end within the grace time; another node is asked at once.
+    if (state.isDrained)
+        return Refusal { makeProblem (ErrorKind::nodeLeaving), leavingRetry };
+
     if (! request.configuration)
         return Refusal { makeProblem (ErrorKind::noReplica, "no configuration yet"), freshnessRetry };
 
--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -11,64 +11,71 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** Each node keeps this part of its even share though it was asked for nothing, so that a first request gets in. */
-constexpr auto leastOfEven = 0.25;
-
-/** Of the tokens by which all nodes may go over the limit, the part given out as room for uneven demand. The rest is
-    kept for the last request of each node, which may take its bucket below zero.
+/** Of the tokens by which all nodes may go over the limit, the part that is given out as more burst. The rest covers what
+    is admitted between two reports.
 */
 constexpr auto slackGivenOut = 0.4;
 
-} // namespace
+/** Of the burst, what a node that has just started takes for left: others may have used the rest, and nodes that were all
+    killed together must not hand it out anew.
+*/
+constexpr auto startShare = 0.15;
 
-auto quotaShare (double own, const QuotaPart& part) -> double
-{
-    const auto even = 1.0 / static_cast<double> (std::max<std::size_t> (part.nodes, 1));
-    const auto whole = own + part.othersDemand;
-    const auto byDemand = whole > 0.0 ? own / whole : even;
-    return std::clamp (byDemand, even * leastOfEven, 1.0);
-}
+/** What a refused caller's request needs of the bucket, at most: it is admitted as soon as the bucket is not empty. */
+constexpr auto leastLevel = 1.0;
+
+} // namespace
 
-auto SharedQuota::admit (const RoutedAccount& account, double tokens, const QuotaPart& part, TimePoint now)
+auto SharedQuota::admit (const RoutedAccount& account, double tokens, const QuotaBounds& bounds, TimePoint now)
     -> Admission
 {
     auto& state = accounts[account.name];
-    state.asked = demandOf (state, now) * Seconds (demandTime).count() + tokens;
-    state.askedAt = now;
 
-    if (account.tokensPerSecond <= 0.0)
-        return { true, {} };
+    if (account.tokensPerSecond > 0.0)
+    {
+        auto& bucket = state.bucket;
+        const auto burst = (account.burstTokens + slackGivenOut * bounds.slack) * bounds.share;
 
-    const auto share = quotaShare (demandOf (state, now), part);
-    const auto room = slackGivenOut * part.slack / static_cast<double> (std::max<std::size_t> (part.nodes, 1));
-    const auto burst = account.burstTokens * share + room;
+        if (bucket.filled == TimePoint())
+            bucket = { 0.0, burst, bucket.level + startShare * burst, now };
 
-    if (state.bucket.filled == TimePoint())
-        state.bucket = { 0.0, burst, burst, now };
+        bucket.burst = burst;
+        bucket.rate = account.tokensPerSecond * bounds.share;
+        refill (bucket, now);
+        bucket.level = std::min (bucket.level, burst);
 
-    state.bucket.rate = account.tokensPerSecond * share;
-    refill (state.bucket, now);
-    state.bucket.burst = burst;
-    state.bucket.level = std::min (state.bucket.level, burst);
+        // The last request may be larger than what is left; the bucket makes up for it.
+        if (bucket.level < leastLevel)
+            return { false, timeUntil (bucket, leastLevel) };
 
-    // A request may be larger than a node's whole part, so the bucket may go below zero by one request.
-    if (state.bucket.level <= 0.0)
-        return { false, timeUntil (state.bucket, tokens * leastOfEven) };
+        bucket.level -= tokens;
+    }
 
-    state.bucket.level -= tokens;
+    state.total += tokens;
+    state.recent = recentNow (state, now) + tokens;
+    state.recentAt = now;
     return { true, {} };
 }
 
-auto SharedQuota::demand (const std::string& account, TimePoint now) const -> double
+auto SharedQuota::charge (const std::map<std::string, double, std::less<>>& tokens) -> void
+{
+    for (const auto& [account, amount] : tokens)
+        accounts[account].bucket.level -= amount;
+}
+
+auto SharedQuota::admitted (TimePoint now) const -> AdmittedByAccount
 {
-    const auto found = accounts.find (account);
-    return found == accounts.end() ? 0.0 : demandOf (found->second, now);
+    AdmittedByAccount all;
+
+    for (const auto& [account, state] : accounts)
+        all[account] = { state.total, recentNow (state, now) / Seconds (rateTime).count() };
+
+    return all;
 }
 
-auto SharedQuota::demandOf (const State& state, TimePoint now) -> double
+auto SharedQuota::recentNow (const State& state, TimePoint now) -> double
 {
-    const auto passed = Seconds (now - state.askedAt);
-    return state.asked * std::exp (-passed / Seconds (demandTime)) / Seconds (demandTime).count();
+    return state.recent * std::exp (-Seconds (now - state.recentAt) / Seconds (rateTime));
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../configuration/RoutingConfiguration.h"
+#include "../members/PeerTable.h"
 
 #include "snowrudder_limits/snowrudder_limits.h"
 
@@ -10,62 +11,52 @@
 namespace snowrudder
 {
 
-/** How this node's part of a limit over all nodes follows from what it knows. */
-struct QuotaPart
+/** What bounds a limit over all nodes beside its own rate and burst. */
+struct QuotaBounds
 {
-    /** Nodes that share the limit, this one included. */
-    std::size_t nodes = 1;
-    /** Tokens a second that the other nodes were asked for lately, all together. */
-    double othersDemand = 0.0;
-    /** Tokens by which all nodes together may go over the limit. */
+    /** Tokens by which all nodes together may go over the limit in a window. */
     double slack = 0.0;
+    /** Part of the limit that this node may take: all of it, or an even part while it can't hear the others. */
+    double share = 1.0;
 };
 
-/** The limits of client accounts, in tokens a second over all nodes, without a call for each request. A node's part
-    follows its part of the demand, so that refusals inside the limit stay rare when callers are spread unevenly; a node
-    that hears of nobody else's demand takes an even part.
+/** The limits of client accounts, in tokens a second over all nodes, without a call for each request.
+
+    Each node keeps a copy of each account's one bucket: it takes out what it admits at once, and what the others admitted
+    as soon as they tell. The copies differ by what was admitted within the time between two reports; a bucket that went
+    below zero by it is filled up first, so that the rate holds over any longer time.
 */
 class SharedQuota
 {
 public:
-    /** Counts a request in when this node's part of its account's limit allows it.
+    /** Counts a request in when its account's bucket is not empty.
 
         @param tokens  of prompt and answer together
     */
-    auto admit (const RoutedAccount& account, double tokens, const QuotaPart& part, TimePoint now) -> Admission;
+    auto admit (const RoutedAccount& account, double tokens, const QuotaBounds& bounds, TimePoint now) -> Admission;
 
-    /** @returns tokens a second that this node was asked for lately. */
-    [[nodiscard]] auto demand (const std::string& account, TimePoint now) const -> double;
+    /** Takes out what other nodes admitted; negative amounts are given back. */
+    auto charge (const std::map<std::string, double, std::less<>>& tokens) -> void;
 
-    /** Calls visit (account, tokensPerSecond) for each account that asked lately. */
-    template <typename Visitor>
-    auto forEachDemand (TimePoint now, Visitor&& visit) const -> void
-    {
-        for (const auto& [account, state] : accounts)
-            visit (account, demandOf (state, now));
-    }
+    /** @returns what this node admitted, by client account. */
+    [[nodiscard]] auto admitted (TimePoint now) const -> AdmittedByAccount;
 
 private:
     struct State
     {
         TokenBucket bucket;
-        /** Tokens asked for, fading over `demandTime`. */
-        double asked = 0.0;
-        TimePoint askedAt {};
+        double total = 0.0;
+        /** Tokens admitted, fading over `rateTime`. */
+        double recent = 0.0;
+        TimePoint recentAt {};
     };
 
-    /** Demand is averaged over this time: long against a request's size, short against a day's swing. */
-    static constexpr auto demandTime = Duration (2s);
+    /** Rates are averaged over this time: long against a request's size, short against a day's swing. */
+    static constexpr auto rateTime = Duration (2s);
 
-    static auto demandOf (const State& state, TimePoint now) -> double;
+    static auto recentNow (const State& state, TimePoint now) -> double;
 
     std::map<std::string, State, std::less<>> accounts;
 };
 
-/** @returns the share of a limit that a node takes.
-
-    @param own  tokens a second that it was asked for lately
-*/
-auto quotaShare (double own, const QuotaPart& part) -> double;
-
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -106,7 +106,7 @@
         }
 
         if (report->node != state.settings.node)
-            state.peers.note (std::move (*report), SteadyClock::now());
+            state.quota.charge (state.peers.note (std::move (*report), SteadyClock::now()));
     }
 }
 
@@ -241,6 +241,7 @@
         LogLine ("members_changed").with ("before", members.size()).with ("now", found.size()).info();
 
     members = std::move (found);
+    state.memberCount = members.size() + 1;
 }
 
 auto PeerExchange::chooseTargets() -> std::vector<asio::ip::udp::endpoint>
@@ -274,8 +275,7 @@
         report.proofAge = now - state.configuration.provenAt;
     }
 
-    state.quota.forEachDemand (now, [&] (const std::string& account, double tokens)
-                               { report.demand[account] = tokens; });
+    report.admitted = state.quota.admitted (now);
     state.work.forEach (now, [&] (const std::string& service, double tokens) { report.work[service] = tokens; });
     report.usage = state.usage.counts();
     return report;
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -11,24 +11,56 @@
         sum[account] += count;
 }
 
-auto PeerTable::note (PeerReport report, TimePoint now) -> bool
+auto PeerTable::note (PeerReport report, TimePoint now) -> std::map<std::string, double, std::less<>>
 {
+    std::map<std::string, double, std::less<>> charged;
     auto& peer = peers[report.node];
     const auto isKnown = peer.heard != TimePoint();
+    const auto isSameStart = isKnown && report.incarnation == peer.latest.incarnation;
 
     if (isKnown && report.incarnation < peer.latest.incarnation)
-        return false;
+        return charged;
 
-    if (isKnown && report.incarnation == peer.latest.incarnation && report.sequence <= peer.latest.sequence)
-        return false;
+    if (isSameStart && report.sequence <= peer.latest.sequence)
+        return charged;
 
-    if (isKnown && report.incarnation > peer.latest.incarnation)
+    if (isKnown && ! isSameStart)
         for (const auto& [window, counts] : peer.latest.usage)
             addCounts (peer.earlierUsage[window], counts);
 
+    if (isKnown)
+        for (const auto& [account, use] : report.admitted)
+            charged[account] = use.tokens - (isSameStart ? peer.latest.admitted[account].tokens : 0.0);
+
+    for (const auto& [account, tokens] : peer.assumed)
+        charged[account] -= tokens;
+
+    peer.assumed.clear();
     peer.latest = std::move (report);
     peer.heard = now;
-    return true;
+    return charged;
+}
+
+auto PeerTable::assumeSilent (Duration passed, TimePoint now) -> std::map<std::string, double, std::less<>>
+{
+    std::map<std::string, double, std::less<>> charged;
+
+    for (auto& [name, peer] : peers)
+    {
+        const auto silent = now - peer.heard;
+
+        if (peer.latest.leaving || silent < silentTime || silent > assumedTime)
+            continue;
+
+        for (const auto& [account, use] : peer.latest.admitted)
+        {
+            const auto tokens = use.tokensPerSecond * std::chrono::duration<double> (passed).count();
+            charged[account] += tokens;
+            peer.assumed[account] += tokens;
+        }
+    }
+
+    return charged;
 }
 
 auto PeerTable::countHeard (TimePoint now) const -> std::size_t
@@ -38,18 +70,6 @@
         { return now - entry.second.heard <= heardTime && ! entry.second.latest.leaving; }));
 }
 
-auto PeerTable::demand (const std::string& account, TimePoint now) const -> double
-{
-    auto sum = 0.0;
-
-    for (const auto& [name, peer] : peers)
-        if (const auto found = peer.latest.demand.find (account);
-            now - peer.heard <= heardTime && found != peer.latest.demand.end())
-            sum += found->second;
-
-    return sum;
-}
-
 auto PeerTable::work (const std::string& service, TimePoint now) const -> double
 {
     auto sum = 0.0;
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -10,6 +10,17 @@
 namespace snowrudder
 {
 
+/** Tokens of one client account that a node admitted. */
+struct AdmittedTokens
+{
+    /** Since the node's start. */
+    double tokens = 0.0;
+    /** Lately. */
+    double tokensPerSecond = 0.0;
+};
+
+using AdmittedByAccount = std::map<std::string, AdmittedTokens, std::less<>>;
+
 /** What a node tells the others of itself, some times a second. */
 struct PeerReport
 {
@@ -23,8 +34,7 @@
     std::uint64_t configurationRevision = 0;
     Duration proofAge {};
     bool leaving = false;
-    /** Tokens a second that it was asked for, by client account. */
-    std::map<std::string, double, std::less<>> demand;
+    AdmittedByAccount admitted;
     /** Prompt tokens a second that it sent to replicas, by service. */
     std::map<std::string, double, std::less<>> work;
     /** Its counts of requests that began to run, by window. */
@@ -35,18 +45,23 @@
 class PeerTable
 {
 public:
-    /** Takes a report in.
+    /** Takes a report in; one that is older than what is known changes nothing.
+
+        @returns tokens that the node admitted since its last report, by client account; none for a node heard of for the
+                 first time, for what it admitted before is not known to concern this node's time
+    */
+    auto note (PeerReport report, TimePoint now) -> std::map<std::string, double, std::less<>>;
+
+    /** Charges what nodes that have fallen silent may go on admitting: their last rate, for a few seconds.
 
-        @returns false when it is older than what is known
+        @param passed  since the last call
+        @returns       tokens by client account
     */
-    auto note (PeerReport report, TimePoint now) -> bool;
+    auto assumeSilent (Duration passed, TimePoint now) -> std::map<std::string, double, std::less<>>;
 
     /** @returns nodes heard of within `heardTime`. */
     [[nodiscard]] auto countHeard (TimePoint now) const -> std::size_t;
 
-    /** @returns tokens a second that the other nodes were asked for by an account, all together. */
-    [[nodiscard]] auto demand (const std::string& account, TimePoint now) const -> double;
-
     /** @returns prompt tokens a second that the other nodes sent to a service's replicas. */
     [[nodiscard]] auto work (const std::string& service, TimePoint now) const -> double;
 
@@ -59,11 +74,19 @@
     /** A node that was silent for so long no longer counts among those that share limits. */
     static constexpr auto heardTime = Duration (2s);
 
+    /** A node that misses two of its reports is taken as silent, and is charged for as long as a cut usually lasts; the
+        callers of a node that died have come to others by then.
+    */
+    static constexpr auto silentTime = Duration (1s);
+    static constexpr auto assumedTime = Duration (4s);
+
 private:
     struct Peer
     {
         PeerReport latest;
         TimePoint heard {};
+        /** Tokens charged while it was silent, to be set off against what it tells next. */
+        std::map<std::string, double, std::less<>> assumed;
         /** Counts of its earlier incarnations: a restart forgets its own. */
         std::map<std::uint64_t, AccountCounts> earlierUsage;
     };
--- a/modules/snowrudder_serving/members/ReportCodec.cpp
+++ b/modules/snowrudder_serving/members/ReportCodec.cpp
@@ -26,11 +26,14 @@
     message.set_proof_age_milliseconds (static_cast<std::uint32_t> (inMilliseconds (report.proofAge)));
     message.set_leaving (report.leaving);
 
-    for (const auto& [account, tokens] : report.demand)
+    for (const auto& [account, use] : report.admitted)
     {
-        auto* entry = message.add_demand();
-        entry->set_account (account);
-        entry->set_amount (tokens);
+        auto* rate = message.add_rates();
+        rate->set_account (account);
+        rate->set_amount (use.tokensPerSecond);
+        auto* total = message.add_admitted();
+        total->set_account (account);
+        total->set_amount (use.tokens);
     }
 
     for (const auto& [service, tokens] : report.work)
@@ -81,9 +84,13 @@
     report.proofAge = std::chrono::milliseconds (message.proof_age_milliseconds());
     report.leaving = message.leaving();
 
-    for (const auto& entry : message.demand())
+    for (const auto& entry : message.rates())
         if (std::isfinite (entry.amount()) && entry.amount() >= 0.0)
-            report.demand[entry.account()] = entry.amount();
+            report.admitted[entry.account()].tokensPerSecond = entry.amount();
+
+    for (const auto& entry : message.admitted())
+        if (std::isfinite (entry.amount()) && entry.amount() >= 0.0)
+            report.admitted[entry.account()].tokens = entry.amount();
 
     for (const auto& entry : message.work())
         if (std::isfinite (entry.tokens_per_second()) && entry.tokens_per_second() >= 0.0)
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -13,7 +13,7 @@
 constexpr auto sweepInterval = 100ms;
 
 /** The balancer asks each second and takes a node out after two misses: callers keep coming for so long. */
-constexpr auto balancerTime = 2500ms;
+constexpr auto balancerTime = 2300ms;
 
 /** Kept back of the grace time, for the process to end by itself. */
 constexpr auto graceMargin = 700ms;
@@ -132,6 +132,7 @@
         const auto now = SteadyClock::now();
         state.trueTime.compare (now, wallTimeNow().time_since_epoch());
         state.pool.closeOld (now);
+        state.quota.charge (state.peers.assumeSilent (sweepInterval, now));
 
         if (dropMissing (state.directory, now))
             state.replicas.update (listedReplicas (state.directory), now);
@@ -177,6 +178,7 @@
 
     asio::steady_timer timer (state.loop, balancerTime);
     co_await timer.async_wait (asTuple);
+    state.isDrained = true;
     callers->drain();
 
     while (SteadyClock::now() < end && (state.openRequests > 0 || callers->busyConnections() > 0))
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -39,6 +39,15 @@
     /** Nodes that share limits and replicas, this one included. */
     [[nodiscard]] auto nodeCount (TimePoint now) const -> std::size_t { return peers.countHeard (now) + 1; }
 
+    /** @returns the part of shared limits that this node may use: all while it hears most of the others, whose use it
+        then counts; else an even part.
+    */
+    [[nodiscard]] auto quotaShare (TimePoint now) const -> double
+    {
+        const auto others = std::max<std::size_t> (memberCount, 1) - 1;
+        return 2 * peers.countHeard (now) >= others ? 1.0 : 1.0 / static_cast<double> (others + 1);
+    }
+
     /** Part of the fleet's fixed number of retries that one node may save up: eight or nine nodes share the number,
         and half of it is kept back for retries of retries that nobody counted.
     */
@@ -64,9 +73,13 @@
     const LeadershipTimes leadershipTimes;
     PeerTable peers;
     TrueTime trueTime;
+    /** Nodes that the store last listed, this one included. */
+    std::size_t memberCount = 1;
     bool hasReplicas = false;
     bool isStoreReached = true;
     bool leaving = false;
+    /** Whether a stopping node takes nothing new any more. */
+    bool isDrained = false;
     std::size_t openRequests = 0;
 };
 
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -117,6 +117,8 @@
 
     directory.revision = std::max (directory.revision, read.revision);
 
+    state.hasReplicas = state.hasReplicas || ! directory.entries.empty();
+
     if (! read.items.empty())
         state.replicas.update (listedReplicas (directory), SteadyClock::now());
 }
