--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -51,7 +51,9 @@
     if (admission.admitted)
         return {};
 
-    return Refusal { makeProblem (ErrorKind::rateLimited), admission.retryAfter };
+    const auto limit = static_cast<std::uint64_t> (account.tokensPerSecond);
+    auto detail = "client account " + account.name + ", limit of " + std::to_string (limit) + " tokens a second";
+    return Refusal { makeProblem (ErrorKind::rateLimited, std::move (detail)), admission.retryAfter };
 }
 
 auto logRefusal (const ServingState& state,
