--- a/modules/snowrudder_serving/capacity/CapacityPlan.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.cpp
@@ -49,6 +49,12 @@
     }
 }
 
+auto servingIn (const CapacityInput& input, const std::string& domain) -> DomainCapacity
+{
+    const auto found = input.serving.find (domain);
+    return found == input.serving.end() ? DomainCapacity() : found->second;
+}
+
 /** Keeps or adds on-demand replicas for what is needed and not served by reclaimable ones. */
 auto fillGap (Plan& plan, const CapacityInput& input, const std::vector<std::string>& domains) -> void
 {
@@ -61,19 +67,19 @@
     // Those that serve already are kept before others are ordered: a new one takes its boot time.
     for (const auto& domain : domains)
     {
-        const auto found = input.serving.find (domain);
-        const auto there = found == input.serving.end() ? 0U : found->second.onDemand;
-        const auto kept = std::min (there, wanted - std::min (wanted, served));
+        const auto kept = std::min (servingIn (input, domain).onDemand, wanted - std::min (wanted, served));
         plan[domain].onDemand += kept;
         served += kept;
     }
 
     for (const auto& domain : domains)
-        while (served < wanted && plan[domain].onDemand + plan[domain].reclaimable < input.bounds.most)
-        {
+    {
+        // What is ordered and does not serve takes no room from what makes up for it.
+        const auto reclaimable = servingIn (input, domain).reclaimable;
+
+        for (; served < wanted && plan[domain].onDemand + reclaimable < input.bounds.most; ++served)
             ++plan[domain].onDemand;
-            ++served;
-        }
+    }
 }
 
 } // namespace
@@ -99,6 +105,10 @@
     const auto total = std::max<std::uint32_t> (spreadTotal (input.needed, domains.size()),
                                                 static_cast<std::uint32_t> (domains.size()));
     spread (plan, domains, total, input.bounds);
+
+    for (const auto& domain : input.dry)
+        plan[domain].reclaimable = std::min (plan[domain].reclaimable, servingIn (input, domain).reclaimable);
+
     fillGap (plan, input, domains);
     return plan;
 }
--- a/modules/snowrudder_serving/capacity/CapacityPlan.h
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,12 +28,14 @@
     std::map<std::string, DomainCapacity> serving;
     /** Replicas that the work measured keeps busy, with the headroom that the latency target needs. */
     double needed = 0.0;
+    /** Failure domains where no more reclaimable replicas are to be had now. */
+    std::set<std::string> dry;
 };
 
 /** Plans the replicas of a service: the cheapest mix that still has what is needed when the failure domain with the most
     reclaimable replicas loses them all at once.
 
-    Reclaimable replicas are spread evenly over the domains. On-demand ones make up for what does not serve yet, or was
+    Reclaimable replicas are spread evenly over the domains; a domain where no more are to be had keeps those that serve. On-demand ones make up for what does not serve yet, or was
     taken away: they go as reclaimable ones come up, the dearest first, and come back where too little is left.
 */
 auto planCapacity (const CapacityInput& input) -> std::map<std::string, DomainCapacity>;
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -24,13 +24,16 @@
 constexpr auto promptTokensAMillisecond = 64.0;
 constexpr auto busyShare = 0.15;
 
+/** Replicas on top, so that a small service's long prompts don't all meet its short ones. */
+constexpr auto leastSpare = 2.0;
+
 /** What is needed falls over this time: a swing of the day takes 40 s, and a replica that is given up takes some seconds to
     come back.
 */
 constexpr auto fallTime = Duration (15s);
 
-/** Before work is measured, this part of what was found is taken as needed. */
-constexpr auto startShare = 0.6;
+/** Before work is measured, this part of what was found is taken as needed: whoever set it up knew the load. */
+constexpr auto startShare = 1.0;
 
 using OrderKey = std::tuple<std::string, std::string, bool>;
 
@@ -75,7 +78,7 @@
 {
     constexpr auto thousand = 1000.0;
     const auto tokens = state.work.of (service, now) + state.peers.work (service, now);
-    const auto measured = tokens / (promptTokensAMillisecond * thousand * busyShare);
+    const auto measured = tokens / (promptTokensAMillisecond * thousand * busyShare) + leastSpare;
     const auto known = memory.needed.find (service);
 
     if (known == memory.needed.end())
@@ -146,6 +149,10 @@
 
     input.needed = noteNeeded (state, memory, service.name, found, now);
 
+    for (const auto& [place, until] : memory.dryUntil)
+        if (place.first == service.name && now < until)
+            input.dry.insert (place.second);
+
     for (const auto& [domain, wanted] : planCapacity (input))
     {
         const auto serving = input.serving[domain];
@@ -154,9 +161,7 @@
         CapacityOrder reclaimable { service.name, domain, true, wanted.reclaimable };
         CapacityOrder onDemand { service.name, domain, false, wanted.onDemand };
 
-        const auto isDry = now < memory.dryUntil[{ service.name, domain }];
-
-        if (! isDry && isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
+        if (isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
             co_await give (state, calls, memory, std::move (reclaimable));
 
         if (isDue (memory, onDemand, serving.onDemand, input.bounds.bootTime, now))
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -52,7 +52,8 @@
         return {};
 
     const auto limit = static_cast<std::uint64_t> (account.tokensPerSecond);
-    auto detail = "client account " + account.name + ", limit of " + std::to_string (limit) + " tokens a second";
+    auto detail =
+        "client account " + account.name + ", limit of " + std::to_string (limit) + " tokens a second";
     return Refusal { makeProblem (ErrorKind::rateLimited, std::move (detail)), admission.retryAfter };
 }
 
--- a/modules/snowrudder_serving/members/TrueTime.h
+++ b/modules/snowrudder_serving/members/TrueTime.h
@@ -42,10 +42,7 @@
     }
 
     /** @returns time since the start of 1970. */
-    [[nodiscard]] auto now (TimePoint steady) const -> Duration
-    {
-        return steady.time_since_epoch() + offset;
-    }
+    [[nodiscard]] auto now (TimePoint steady) const -> Duration { return steady.time_since_epoch() + offset; }
 
 private:
     /** Clocks of VMs differ by some tens of milliseconds and drift slowly. */
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -432,3 +432,16 @@
     CHECK (totalOf (plan).onDemand == 2);
     CHECK (plan["b"].onDemand == 2);
 }
+
+TEST_CASE ("orders for reclaimable replicas that are not to be had leave room for on-demand ones")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 16.0;
+    input.dry = { "a", "b", "c", "d" };
+    input.serving["a"] = { 0, 1 };
+
+    const auto plan = planCapacity (input);
+    CHECK (totalOf (plan).reclaimable == 1);
+    CHECK (totalOf (plan).onDemand == 15);
+}
