--- a/modules/snowrudder_serving/capacity/CapacityPlan.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.cpp
@@ -58,7 +58,7 @@
 /** Keeps or adds on-demand replicas for what is needed and not served by reclaimable ones. */
 auto fillGap (Plan& plan, const CapacityInput& input, const std::vector<std::string>& domains) -> void
 {
-    const auto wanted = static_cast<std::uint32_t> (std::ceil (input.needed));
+    const auto wanted = static_cast<std::uint32_t> (std::ceil (input.needed * input.onDemandShare));
     auto served = std::uint32_t { 0 };
 
     for (const auto& [domain, capacity] : input.serving)
--- a/modules/snowrudder_serving/capacity/CapacityPlan.h
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.h
@@ -28,6 +28,8 @@
     std::map<std::string, DomainCapacity> serving;
     /** Replicas that the work measured keeps busy, with the headroom that the latency target needs. */
     double needed = 0.0;
+    /** Of what is needed, the part for which on-demand replicas are paid while reclaimable ones are not to be had. */
+    double onDemandShare = 1.0;
     /** Failure domains where no more reclaimable replicas are to be had now. */
     std::set<std::string> dry;
 };
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -32,6 +32,16 @@
 */
 constexpr auto fallTime = Duration (15s);
 
+/** On-demand replicas cost five to seven times as much as reclaimable ones on the sites known, so that headroom is bought
+    with the latter only; measured at 1.0 on quiet-1, see docs/design/capacity.md.
+*/
+constexpr auto onDemandShare = 0.6;
+
+/** Replicas enter themselves in the store within their first two heartbeats (1.2 s on the sites known); what is found before
+    is not all that there is.
+*/
+constexpr auto settleTime = Duration (2500ms);
+
 /** Before work is measured, this part of what was found is taken as needed: whoever set it up knew the load. */
 constexpr auto startShare = 1.0;
 
@@ -147,6 +157,7 @@
     for (const auto& [domain, capacity] : input.serving)
         found += capacity.onDemand + capacity.reclaimable;
 
+    input.onDemandShare = onDemandShare;
     input.needed = noteNeeded (state, memory, service.name, found, now);
 
     for (const auto& [place, until] : memory.dryUntil)
@@ -174,6 +185,7 @@
 auto orderReplicas (ServingState& state, const DutyCalls& calls) -> Task<void>
 {
     CapacityMemory memory;
+    TimePoint firstSeen {};
     asio::steady_timer timer (state.loop);
 
     for (;;)
@@ -183,10 +195,15 @@
 
         const auto configuration = state.configuration.current;
 
-        if (! configuration || ! state.hasReplicas)
+        const auto now = SteadyClock::now();
+
+        if (state.hasReplicas && firstSeen == TimePoint())
+            firstSeen = now;
+
+        if (! configuration || ! state.hasReplicas || now - firstSeen < settleTime)
             continue;
 
-        if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
+        if (! mayAct (state.leadership, state.leadershipTimes, now))
             continue;
 
         if (memory.fence != state.leadership.fence)
