Store calls of many nodes are gathered; each node's retries follow the number of nodes; usage settles at fleet size

Usage of three windows was off by a tenth: a node hears 82 others in 2.1 s, and windows closed after 2.5 s.

--- a/modules/snowrudder_requests/retry/RetryBudget.h
+++ b/modules/snowrudder_requests/retry/RetryBudget.h
@@ -45,7 +45,11 @@
 {
 public:
     /** @param mostSaved  retries that can be saved up for an account and service */
-    explicit RetryBudgets (double mostSaved = usualSavedRetries) : saved (mostSaved) {}
+    auto setMostSaved (double mostSaved) -> void
+    {
+        const std::lock_guard lock (mutex);
+        saved = mostSaved;
+    }
 
     auto earn (const std::string& account, const std::string& service, double percent) -> void
     {
@@ -60,8 +64,8 @@
     }
 
 private:
-    const double saved;
     std::mutex mutex;
+    double saved = usualSavedRetries;
     std::map<std::string, RetryBudget> budgets;
 };
 
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -14,11 +14,18 @@
 
 constexpr auto tick = 500ms;
 
-/** After a window's end, until every node's last counts of it have come in: nodes tell them twice a second. */
-constexpr auto settleTime = Duration (2500ms);
+/** After a window's end, until every node's last counts of it have come in: in a fleet of 83 each node is heard every
+    1.6 s, and a datagram may be lost.
+*/
+constexpr auto settleTime = Duration (4s);
+
+/** How far back a new holder looks for windows that its predecessor may have left unreported: twice the time after which
+    a report is late on the sites known.
+*/
+constexpr auto lookBack = Duration (20s);
 
-/** Windows of which counts and records are kept: those that a new holder may still have to report, and some more. */
-constexpr auto keptWindows = std::uint64_t { 8 };
+/** Counts and records are kept for longer than anybody looks back. */
+constexpr auto keepTime = 2 * lookBack;
 
 auto usageKey (std::uint64_t window) -> std::string
 {
@@ -71,6 +78,8 @@
     item.value = writeCounts (counts);
     record.puts.push_back (std::move (item));
 
+    const auto keptWindows = static_cast<std::uint64_t> (keepTime / state.settings.usageWindow);
+
     if (window > keptWindows)
         record.removals.push_back (usageKey (window - keptWindows));
 
@@ -120,9 +129,10 @@
 
         const auto now = state.trueTime.now (SteadyClock::now());
         const auto current = state.usage.windowOf (now);
-        const auto oldest = current - std::min (current, keptWindows / 2);
-        state.usage.dropBefore (current - std::min (current, keptWindows));
-        state.peers.dropUsageBefore (current - std::min (current, keptWindows));
+        const auto oldest = state.usage.windowOf (now - lookBack);
+        const auto oldestKept = state.usage.windowOf (now - keepTime);
+        state.usage.dropBefore (oldestKept);
+        state.peers.dropUsageBefore (oldestKept);
         reported.erase (reported.begin(), reported.lower_bound (oldest));
 
         for (auto window = std::max (oldest, firstWindow); window < current; ++window)
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -15,15 +15,22 @@
 /** Twice within the time in which limits must follow demand (1 s). */
 constexpr auto sendInterval = 400ms;
 
-/** Datagrams that a node sends a round at most: its cost stays flat as the fleet grows. */
-constexpr auto mostTargets = std::size_t { 16 };
+/** Datagrams that a node sends a round at most: its cost stays flat as the fleet grows. Targets take turns, so that each
+    of 83 other nodes is told within four rounds.
+*/
+constexpr auto mostTargets = std::size_t { 24 };
 
 /** A member's entry goes this long after its node died. */
 constexpr auto memberLease = Duration (12s);
 constexpr auto renewInterval = Duration (4s);
 
-/** A watch that stays silent this long is followed by a new list. */
-constexpr auto watchTime = Duration (4s);
+/** A watch that stays silent this long is followed by a renewal of the entry's lease and a new list, in time for the
+    lease.
+*/
+constexpr auto watchTime = Duration (5s);
+
+/** After a change among the members others are likely, as when all nodes start: they are taken together. */
+constexpr auto gatherTime = 1s;
 constexpr auto failurePause = 500ms;
 
 auto parseDatagramEndpoint (const std::string& text) -> std::optional<asio::ip::udp::endpoint>
@@ -48,8 +55,7 @@
 
 PeerExchange::PeerExchange (ServingState& servingState, const StateStore& stateStore)
     : state (servingState), store (stateStore), socket (servingState.loop),
-      incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count())),
-      random (std::random_device {}())
+      incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count()))
 {
 }
 
@@ -159,6 +165,10 @@
 
     takeMembers (listed);
     const auto changed = co_await store.watch (std::string (memberPrefix), listed.revision, watchTime);
+
+    if (! changed.items.empty())
+        co_await pauseFor (state.loop, jittered (gatherTime));
+
     co_return changed.outcome == StoreOutcome::done;
 }
 
@@ -243,6 +253,7 @@
 
     members = std::move (found);
     state.memberCount = members.size() + 1;
+    state.retryBudgets.setMostSaved (state.savedRetries());
 }
 
 auto PeerExchange::chooseTargets() -> std::vector<asio::ip::udp::endpoint>
@@ -256,7 +267,10 @@
         return all;
 
     std::vector<asio::ip::udp::endpoint> chosen;
-    std::ranges::sample (all, std::back_inserter (chosen), static_cast<std::ptrdiff_t> (mostTargets), random);
+
+    for (auto count = std::size_t { 0 }; count < mostTargets; ++count)
+        chosen.push_back (all[nextTarget++ % all.size()]);
+
     return chosen;
 }
 
@@ -279,7 +293,14 @@
     report.admitted = state.quota.admitted (now);
     state.work.forEach (now,
                         [&] (const std::string& service, double tokens) { report.work[service] = tokens; });
-    report.usage = state.usage.counts();
+
+    // Windows that ended before have been reported, or are late.
+    const auto trueNow = state.trueTime.now (now);
+
+    for (const auto& [window, counts] : state.usage.counts())
+        if (state.usage.endOf (window) + state.settings.usageDue > trueNow)
+            report.usage[window] = counts;
+
     return report;
 }
 
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -4,8 +4,6 @@
 #include "../store/StateStore.h"
 
 #include <map>
-#include <random>
-#include <set>
 #include <string>
 
 namespace snowrudder
@@ -52,7 +50,8 @@
     std::uint64_t lease = 0;
     TimePoint renewed {};
     std::map<std::string, asio::ip::udp::endpoint> members;
-    std::minstd_rand random;
+    /** Place among the members from which the next round goes on. */
+    std::size_t nextTarget = 0;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -26,7 +26,6 @@
     ServingState (asio::io_context& eventLoop, const ServingSettings& servingSettings)
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
-          retryBudgets (std::max (leastSavedRetries, servingSettings.retrySlack * savedShare)),
           usage (servingSettings.usageWindow)
     {
     }
@@ -49,12 +48,15 @@
         return 2 * peers.countHeard (now) >= others ? 1.0 : 1.0 / static_cast<double> (others + 1);
     }
 
-    /** Part of the fleet's fixed number of retries that one node may save up: eight or nine nodes share the number,
-        and half of it is kept back for retries of retries that nobody counted.
+    /** @returns retries that this node may save up: its part of half of the fleet's fixed number. The other half is kept back
+        for nodes that know each other late. A node without any could not even replace an attempt that was refused.
     */
-    static constexpr auto savedShare = 0.5 / 9.0;
-    /** A node without any saved retry could not even replace one that was refused. */
-    static constexpr auto leastSavedRetries = 2.0;
+    [[nodiscard]] auto savedRetries() const -> double
+    {
+        constexpr auto partGivenOut = 0.5;
+        constexpr auto least = 1.0;
+        return std::max (least, settings.retrySlack * partGivenOut / static_cast<double> (memberCount));
+    }
 
     asio::io_context& loop;
     const ServingSettings settings;
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -13,7 +13,12 @@
 constexpr auto failurePause = 250ms;
 
 /** A watch that stays silent this long is followed by a new list: watches may miss changes. */
-constexpr auto watchTime = Duration (8s);
+constexpr auto watchTime = Duration (20s);
+
+/** After a change others are likely, as when replicas start or are taken away together: they are taken together, well within
+    the time in which a leaving replica must get nothing new (2 s on the sites known).
+*/
+constexpr auto gatherTime = 400ms;
 
 auto takeConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
 {
@@ -202,7 +207,10 @@
             isFollowing = changed.outcome == StoreOutcome::done && ! changed.items.empty();
 
             if (isFollowing)
+            {
                 takeEvents (state, state.directory, formats, changed);
+                co_await pauseFor (state.loop, gatherTime);
+            }
             else if (changed.outcome != StoreOutcome::done)
                 co_await pauseFor (state.loop, failurePause);
         }
