A stopping node leaves the members before it waits; usage settles by the number of nodes

Two usage windows came late: four seconds of settling ran into an outage of 6.2 s; eight nodes need two.

--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -14,10 +14,17 @@
 
 constexpr auto tick = 500ms;
 
-/** After a window's end, until every node's last counts of it have come in: in a fleet of 83 each node is heard every
-    1.6 s, and a datagram may be lost.
+/** @returns how long after a window's end every node's last counts of it have come in. Nodes tell 24 others every 400 ms, and
+    one datagram may be lost; the rest is for the way, and for clocks that differ.
 */
-constexpr auto settleTime = Duration (4s);
+auto settleTime (std::size_t members) -> Duration
+{
+    constexpr auto toldARound = std::size_t { 24 };
+    constexpr auto twoRounds = Duration (800ms);
+    constexpr auto reserve = Duration (1200ms);
+    const auto rounds = static_cast<std::int64_t> ((members + toldARound - 1) / toldARound);
+    return reserve + twoRounds * rounds;
+}
 
 /** How far back a new holder looks for windows that its predecessor may have left unreported: twice the time after which
     a report is late on the sites known.
@@ -137,7 +144,8 @@
 
         for (auto window = std::max (oldest, firstWindow); window < current; ++window)
         {
-            if (reported.contains (window) || now < state.usage.endOf (window) + settleTime)
+            if (reported.contains (window) ||
+                now < state.usage.endOf (window) + settleTime (state.memberCount))
                 continue;
 
             if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -175,12 +175,17 @@
     asio::signal_set signals (state.loop, SIGTERM, SIGINT);
     co_await signals.async_wait (asTuple);
 
-    const auto end = SteadyClock::now() + state.settings.grace - graceMargin;
+    const auto asked = SteadyClock::now();
+    const auto drainStart = asked + balancerTime;
+    const auto end = asked + state.settings.grace - graceMargin;
     state.leaving = true;
     LogLine ("leaving").with ("open_requests", state.openRequests).info();
     co_await giveUpLeadership (state, face.store);
+    // Before the wait: the store may be away, and the grace time does not wait for it.
+    co_await peers.leave();
 
-    asio::steady_timer timer (state.loop, balancerTime);
+    asio::steady_timer timer (state.loop);
+    timer.expires_at (drainStart);
     co_await timer.async_wait (asTuple);
     state.isDrained = true;
     callers->drain();
@@ -191,7 +196,6 @@
         co_await timer.async_wait (asTuple);
     }
 
-    co_await peers.leave();
     LogLine ("drained").with ("open_requests", state.openRequests).info();
     state.loop.stop();
 }
