--- a/programs/snowrudder-router.cpp
+++ b/programs/snowrudder-router.cpp
@@ -47,7 +47,9 @@
           "Takes requests from callers, picks an upstream replica, relays the answer.",
           needsSettings,
           { { "face", "FACE",
-              "own (the usual) or platform: whose interface is served, and whose settings are read" } } });
+              "own (the usual) or platform: whose interface is served, and whose settings are read" },
+            { "metrics-port", "PORT",
+              "where the platform's face serves its figures; without it they are not served" } } });
     const auto face = line.option ("face", "own");
 
     if (face == "platform")
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -30,7 +30,7 @@
 class Node:
     def __init__(self, platform, name):
         self.name = name
-        self.front, self.readiness, self.peers = free_ports(3)
+        self.front, self.readiness, self.peers, self.metrics = free_ports(4)
         self.settings = platform.folder / f"{name}.conf"
         self.settings.write_text(f"node_name={name}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{self.front}\n"
                                  f"listen.readiness=127.0.0.1:{self.readiness}\nport_range={self.peers},{self.peers}\n"
@@ -39,7 +39,8 @@
                                  "bounds.revoke_ms=2500\nbounds.report_window_s=1\nbounds.grace_s=6\nbounds.lease_ms=3000\n")
         self.log = platform.folder / f"{name}.log"
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen([BUILD / "snowrudder-router", "--face", "platform"], stdin=subprocess.DEVNULL,
+            self.process = subprocess.Popen([BUILD / "snowrudder-router", "--face", "platform", "--metrics-port", str(self.metrics)],
+                                            stdin=subprocess.DEVNULL,
                                             stdout=log, stderr=log,
                                             env={**os.environ, "SNOWRUDDER_BOOT": str(self.settings)})
 
@@ -133,6 +134,13 @@
             platform.store.put("op/config", configuration())
             wait_until(platform.first.is_ready, "ready with a configuration")
 
+    def test_figures_are_served(self):
+        with Platform() as platform:
+            platform.first.call("GET", "/again/x")
+            text = request(platform.first.metrics, "GET", "/metrics").body.decode()
+            self.assertIn("snowrudder_routed_requests_total 1", text)
+            self.assertIn("snowrudder_whole_answer_seconds_count 1", text)
+
     def test_a_failure_of_a_replica_is_tried_again_or_passed_on_as_it_is(self):
         with Platform() as platform:
             for replica in platform.replicas:
