--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -22,7 +22,7 @@
 
 ServingNode::ServingNode (asio::io_context& eventLoop,
                           const ServingSettings& settings,
-                          std::function<ServingFace (ConnectionPool&)> makeFace)
+                          const std::function<ServingFace (ConnectionPool&)>& makeFace)
     : state (eventLoop, settings), face (makeFace (state.pool)), peers (state, face.store)
 {
     state.protocol = face.upstreams;
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -34,7 +34,7 @@
     /** @param makeFace  called with the event loop's connection pool */
     ServingNode (asio::io_context& eventLoop,
                  const ServingSettings& settings,
-                 std::function<ServingFace (ConnectionPool&)> makeFace);
+                 const std::function<ServingFace (ConnectionPool&)>& makeFace);
 
     /** Serves until a planned stop has ended.
 
