A watch that never answers hides a leaving replica for two seconds at most

Cause: the node had been cut off until 3.6 s before; its watch of 20 s, asked before the cut, never answered, and nothing else told of changes. Ruled out: the gathering of changes (0.4 s), the choice (it had not seen the entry). Change: watches of 2 s; the list is read again every 20 s; an empty answer does not move the revision on.

--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -12,8 +12,13 @@
 /** After a failure the store is asked again soon: freshness runs out meanwhile. */
 constexpr auto failurePause = 250ms;
 
-/** A watch that stays silent this long is followed by a new list: watches may miss changes. */
-constexpr auto watchTime = Duration (20s);
+/** A watch is asked anew this often. One that was waiting when the node was cut off never answers, and hides changes until
+    then; with the drain time of 2 s on the sites known a leaving replica must be seen within 3 s of the cut's end.
+*/
+constexpr auto watchTime = Duration (2s);
+
+/** Without a change the list is read again this often: watches may miss changes. */
+constexpr auto listTime = Duration (20s);
 
 /** After a change others are likely, as when replicas start or are taken away together: they are taken together, well within
     the time in which a leaving replica must get nothing new (2 s on the sites known).
@@ -197,6 +202,7 @@
         }
 
         takeList (state, state.directory, formats, listed);
+        const auto listEnd = SteadyClock::now() + listTime;
         auto isFollowing = true;
 
         while (isFollowing)
@@ -204,9 +210,10 @@
             const auto changed =
                 co_await store.watch (formats.replicaPrefix, state.directory.revision, watchTime);
             noteStoreAnswer (state, changed.outcome, "replicas");
-            isFollowing = changed.outcome == StoreOutcome::done && ! changed.items.empty();
+            isFollowing = changed.outcome == StoreOutcome::done && SteadyClock::now() < listEnd;
 
-            if (isFollowing)
+            // An empty answer does not move the revision on: the watch may have been silent while changes were made.
+            if (! changed.items.empty())
             {
                 takeEvents (state, state.directory, formats, changed);
                 co_await pauseFor (state.loop, gatherTime);
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -55,6 +55,7 @@
         self.compacted = 0
         self.silent = False
         self.busy = False
+        self.hang_watches = False
         self.lose_answers = False
         self.calls = []
         self.server = Server(port, self)
@@ -158,6 +159,8 @@
 
     def watch(self, query):
         after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
+        if self.hang_watches and query["path_prefix"] == "servers/":
+            time.sleep(25)
         with self.changed:
             while True:
                 if after < self.compacted:
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -280,6 +280,17 @@
             for number in range(5):
                 self.assertEqual(platform.first.call("GET", "/again/x", id=f"r-{number}").json(), {"by": "i-0"})
 
+    def test_a_watch_whose_answer_never_comes_hides_a_leaving_replica_for_a_short_time_only(self):
+        with Platform() as platform:
+            platform.store.hang_watches = True
+            platform.store.put("servers/i-0", platform.replicas[0].entry("svc"))
+            time.sleep(1.5)
+            platform.store.hang_watches = False
+            platform.store.put("servers/i-0", platform.replicas[0].entry("svc", state="draining"))
+            began = time.monotonic()
+            wait_until(lambda: "replica_leaving replica=i-0" in platform.first.log.read_text(), "it is seen")
+            self.assertLess(time.monotonic() - began, 5)
+
     def test_a_watch_that_lost_its_history_is_followed_by_a_list(self):
         with Platform() as platform:
             with platform.store.changed:
