--- a/modules/snowrudder_core/json/JsonFields.h
+++ b/modules/snowrudder_core/json/JsonFields.h
@@ -3,12 +3,26 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace snowrudder
 {
 
+/** @returns the object that a text from outside holds, or nothing where it is no JSON or no object. */
+inline auto parseObject (std::string_view text) -> std::optional<boost::json::object>
+{
+    boost::system::error_code error;
+    auto value = boost::json::parse (boost::json::string_view (text.data(), text.size()), error);
+
+    if (error || ! value.is_object())
+        return {};
+
+    return std::move (value.get_object());
+}
+
 /** Reading members of JSON objects that come from outside: what is missing or of another type gives the fallback. */
 
 /** @returns a member, or nullptr. */
--- a/modules/snowrudder_fakes/common/FakeServer.cpp
+++ b/modules/snowrudder_fakes/common/FakeServer.cpp
@@ -18,13 +18,7 @@
 
 auto jsonBody (const Exchange& exchange) -> json::object
 {
-    boost::system::error_code error;
-    auto value = json::parse (exchange.request().body(), error);
-
-    if (error || ! value.is_object())
-        return {};
-
-    return std::move (value.get_object());
+    return parseObject (exchange.request().body()).value_or (json::object());
 }
 
 auto respondJson (Exchange& exchange, http::status status, json::value value) -> Task<void>
--- a/modules/snowrudder_load/client/LoadRun.cpp
+++ b/modules/snowrudder_load/client/LoadRun.cpp
@@ -81,13 +81,12 @@
 
 auto addStats (const std::string& text, UpstreamCounts& counts) -> void
 {
-    boost::system::error_code error;
-    const auto value = json::parse (text, error);
+    const auto parsed = parseObject (text);
 
-    if (error || ! value.is_object())
+    if (! parsed)
         return;
 
-    const auto& object = value.get_object();
+    const auto& object = *parsed;
     counts.computedPromptTokens += wholeNumberIn (object, "computed_prompt_tokens");
     counts.cachedPromptTokens += wholeNumberIn (object, "cached_prompt_tokens");
     counts.generatedTokens += wholeNumberIn (object, "generated_tokens");
--- a/modules/snowrudder_platform/client/PlatformClient.cpp
+++ b/modules/snowrudder_platform/client/PlatformClient.cpp
@@ -10,17 +10,6 @@
 
 constexpr auto usualTimeout = 2s;
 
-auto parseObject (const std::string& text) -> std::optional<json::object>
-{
-    boost::system::error_code error;
-    auto value = json::parse (text, error);
-
-    if (error || ! value.is_object())
-        return {};
-
-    return std::move (value.get_object());
-}
-
 auto readStored (const json::object& object) -> StoredValue
 {
     return { textIn (object, "key"), textIn (object, "value"), wholeNumberIn (object, "version"),
--- a/modules/snowrudder_platform/client/VmList.cpp
+++ b/modules/snowrudder_platform/client/VmList.cpp
@@ -65,13 +65,12 @@
 
 auto parseVmList (std::string_view text, std::size_t& skipped) -> std::optional<std::vector<Vm>>
 {
-    boost::system::error_code error;
-    const auto value = json::parse (json::string_view (text.data(), text.size()), error);
+    const auto object = parseObject (text);
 
-    if (error || ! value.is_object())
+    if (! object)
         return {};
 
-    const auto* list = value.get_object().if_contains ("vms");
+    const auto* list = object->if_contains ("vms");
 
     if (list == nullptr || ! list->is_array())
         return {};
--- a/modules/snowrudder_requests/once/SlotRecord.cpp
+++ b/modules/snowrudder_requests/once/SlotRecord.cpp
@@ -29,17 +29,14 @@
 
 auto parseSlotRecord (std::string_view text) -> std::optional<SlotRecord>
 {
-    boost::system::error_code error;
-    const auto value = json::parse (json::string_view (text.data(), text.size()), error);
+    const auto object = parseObject (text);
 
-    if (error || ! value.is_object())
+    if (! object)
         return {};
 
-    const auto& object = value.get_object();
-
-    SlotRecord record { textIn (object, "owner"), textIn (object, "endpoint"),
-                        wholeNumberIn (object, "epoch"), wholeNumberIn (object, "lease"),
-                        wholeNumberIn (object, "known_since_milliseconds") };
+    SlotRecord record { textIn (*object, "owner"), textIn (*object, "endpoint"),
+                        wholeNumberIn (*object, "epoch"), wholeNumberIn (*object, "lease"),
+                        wholeNumberIn (*object, "known_since_milliseconds") };
 
     if (record.owner.empty() || record.endpoint.empty() || record.epoch == 0)
         return {};
--- a/modules/snowrudder_router/background/LoadWatcher.cpp
+++ b/modules/snowrudder_router/background/LoadWatcher.cpp
@@ -24,19 +24,16 @@
 
 auto readReport (const std::string& text) -> std::optional<LoadReport>
 {
-    boost::system::error_code error;
-    const auto value = json::parse (text, error);
+    const auto object = parseObject (text);
 
-    if (error || ! value.is_object())
+    if (! object)
         return {};
 
-    const auto& object = value.get_object();
-
     LoadReport report;
-    report.running = static_cast<std::uint32_t> (std::max (0.0, numberIn (object, "running", 0.0)));
-    report.waiting = static_cast<std::uint32_t> (std::max (0.0, numberIn (object, "waiting", 0.0)));
-    report.pendingPromptTokens = std::max (0.0, numberIn (object, "pending_prompt_tokens", 0.0));
-    report.leaving = flagIn (object, "leaving", false);
+    report.running = static_cast<std::uint32_t> (std::max (0.0, numberIn (*object, "running", 0.0)));
+    report.waiting = static_cast<std::uint32_t> (std::max (0.0, numberIn (*object, "waiting", 0.0)));
+    report.pendingPromptTokens = std::max (0.0, numberIn (*object, "pending_prompt_tokens", 0.0));
+    report.leaving = flagIn (*object, "leaving", false);
     return report;
 }
 
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -52,14 +52,10 @@
 auto readCounts (const std::string& text) -> AccountCounts
 {
     AccountCounts counts;
-    boost::system::error_code error;
-    const auto value = json::parse (text, error);
+    const auto object = parseObject (text).value_or (json::object());
 
-    if (error || ! value.is_object())
-        return counts;
-
-    for (const auto& member : value.get_object())
-        counts[std::string (member.key())] = wholeNumberIn (value.get_object(), member.key());
+    for (const auto& member : object)
+        counts[std::string (member.key())] = wholeNumberIn (object, member.key());
 
     return counts;
 }
