The relay of an answer, the end of an attempt and a pause stand in one place each

Cause: PlainCall and RoutedRun each had the reading ahead and its bound, the failed attempt's log line and the last problem's words (ModelRun too); send and readHeader stood as a pair four times; the router had a pauseFor of its own beside net's; RoutedRun built the head that AnswerRelay builds. Change: readAhead(), relayedHead(), attemptFailed(), problemAfter(), UpstreamCall::sendAndReadHeader(), one pauseFor(). The routed path asserts too that a request which may run once is not sent again after it may have run. attempt_failed of the routed path names replica and ran last.

--- a/modules/snowrudder_net/client/SimpleCall.cpp
+++ b/modules/snowrudder_net/client/SimpleCall.cpp
@@ -16,10 +16,7 @@
     answer.error = co_await call.connect (mayReuse);
 
     if (! answer.error)
-        answer.error = co_await call.send (request);
-
-    if (! answer.error)
-        answer.error = co_await call.readHeader();
+        answer.error = co_await call.sendAndReadHeader (request);
 
     if (! answer.error)
     {
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -117,6 +117,14 @@
     co_return std::error_code();
 }
 
+auto UpstreamCall::sendAndReadHeader (const HttpRequest& request) -> Task<std::error_code>
+{
+    if (const auto error = co_await send (request))
+        co_return error;
+
+    co_return co_await readHeader();
+}
+
 auto UpstreamCall::readSome (std::string& bytes) -> Task<std::error_code>
 {
     bytes.clear();
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -49,6 +49,9 @@
     /** Reads the answer's header. */
     auto readHeader() -> Task<std::error_code>;
 
+    /** Sends a request and reads its answer's header. */
+    auto sendAndReadHeader (const HttpRequest& request) -> Task<std::error_code>;
+
     /** Reads some of the answer's body: what is there, at least a byte, or nothing at its end.
 
         @param bytes  replaced
--- a/modules/snowrudder_router/background/PlatformFollower.cpp
+++ b/modules/snowrudder_router/background/PlatformFollower.cpp
@@ -82,7 +82,7 @@
 
         if (! stored)
         {
-            co_await pauseFor (worker, jittered (pause));
+            co_await pauseFor (worker.loop, jittered (pause));
             pause = nextPause (pause);
             continue;
         }
@@ -118,7 +118,7 @@
 
         if (! vms)
         {
-            co_await pauseFor (worker, jittered (pause));
+            co_await pauseFor (worker.loop, jittered (pause));
             pause = nextPause (pause);
             continue;
         }
@@ -128,7 +128,7 @@
         const auto listed = toListed (*vms);
         state.replicas.update (listed, SteadyClock::now());
         state.hasReplicas = ! listed.empty();
-        co_await pauseFor (worker, jittered (listInterval));
+        co_await pauseFor (worker.loop, jittered (listInterval));
     }
 }
 
--- a/modules/snowrudder_router/gateway/CallerScope.h
+++ b/modules/snowrudder_router/gateway/CallerScope.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "../state/Pause.h"
 #include "../state/RouterState.h"
 
 #include "snowrudder_net/snowrudder_net.h"
--- a/modules/snowrudder_router/model/ModelRun.cpp
+++ b/modules/snowrudder_router/model/ModelRun.cpp
@@ -122,12 +122,7 @@
 
         const auto decision = afterFailure (*outcome);
 
-        LogLine ("attempt_failed")
-            .with ("request", idText)
-            .with ("attempt", attempts)
-            .with ("cause", toString (outcome->cause))
-            .with ("again", decision.again ? "yes" : "no")
-            .info();
+        attemptFailed (idText, attempts, *outcome, decision).info();
 
         if (! decision.again)
         {
@@ -135,7 +130,7 @@
             co_return;
         }
 
-        co_await pauseFor (worker, decision.pause);
+        co_await pauseFor (worker.loop, decision.pause);
     }
 }
 
@@ -196,12 +191,9 @@
     if (co_await call.connect (mayReuse))
         co_return AttemptOutcome { call.stage(), causeOr (FailureCause::connectFailed) };
 
-    auto error = co_await call.send (engineRequest());
+    const auto wanted = engineRequest();
 
-    if (! error)
-        error = co_await call.readHeader();
-
-    if (error)
+    if (const auto error = co_await call.sendAndReadHeader (wanted))
         co_return AttemptOutcome { call.stage(), causeOr (failureOf (error)) };
 
     if (call.status() != static_cast<unsigned> (http::status::ok))
@@ -411,8 +403,7 @@
         return;
     }
 
-    record->fail (makeProblem (decision.kind, decision.ran,
-                               "the last attempt: " + std::string (toString (outcome.cause))));
+    record->fail (problemAfter (outcome, decision));
 }
 
 auto ModelRun::onInterrupt (FailureCause cause) -> void
--- a/modules/snowrudder_router/once/OnceHandler.cpp
+++ b/modules/snowrudder_router/once/OnceHandler.cpp
@@ -209,7 +209,7 @@
         if (call.isForwarded || SteadyClock::now() >= end)
             break;
 
-        co_await pauseFor (worker, searchPause);
+        co_await pauseFor (worker.loop, searchPause);
     }
 
     co_await respondProblem (state, exchange, makeProblem (ErrorKind::ownerUnavailable),
--- a/modules/snowrudder_router/once/SlotHandover.cpp
+++ b/modules/snowrudder_router/once/SlotHandover.cpp
@@ -1,7 +1,6 @@
 #include "SlotHandover.h"
 
 #include "../peers/PeerCalls.h"
-#include "../state/Pause.h"
 #include "node_messages.pb.h"
 
 #include "snowrudder_platform/snowrudder_platform.h"
@@ -59,7 +58,7 @@
         if (running == 0)
             co_return;
 
-        co_await pauseFor (worker, 20ms);
+        co_await pauseFor (worker.loop, 20ms);
     }
 }
 
--- a/modules/snowrudder_router/once/SlotKeeper.cpp
+++ b/modules/snowrudder_router/once/SlotKeeper.cpp
@@ -44,7 +44,7 @@
                         : std::nullopt;
 
             if (! newest)
-                co_await pauseFor (worker, jittered (failurePause));
+                co_await pauseFor (worker.loop, jittered (failurePause));
         }
     }
 
--- a/modules/snowrudder_router/peers/TreeExchange.cpp
+++ b/modules/snowrudder_router/peers/TreeExchange.cpp
@@ -1,7 +1,6 @@
 #include "TreeExchange.h"
 
 #include "../background/PlatformFollower.h"
-#include "../state/Pause.h"
 #include "PeerCalls.h"
 
 namespace snowrudder
@@ -78,7 +77,7 @@
     {
         const auto drawn = std::min (static_cast<int> (drawJitter() * peers), peers - 1);
         co_await compareWith (state, worker, state.settings.peers (drawn));
-        co_await pauseFor (worker, jittered (interval));
+        co_await pauseFor (worker.loop, jittered (interval));
     }
 }
 
--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -17,25 +17,6 @@
     return std::find (statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
-/** Reads the answer's first part.
-
-    @returns whether the answer is whole
-*/
-auto readAhead (UpstreamCall& call, std::string& body) -> Task<std::error_code>
-{
-    std::string piece;
-
-    while (! call.isDone() && body.size() < readAheadBytes)
-    {
-        if (const auto error = co_await call.readSome (piece))
-            co_return error;
-
-        body += piece;
-    }
-
-    co_return std::error_code();
-}
-
 auto attemptOn (RouterState& state, Worker& worker, const PlainCallInput& input, const ReplicaTicket& ticket)
     -> Task<AttemptResult>
 {
@@ -59,12 +40,7 @@
     if (co_await call.connect (input.repeatable))
         co_return failed (FailureCause::connectFailed);
 
-    auto error = co_await call.send (input.request);
-
-    if (! error)
-        error = co_await call.readHeader();
-
-    if (error)
+    if (const auto error = co_await call.sendAndReadHeader (input.request))
         co_return failed (failureOf (error));
 
     if (isRefusal (*input.service, call.status()))
@@ -128,21 +104,15 @@
         if (decision.again && decision.takesBudget)
             decision.again = state.retryBudgets.take (input.account->name, input.service->name);
 
-        LogLine ("attempt_failed")
-            .with ("request", idText)
-            .with ("attempt", retry.attempts)
-            .with ("cause", toString (outcome.cause))
-            .with ("again", decision.again ? "yes" : "no")
-            .info();
+        attemptFailed (idText, retry.attempts, outcome, decision).info();
 
         if (! decision.again)
-            co_return makeProblem (decision.kind, decision.ran,
-                                   "the last attempt: " + std::string (toString (outcome.cause)));
+            co_return problemAfter (outcome, decision);
 
         requireInvariant (input.repeatable || ! retry.mayHaveRun,
                           "a request marked not repeatable runs at most once");
         state.counts.retries.add();
-        co_await pauseFor (worker, decision.pause);
+        co_await pauseFor (worker.loop, decision.pause);
     }
 }
 
--- a/modules/snowrudder_router/plain/PlainCall.h
+++ b/modules/snowrudder_router/plain/PlainCall.h
@@ -60,9 +60,6 @@
 
 using PlainResult = std::variant<std::unique_ptr<PlainAnswer>, Problem>;
 
-/** Bytes of an answer that are read before any is passed on: an upstream lost until then can still be replaced. */
-inline constexpr auto readAheadBytes = std::size_t { 256 * 1024 };
-
 /** Calls a plain service: chooses a replica, and another one after a failure where the call allows it. */
 auto callPlainService (RouterState& state, Worker& worker, const PlainCallInput& input) -> Task<PlainResult>;
 
--- a/modules/snowrudder_serving/attempt/AttemptErrors.cpp
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.cpp
@@ -40,4 +40,23 @@
     return AttemptHealth::neutral;
 }
 
+auto attemptFailed (std::string_view requestId,
+                    std::uint32_t attempt,
+                    const AttemptOutcome& outcome,
+                    const RetryDecision& decision) -> LogLine
+{
+    LogLine line ("attempt_failed");
+    line.with ("request", requestId)
+        .with ("attempt", attempt)
+        .with ("cause", toString (outcome.cause))
+        .with ("again", decision.again ? "yes" : "no");
+    return line;
+}
+
+auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem
+{
+    return makeProblem (decision.kind, decision.ran,
+                        "the last attempt: " + std::string (toString (outcome.cause)));
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/attempt/AttemptErrors.h
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "snowrudder_requests/attempt/AttemptOutcome.h"
+#include "snowrudder_requests/retry/RetryDecision.h"
 #include "snowrudder_routing/snowrudder_routing.h"
 
+#include <string_view>
 #include <system_error>
 
 namespace snowrudder
@@ -14,4 +16,13 @@
 /** @returns what a failed attempt says of its replica's health. */
 auto healthOf (const AttemptOutcome& outcome) -> AttemptHealth;
 
+/** @returns the log line of an attempt that came to nothing, to be written. */
+auto attemptFailed (std::string_view requestId,
+                    std::uint32_t attempt,
+                    const AttemptOutcome& outcome,
+                    const RetryDecision& decision) -> LogLine;
+
+/** @returns what the caller is told after the last attempt. */
+auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem;
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -186,12 +186,10 @@
 {
     CapacityMemory memory;
     TimePoint firstSeen {};
-    asio::steady_timer timer (state.loop);
 
     for (;;)
     {
-        timer.expires_after (tick);
-        co_await timer.async_wait (asTuple);
+        co_await pauseFor (state.loop, tick);
 
         const auto configuration = state.configuration.current;
 
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -122,13 +122,11 @@
 auto reportUsage (ServingState& state, const StateStore& store, const DutyCalls& calls) -> Task<void>
 {
     std::set<std::uint64_t> reported;
-    asio::steady_timer timer (state.loop);
     const auto firstWindow = state.usage.windowOf (state.trueTime.now (SteadyClock::now()));
 
     for (;;)
     {
-        timer.expires_after (tick);
-        co_await timer.async_wait (asTuple);
+        co_await pauseFor (state.loop, tick);
 
         const auto now = state.trueTime.now (SteadyClock::now());
         const auto current = state.usage.windowOf (now);
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -128,8 +128,6 @@
 
 auto ServingNode::sweepLoop() -> Task<void>
 {
-    asio::steady_timer timer (state.loop);
-
     for (;;)
     {
         const auto now = SteadyClock::now();
@@ -149,8 +147,7 @@
             }
 
         flushLog();
-        timer.expires_after (sweepInterval);
-        co_await timer.async_wait (asTuple);
+        co_await pauseFor (state.loop, sweepInterval);
     }
 }
 
@@ -184,16 +181,13 @@
     // Before the wait: the store may be away, and the grace time does not wait for it.
     co_await peers.leave();
 
-    asio::steady_timer timer (state.loop);
-    timer.expires_at (drainStart);
-    co_await timer.async_wait (asTuple);
+    co_await pauseFor (state.loop, drainStart - SteadyClock::now());
     state.isDrained = true;
     callers->drain();
 
     while (SteadyClock::now() < end && (state.openRequests > 0 || callers->busyConnections() > 0))
     {
-        timer.expires_after (sweepInterval);
-        co_await timer.async_wait (asTuple);
+        co_await pauseFor (state.loop, sweepInterval);
     }
 
     LogLine ("drained").with ("open_requests", state.openRequests).info();
--- a/modules/snowrudder_serving/relay/AnswerRelay.cpp
+++ b/modules/snowrudder_serving/relay/AnswerRelay.cpp
@@ -30,6 +30,28 @@
 
 } // namespace
 
+auto readAhead (UpstreamCall& call, std::string& body) -> Task<std::error_code>
+{
+    std::string piece;
+
+    while (! call.isDone() && body.size() < readAheadBytes)
+    {
+        if (const auto error = co_await call.readSome (piece))
+            co_return error;
+
+        body += piece;
+    }
+
+    co_return std::error_code();
+}
+
+auto relayedHead (const UpstreamCall& call) -> http::response<http::empty_body>
+{
+    http::response<http::empty_body> header (static_cast<http::status> (call.status()), 11);
+    copyEndToEndHeaders (call.header(), header, keepAllHeaders);
+    return header;
+}
+
 auto relayAnswer (Exchange& exchange, UpstreamCall& call, std::string body, const std::string& id)
     -> Task<void>
 {
@@ -39,8 +61,7 @@
         co_return;
     }
 
-    http::response<http::empty_body> header (static_cast<http::status> (call.status()), 11);
-    copyEndToEndHeaders (call.header(), header, keepAllHeaders);
+    auto header = relayedHead (call);
 
     if (const auto length = call.contentLength())
         header.content_length (*length);
@@ -59,7 +80,10 @@
 
         body.clear();
 
-        if (! call.isDone() && co_await call.readSome (body))
+        if (call.isDone())
+            break;
+
+        if (co_await call.readSome (body))
             co_return;
     }
 
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -17,9 +17,6 @@
 /** A connection inside the platform comes up within a few milliseconds; a VM without power never answers. */
 constexpr auto connectTime = 250ms;
 
-/** Bytes of a plain answer that are read before any is passed on: a replica lost until then can still be replaced. */
-constexpr auto readAheadBytes = std::size_t { 256 * 1024 };
-
 /** Attempts that no replica ran and that don't count against the route's own number. */
 constexpr auto freeAttempts = std::uint32_t { 2 };
 
@@ -32,8 +29,6 @@
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
-auto keepAllHeaders = [] (std::string_view) { return false; };
-
 } // namespace
 
 RoutedRun::RoutedRun (ServingState& servingState, Exchange& callerExchange, RoutedRequest routedRequest)
@@ -97,13 +92,9 @@
 
         const auto decision = decide (*outcome);
 
-        LogLine ("attempt_failed")
-            .with ("request", request.caller.id)
-            .with ("attempt", sends)
+        attemptFailed (request.caller.id, sends, *outcome, decision)
             .with ("replica", lastReplica)
-            .with ("cause", toString (outcome->cause))
             .with ("ran", toString (ranAfter (*outcome)))
-            .with ("again", decision.again ? "yes" : "no")
             .info();
 
         if (! decision.again)
@@ -112,9 +103,10 @@
             co_return;
         }
 
+        requireInvariant (request.route->isRepeatable() || runs == 0,
+                          "a request marked not repeatable runs at most once");
         state.counts.retries.add();
-        asio::steady_timer pause (state.loop, decision.pause);
-        co_await pause.async_wait (asTuple);
+        co_await pauseFor (state.loop, decision.pause);
     }
 
     if (isCallerGone)
@@ -182,12 +174,7 @@
     if (message.method() == http::verb::head)
         call.expectNoBody();
 
-    auto error = co_await call.send (message);
-
-    if (! error)
-        error = co_await call.readHeader();
-
-    if (error)
+    if (const auto error = co_await call.sendAndReadHeader (message))
         co_return failed (call, failureOf (error));
 
     const auto answer = state.protocol.readAnswer (call.header(), request.caller.id);
@@ -237,15 +224,9 @@
 auto RoutedRun::relayPlain (UpstreamCall& call) -> Task<Failure>
 {
     std::string body;
-    std::string piece;
-
-    while (! call.isDone() && body.size() < readAheadBytes)
-    {
-        if (const auto error = co_await call.readSome (piece))
-            co_return failed (call, failureOf (error));
 
-        body += piece;
-    }
+    if (const auto error = co_await readAhead (call, body))
+        co_return failed (call, failureOf (error));
 
     const std::string keepUpstreamsOwn;
     const auto status = call.status();
@@ -258,7 +239,7 @@
 auto RoutedRun::relayStream (UpstreamCall& call) -> Task<Failure>
 {
     if (! exchange.hasBegun())
-        if (co_await beginStream (call))
+        if (co_await exchange.beginStream (relayedHead (call)))
             co_return Failure {};
 
     std::string piece;
@@ -283,13 +264,6 @@
     co_return Failure {};
 }
 
-auto RoutedRun::beginStream (const UpstreamCall& call) -> Task<std::error_code>
-{
-    http::response<http::empty_body> header (static_cast<http::status> (call.status()), 11);
-    copyEndToEndHeaders (call.header(), header, keepAllHeaders);
-    return exchange.beginStream (std::move (header));
-}
-
 auto RoutedRun::decide (const AttemptOutcome& outcome) -> RetryDecision
 {
     RetryInput input;
@@ -327,8 +301,7 @@
     }
 
     const auto isLate = SteadyClock::now() >= request.end;
-    auto problem = makeProblem (decision.kind, decision.ran,
-                                "the last attempt: " + std::string (toString (outcome.cause)));
+    auto problem = problemAfter (outcome, decision);
 
     if (runs > 0 && isLate)
         problem.kind = ErrorKind::deadlineExceeded;
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -36,7 +36,6 @@
     auto takeHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
     auto relayStream (UpstreamCall& call) -> Task<Failure>;
-    auto beginStream (const UpstreamCall& call) -> Task<std::error_code>;
     auto decide (const AttemptOutcome& outcome) -> RetryDecision;
     auto fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
     auto refuse (Problem problem, Duration retryAfter) -> Task<void>;
