When to ask again is one field of a problem

Cause: Problem held whole seconds, so that the routed path carried a Refusal of problem and duration beside it, and a third argument to write both; a failure whose kind was changed kept the earlier kind's Retry-After (a 502 could name 2 s). Change: Problem::retryAfter is a duration; each face rounds as its callers understand; Refusal is gone; the final kind is chosen before the problem is made. Ruled out: a fractional field of its own, which would have been the same fact twice.

--- a/modules/snowrudder_core/errors/Problem.cpp
+++ b/modules/snowrudder_core/errors/Problem.cpp
@@ -46,6 +46,14 @@
     return problem;
 }
 
+auto withRetry (Problem problem, Duration retryAfter) -> Problem
+{
+    if (retryAfter > Duration::zero())
+        problem.retryAfter = retryAfter;
+
+    return problem;
+}
+
 auto problemBody (const Problem& problem, std::string_view requestId, const json::object& extra)
     -> std::string
 {
--- a/modules/snowrudder_core/errors/Problem.h
+++ b/modules/snowrudder_core/errors/Problem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../time/Time.h"
 #include "ErrorKind.h"
 
 #include <boost/json.hpp>
@@ -19,7 +20,7 @@
     /** What went wrong here, without prompts, keys or addresses. */
     std::string detail;
     /** Replaces the table's advice when more is known. */
-    std::optional<std::chrono::seconds> retryAfter;
+    std::optional<Duration> retryAfter;
 };
 
 /** @returns a problem with the table's `ran` and advice for its kind. */
@@ -28,6 +29,9 @@
 /** @returns a problem whose `ran` is known better than the table knows it. */
 auto makeProblem (ErrorKind kind, Ran ran, std::string detail) -> Problem;
 
+/** @returns a problem with a better advice than the table's of when to ask again; a time of zero leaves the table's. */
+auto withRetry (Problem problem, Duration retryAfter) -> Problem;
+
 /** @returns the answer's body, application/problem+json.
 
     @param requestId  the request's identifier; may be empty when none was given yet
--- a/modules/snowrudder_net/server/ProblemResponse.cpp
+++ b/modules/snowrudder_net/server/ProblemResponse.cpp
@@ -1,5 +1,7 @@
 #include "ProblemResponse.h"
 
+#include <algorithm>
+
 namespace snowrudder
 {
 
@@ -12,8 +14,12 @@
     if (! requestId.empty())
         response.set ("Snowrudder-Request-Id", toBeast (requestId));
 
+    // Whole seconds are what every caller of HTTP understands.
     if (problem.retryAfter)
-        response.set (http::field::retry_after, std::to_string (problem.retryAfter->count()));
+    {
+        const auto whole = std::max (1s, std::chrono::ceil<std::chrono::seconds> (*problem.retryAfter));
+        response.set (http::field::retry_after, std::to_string (whole.count()));
+    }
 
     response.body() = problemBody (problem, requestId, extra);
     return response;
--- a/modules/snowrudder_router/gateway/CallerScope.cpp
+++ b/modules/snowrudder_router/gateway/CallerScope.cpp
@@ -3,16 +3,6 @@
 namespace snowrudder
 {
 
-namespace
-{
-
-auto roundUp (Duration duration) -> std::chrono::seconds
-{
-    return std::max (1s, std::chrono::ceil<std::chrono::seconds> (duration));
-}
-
-} // namespace
-
 auto respondProblem (RouterState& state,
                      Exchange& exchange,
                      const Problem& problem,
@@ -57,7 +47,7 @@
         return;
 
     problem = makeProblem (ErrorKind::rateLimited);
-    problem->retryAfter = roundUp (admission.retryAfter);
+    problem->retryAfter = admission.retryAfter;
 }
 
 AdmittedRequest::~AdmittedRequest()
@@ -69,7 +59,7 @@
 auto problemOf (const ServiceQueues::Place& place) -> Problem
 {
     auto problem = makeProblem (ErrorKind::overloaded);
-    problem.retryAfter = roundUp (place.retryAfter);
+    problem.retryAfter = place.retryAfter;
     return problem;
 }
 
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -16,7 +16,7 @@
 
 /** @returns the account of a request that names a valid key, or why it is refused. */
 auto accountOf (const ServingState& state, const CallerRequest& caller, const Route& route, TimePoint now)
-    -> std::variant<std::shared_ptr<const RoutedAccount>, Refusal>
+    -> std::variant<std::shared_ptr<const RoutedAccount>, Problem>
 {
     const auto& configuration = *state.configuration.current;
 
@@ -24,13 +24,13 @@
         return std::shared_ptr<const RoutedAccount>();
 
     if (! isFresh (state.configuration, state.freshness, now))
-        return Refusal { makeProblem (ErrorKind::noReplica, "the configuration may be out of date"),
-                         freshnessRetry };
+        return withRetry (makeProblem (ErrorKind::noReplica, "the configuration may be out of date"),
+                          freshnessRetry);
 
     auto account = findAccount (configuration, caller.key);
 
     if (! account)
-        return Refusal { makeProblem (ErrorKind::unauthorized), {} };
+        return makeProblem (ErrorKind::unauthorized);
 
     return account;
 }
@@ -43,7 +43,7 @@
 auto checkQuota (ServingState& state,
                  const CallerRequest& caller,
                  const RoutedAccount& account,
-                 TimePoint now) -> std::optional<Refusal>
+                 TimePoint now) -> std::optional<Problem>
 {
     const QuotaBounds bounds { state.settings.quotaSlack, state.quotaShare (now) };
     const auto admission = state.quota.admit (account, tokensOf (caller, account), bounds, now);
@@ -54,30 +54,30 @@
     const auto limit = static_cast<std::uint64_t> (account.tokensPerSecond);
     auto detail =
         "client account " + account.name + ", limit of " + std::to_string (limit) + " tokens a second";
-    return Refusal { makeProblem (ErrorKind::rateLimited, std::move (detail)), admission.retryAfter };
+    return withRetry (makeProblem (ErrorKind::rateLimited, std::move (detail)), admission.retryAfter);
 }
 
 auto logRefusal (const ServingState& state,
                  const CallerRequest& caller,
-                 const Refusal& refusal,
+                 const Problem& refusal,
                  TimePoint now) -> void
 {
     const auto& current = state.configuration.current;
     LogLine ("refused")
         .with ("request", caller.id)
-        .with ("kind", toString (refusal.problem.kind))
-        .with ("detail", refusal.problem.detail)
+        .with ("kind", toString (refusal.kind))
+        .with ("detail", refusal.detail)
         .with ("host", caller.host)
         .with ("path", caller.path)
         .with ("version", current ? current->version : 0)
         .with ("proof_milliseconds", current ? inMilliseconds (now - state.configuration.provenAt) : -1.0)
-        .with ("retry_after_milliseconds", inMilliseconds (refusal.retryAfter))
+        .with ("retry_after_milliseconds", inMilliseconds (refusal.retryAfter.value_or (Duration::zero())))
         .info();
 }
 
 } // namespace
 
-auto admit (ServingState& state, CallerRequest& caller, TimePoint now) -> std::variant<RoutedRequest, Refusal>
+auto admit (ServingState& state, CallerRequest& caller, TimePoint now) -> std::variant<RoutedRequest, Problem>
 {
     RoutedRequest request;
     request.configuration = state.configuration.current;
@@ -85,19 +85,19 @@
 
     // Too late to be sure of an end within the grace time; another node is asked at once.
     if (state.isDrained)
-        return Refusal { makeProblem (ErrorKind::nodeLeaving), leavingRetry };
+        return withRetry (makeProblem (ErrorKind::nodeLeaving), leavingRetry);
 
     if (! request.configuration)
-        return Refusal { makeProblem (ErrorKind::noReplica, "no configuration yet"), freshnessRetry };
+        return withRetry (makeProblem (ErrorKind::noReplica, "no configuration yet"), freshnessRetry);
 
     request.route = findRoute (*request.configuration, caller.host, caller.path);
 
     if (request.route == nullptr)
-        return Refusal { makeProblem (ErrorKind::notFound), {} };
+        return makeProblem (ErrorKind::notFound);
 
     auto account = accountOf (state, caller, *request.route, now);
 
-    if (auto* refusal = std::get_if<Refusal> (&account))
+    if (auto* refusal = std::get_if<Problem> (&account))
         return std::move (*refusal);
 
     request.account = std::get<std::shared_ptr<const RoutedAccount>> (std::move (account));
@@ -124,8 +124,7 @@
     if (const auto* problem = std::get_if<Problem> (&read))
     {
         LogLine ("malformed").with ("detail", problem->detail).info();
-        auto response = state.protocol.problem (*problem, {}, {});
-        co_await exchange.respond (std::move (response));
+        co_await exchange.respond (state.protocol.problem (*problem, {}));
         co_return;
     }
 
@@ -134,11 +133,10 @@
     const auto now = SteadyClock::now();
     auto admitted = admit (state, caller, now);
 
-    if (const auto* refusal = std::get_if<Refusal> (&admitted))
+    if (const auto* refusal = std::get_if<Problem> (&admitted))
     {
         logRefusal (state, caller, *refusal, now);
-        auto response = state.protocol.problem (refusal->problem, id, refusal->retryAfter);
-        co_await exchange.respond (std::move (response));
+        co_await exchange.respond (state.protocol.problem (*refusal, id));
         co_return;
     }
 
--- a/modules/snowrudder_serving/gateway/RoutedGateway.h
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.h
@@ -12,19 +12,12 @@
 auto handleRouted (ServingState& state, Exchange& exchange, std::variant<CallerRequest, Problem> read)
     -> Task<void>;
 
-/** What comes of a request before it waits for a place. */
-struct Refusal
-{
-    Problem problem;
-    Duration retryAfter {};
-};
-
 /** Decides whether a request is admitted, by the configuration in force, its key, its account's limit, and how fresh
     the configuration is known to be.
 
     @param caller  moved from where it is admitted
 */
 auto admit (ServingState& state, CallerRequest& caller, TimePoint now)
-    -> std::variant<RoutedRequest, Refusal>;
+    -> std::variant<RoutedRequest, Problem>;
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -61,7 +61,7 @@
     if (! place.granted)
     {
         if (! isCallerGone)
-            co_await refuse (makeProblem (ErrorKind::overloaded), place.retryAfter);
+            co_await refuse (withRetry (makeProblem (ErrorKind::overloaded), place.retryAfter));
 
         co_return;
     }
@@ -300,26 +300,27 @@
         co_return;
     }
 
-    const auto isLate = SteadyClock::now() >= request.end;
     auto problem = problemAfter (outcome, decision);
 
-    if (runs > 0 && isLate)
-        problem.kind = ErrorKind::deadlineExceeded;
-    else if (runs > 0 && ranAfter (outcome) == Ran::no)
-        problem.kind = ErrorKind::upstreamFailed;
-    else if (runs == 0)
-        problem.kind =
-            outcome.cause == FailureCause::refused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
+    if (runs == 0)
+    {
+        const auto isRefused = outcome.cause == FailureCause::refused;
+        const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
+        problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)), shortRetry);
+    }
+    else if (SteadyClock::now() >= request.end)
+        problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
+    else if (ranAfter (outcome) == Ran::no)
+        problem = makeProblem (ErrorKind::upstreamFailed, Ran::unknown, std::move (problem.detail));
 
-    problem.ran = runs > 0 ? Ran::unknown : Ran::no;
-    co_await refuse (std::move (problem), shortRetry);
+    co_await refuse (std::move (problem));
 }
 
-auto RoutedRun::refuse (Problem problem, Duration retryAfter) -> Task<void>
+auto RoutedRun::refuse (Problem problem) -> Task<void>
 {
     const auto status = answerFor (problem.kind).status;
     logEnd (toString (problem.kind), status);
-    co_await exchange.respond (state.protocol.problem (problem, request.caller.id, retryAfter));
+    co_await exchange.respond (state.protocol.problem (problem, request.caller.id));
 }
 
 auto RoutedRun::noteBegun() -> void
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -38,7 +38,7 @@
     auto relayStream (UpstreamCall& call) -> Task<Failure>;
     auto decide (const AttemptOutcome& outcome) -> RetryDecision;
     auto fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
-    auto refuse (Problem problem, Duration retryAfter) -> Task<void>;
+    auto refuse (Problem problem) -> Task<void>;
     auto noteBegun() -> void;
     auto onCallerGone() -> void;
     auto logEnd (std::string_view outcome, unsigned status) -> void;
--- a/modules/snowrudder_serving/request/UpstreamProtocol.h
+++ b/modules/snowrudder_serving/request/UpstreamProtocol.h
@@ -46,7 +46,7 @@
     /** Reads the head of an answer to a request. */
     std::function<UpstreamAnswer (const http::response_header<>&, std::string_view requestId)> readAnswer;
     /** Writes a refusal or failure for a caller. */
-    std::function<HttpResponse (const Problem&, std::string_view requestId, Duration retryAfter)> problem;
+    std::function<HttpResponse (const Problem&, std::string_view requestId)> problem;
 };
 
 } // namespace snowrudder
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -204,9 +204,12 @@
 TEST_CASE ("when to come back is told in fractions of a second, and only where nothing ran")
 {
     const auto protocol = platform::upstreamProtocol();
-    CHECK (protocol.problem (makeProblem (ErrorKind::overloaded), "9c41", 1050ms)["Retry-After"] == "1.050");
-    CHECK (protocol.problem (makeProblem (ErrorKind::overloaded), "9c41", 20ms)["X-Request-Id"] == "9c41");
-    CHECK (protocol.problem (makeProblem (ErrorKind::upstreamFailed), "9c41", 1s).count ("Retry-After") == 0);
+    CHECK (protocol.problem (withRetry (makeProblem (ErrorKind::overloaded), 1050ms),
+                             "9c41")["Retry-After"] == "1.050");
+    CHECK (protocol.problem (withRetry (makeProblem (ErrorKind::overloaded), 20ms), "9c41")["X-Request-Id"] ==
+           "9c41");
+    CHECK (protocol.problem (withRetry (makeProblem (ErrorKind::upstreamFailed), 1s), "9c41")
+               .count ("Retry-After") == 0);
 }
 
 TEST_CASE ("the operators' configuration and a replica's entry are decoded")
