Addresses, settings errors and the directory are handled in one place; fields that nothing read are gone

Change: the existing functions are called; printErrors(), readEntry(), publishDirectory(). The settings bounds.quota_window_s and bounds.quota_overshoot are passed over like other fields that have no use here.

--- a/modules/snowrudder_serving/configuration/RoutingConfiguration.h
+++ b/modules/snowrudder_serving/configuration/RoutingConfiguration.h
@@ -77,10 +77,6 @@
 struct UpstreamService
 {
     std::string name;
-    /** Connections that one replica takes from all nodes together; 0 where no bound is known. */
-    std::uint32_t mostConnections = 0;
-    /** Tokens that a replica's cache holds; 0 for plain services. */
-    double cacheTokens = 0.0;
     /** Set where replicas of the service can be ordered. */
     std::optional<ScalingBounds> scaling;
 };
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace snowrudder
 {
@@ -33,22 +32,12 @@
 constexpr auto gatherTime = 1s;
 constexpr auto failurePause = 500ms;
 
-auto parseDatagramEndpoint (const std::string& text) -> std::optional<asio::ip::udp::endpoint>
+/** @returns the address of IP-NUMBER:PORT text, or nothing where it is none. */
+auto datagramEndpoint (std::string_view text) -> std::optional<asio::ip::udp::endpoint>
 {
-    const auto colon = text.rfind (':');
-
-    if (colon == std::string::npos)
-        return {};
-
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address (text.substr (0, colon), error);
-    auto port = std::uint16_t { 0 };
-    const auto [end, problem] = std::from_chars (text.data() + colon + 1, text.data() + text.size(), port);
-
-    if (error || problem != std::errc() || port == 0)
-        return {};
-
-    return asio::ip::udp::endpoint (address, port);
+    const auto parsed = parseEndpoint (text);
+    return parsed.port() == 0 ? std::nullopt
+                              : std::optional (asio::ip::udp::endpoint (parsed.address(), parsed.port()));
 }
 
 } // namespace
@@ -61,7 +50,7 @@
 
 auto PeerExchange::start() -> std::error_code
 {
-    const auto own = parseDatagramEndpoint (state.settings.listenPeers);
+    const auto own = datagramEndpoint (state.settings.listenPeers);
 
     if (! own)
         return make_error_code (ErrorKind::settingsInvalid);
@@ -242,7 +231,7 @@
     for (const auto& item : listed.items)
     {
         const auto name = item.key.substr (memberPrefix.size());
-        const auto endpoint = parseDatagramEndpoint (item.value);
+        const auto endpoint = datagramEndpoint (item.value);
 
         if (name != state.settings.node && endpoint)
             found.emplace (name, *endpoint);
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -136,7 +136,7 @@
         state.quota.charge (state.peers.assumeSilent (sweepInterval, now));
 
         if (dropMissing (state.directory, now))
-            state.replicas.update (listedReplicas (state.directory), now);
+            state.publishDirectory (now);
 
         if (state.configuration.current)
             for (const auto& [name, service] : state.configuration.current->services)
--- a/modules/snowrudder_serving/node/ServingSettings.h
+++ b/modules/snowrudder_serving/node/ServingSettings.h
@@ -37,9 +37,7 @@
     /** Retries over all nodes within `retryWindow`: a share of the requests, and a fixed number. */
     double retryShare = 0.1;
     double retrySlack = 10.0;
-    /** Quota windows over all nodes: the share and the tokens by which they may be overshot. */
-    Duration quotaWindow = 8s;
-    double quotaOvershoot = 0.1;
+    /** Tokens by which all nodes together may go over a limit. */
     double quotaSlack = 0.0;
 };
 
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -36,6 +36,13 @@
         return hasReplicas && ! leaving && isFresh (configuration, freshness, now);
     }
 
+    /** Puts the directory in force for the choice of replicas. */
+    auto publishDirectory (TimePoint now) -> void
+    {
+        hasReplicas = hasReplicas || ! directory.entries.empty();
+        replicas.update (listedReplicas (directory), now);
+    }
+
     /** Nodes that share limits and replicas, this one included. */
     [[nodiscard]] auto nodeCount (TimePoint now) const -> std::size_t { return peers.countHeard (now) + 1; }
 
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -93,49 +93,41 @@
     co_return true;
 }
 
-auto takeList (ServingState& state,
-               ReplicaDirectory& directory,
-               const StoreFormats& formats,
-               const ReadItems& read) -> void
+/** @returns a replica's own entry; one that can't be understood is logged. */
+auto readEntry (const StoreFormats& formats, const StoredItem& item) -> std::optional<DirectoryEntry>
+{
+    auto entry = formats.readReplica (item);
+
+    if (! entry)
+        LogLine ("replica_unreadable").with ("key", item.key).warning();
+
+    return entry;
+}
+
+auto takeList (ServingState& state, const StoreFormats& formats, const ReadItems& read) -> void
 {
     std::vector<DirectoryEntry> entries;
 
     for (const auto& item : read.items)
-        if (auto entry = formats.readReplica (item))
+        if (auto entry = readEntry (formats, item))
             entries.push_back (std::move (*entry));
-        else
-            LogLine ("replica_unreadable").with ("key", item.key).warning();
 
-    applyList (directory, std::move (entries), read.revision, SteadyClock::now());
-    state.hasReplicas = state.hasReplicas || ! directory.entries.empty();
-    state.replicas.update (listedReplicas (directory), SteadyClock::now());
+    applyList (state.directory, std::move (entries), read.revision, SteadyClock::now());
+    state.publishDirectory (SteadyClock::now());
 }
 
-auto takeEvents (ServingState& state,
-                 ReplicaDirectory& directory,
-                 const StoreFormats& formats,
-                 const ReadItems& read) -> void
+auto takeEvents (ServingState& state, const StoreFormats& formats, const ReadItems& read) -> void
 {
     for (const auto& item : read.items)
     {
         if (item.isRemoved)
-        {
-            applyRemoval (directory, item.key, item.revision, SteadyClock::now());
-            continue;
-        }
-
-        if (auto entry = formats.readReplica (item))
-            applyEntry (directory, std::move (*entry));
-        else
-            LogLine ("replica_unreadable").with ("key", item.key).warning();
+            applyRemoval (state.directory, item.key, item.revision, SteadyClock::now());
+        else if (auto entry = readEntry (formats, item))
+            applyEntry (state.directory, std::move (*entry));
     }
 
-    directory.revision = std::max (directory.revision, read.revision);
-
-    state.hasReplicas = state.hasReplicas || ! directory.entries.empty();
-
-    if (! read.items.empty())
-        state.replicas.update (listedReplicas (directory), SteadyClock::now());
+    state.directory.revision = std::max (state.directory.revision, read.revision);
+    state.publishDirectory (SteadyClock::now());
 }
 
 } // namespace
@@ -201,7 +193,7 @@
             continue;
         }
 
-        takeList (state, state.directory, formats, listed);
+        takeList (state, formats, listed);
         const auto listEnd = SteadyClock::now() + listTime;
         auto isFollowing = true;
 
@@ -215,7 +207,7 @@
             // An empty answer does not move the revision on: the watch may have been silent while changes were made.
             if (! changed.items.empty())
             {
-                takeEvents (state, state.directory, formats, changed);
+                takeEvents (state, formats, changed);
                 co_await pauseFor (state.loop, gatherTime);
             }
             else if (changed.outcome != StoreOutcome::done)
--- a/modules/snowrudder_settings/reading/ProcessSettings.h
+++ b/modules/snowrudder_settings/reading/ProcessSettings.h
@@ -22,8 +22,7 @@
     Settings settings;
     const auto errors = readMessageFile (line.settingsFile, settings);
 
-    for (const auto& error : errors)
-        std::fprintf (stderr, "%s: %s\n", program, toString (error).c_str());
+    printErrors (program, errors);
 
     if (! errors.empty())
         std::exit (static_cast<int> (ExitCode::settings));
--- a/modules/snowrudder_settings/reading/SettingsError.h
+++ b/modules/snowrudder_settings/reading/SettingsError.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdio>
 #include <string>
 #include <vector>
 
@@ -35,4 +36,11 @@
 
 using SettingsErrors = std::vector<SettingsError>;
 
+/** Prints errors to standard error, one line each, behind a program's name. */
+inline auto printErrors (const char* program, const SettingsErrors& errors) -> void
+{
+    for (const auto& error : errors)
+        std::fprintf (stderr, "%s: %s\n", program, toString (error).c_str());
+}
+
 } // namespace snowrudder
