--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -118,9 +118,6 @@
 
 auto RoutedRun::attempt() -> Task<Failure>
 {
-    const auto& service = request.configuration->services.find (request.service);
-    requireInvariant (service != request.configuration->services.end(), "a route's service is configured");
-
     auto taken = state.replicas.take (request.service, choiceInput(), ChoiceWeights(), SteadyClock::now());
     ++sends;
 
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -56,6 +56,7 @@
         self.silent = False
         self.busy = False
         self.hang_watches = False
+        self.garble_lists = False
         self.lose_answers = False
         self.calls = []
         self.server = Server(port, self)
@@ -113,6 +114,8 @@
             return
         data = json.loads(body) if body else {}
         status, value = self.serve(call.command, path, query, data)
+        if self.garble_lists and path.endswith("kv-range"):
+            value = "half a list"
         if self.lose_answers and call.command == "POST":
             call.close_connection = True
             call.connection.shutdown(socket.SHUT_RDWR)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -125,6 +125,15 @@
             self.assertEqual(node.call("POST", "/again/x", body="x" * 70000).status, 413)
             self.assertEqual(platform.runs(), [])
 
+    def test_a_route_to_a_service_that_is_not_configured_is_refused(self):
+        wrong = configuration()
+        wrong["routes"].append({**wrong["routes"][0], "name": "lost", "path_prefix": "/lost/", "service": "nowhere"})
+        with Platform(first=wrong) as platform:
+            answer = platform.first.call("GET", "/lost/x")
+            self.assertEqual((answer.status, answer.json()["ran"]), (503, "no"))
+            self.assertEqual(platform.first.call("GET", "/again/x").status, 200)
+            self.assertIsNone(platform.first.process.poll())
+
     def test_a_node_without_a_configuration_says_so(self):
         with Platform(first=None) as platform:
             wait_until(lambda: "started" in platform.first.log.read_text(), "the node has started")
@@ -280,6 +289,16 @@
             for number in range(5):
                 self.assertEqual(platform.first.call("GET", "/again/x", id=f"r-{number}").json(), {"by": "i-0"})
 
+    def test_a_list_that_can_not_be_read_drops_no_replica(self):
+        with Platform() as platform:
+            platform.store.garble_lists = True
+            with platform.store.changed:
+                platform.store.compacted = platform.store.revision + 1
+                platform.store.revision += 2
+                platform.store.changed.notify_all()
+            wait_until(lambda: "store_answer_unreadable" in platform.first.log.read_text(), "the list is refused")
+            self.assertEqual(platform.first.call("GET", "/again/x").status, 200)
+
     def test_a_watch_whose_answer_never_comes_hides_a_leaving_replica_for_a_short_time_only(self):
         with Platform() as platform:
             platform.store.hang_watches = True
