Replicas are ordered by slots taken too; loads of replicas are shared between nodes; limits are told sooner when tight

Change: nodes hand on replicas' loads every 0.2 s through the nodes that read the store; what is needed is the larger of prompts' and slots' need (half of the slots taken); twice as many reports a round while an account is below 0.7 of its burst.

--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace snowrudder
 {
@@ -45,11 +47,19 @@
     suspended
 };
 
+/** @returns a short name of a replica for messages between routers. */
+inline auto replicaHash (std::string_view name) -> std::uint32_t
+{
+    return static_cast<std::uint32_t> (hashBytes (name));
+}
+
 /** What a router knows of one replica. */
 struct ReplicaState
 {
     ReplicaNumber number = 0;
     ReplicaInfo info;
+    /** From replicaHash(). */
+    std::uint32_t hash = 0;
     TimePoint firstSeen {};
 
     /** The first sign that it leaves. It stays: a list that calls it live again is a late list. */
@@ -64,6 +74,9 @@
     /** This router's requests on it when the report came: what was sent since is not in the report. */
     std::uint32_t inFlightAtReport = 0;
     double ownPendingAtReport = 0.0;
+    /** When this router's last requests were sent to it, the oldest first; the last `takesKept`. */
+    std::vector<TimePoint> takes;
+    static constexpr auto takesKept = std::size_t { 16 };
 
     /** Breaker. */
     std::uint32_t failuresInRow = 0;
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -42,6 +42,7 @@
         {
             state.number = nextNumber++;
             state.info = entry.info;
+            state.hash = replicaHash (entry.info.name);
             // What was there before this router needs no slow start.
             state.firstSeen = isFirstList ? TimePoint() : now;
         }
@@ -94,6 +95,11 @@
     requireInvariant (useOf (replica, now) == ReplicaUse::usable, "a leaving upstream gets nothing new");
 
     replica.inFlight += 1;
+    replica.takes.push_back (now);
+
+    if (replica.takes.size() > ReplicaState::takesKept)
+        replica.takes.erase (replica.takes.begin());
+
     replica.ownPendingTokens += winner.uncachedTokens;
     replica.probing = replica.openUntil.has_value();
     prefixes.note (input.blocks, replica.number);
@@ -156,6 +162,26 @@
         replica->leavingSince = now;
 }
 
+auto ReplicaTable::noteLoadHeard (std::uint32_t hash, const LoadReport& report, TimePoint heard) -> void
+{
+    const std::lock_guard lock (mutex);
+
+    for (auto& [service, replicas] : services)
+        for (auto& replica : replicas)
+        {
+            if (replica.hash != hash || (replica.reportTime && *replica.reportTime >= heard))
+                continue;
+
+            // What this router sent after the replica spoke is not in its word.
+            const auto sentSince = static_cast<std::uint32_t> (
+                std::ranges::count_if (replica.takes, [heard] (TimePoint taken) { return taken > heard; }));
+            replica.report = report;
+            replica.reportTime = heard;
+            replica.inFlightAtReport = replica.inFlight - std::min (replica.inFlight, sentSince);
+            replica.ownPendingAtReport = replica.ownPendingTokens;
+        }
+}
+
 auto ReplicaTable::noteLeaving (ReplicaNumber number, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
@@ -205,6 +231,35 @@
     return capacity;
 }
 
+auto ReplicaTable::inFlight (const std::string& service) const -> double
+{
+    const std::lock_guard lock (mutex);
+    const auto found = services.find (service);
+    auto sum = 0.0;
+
+    if (found != services.end())
+        for (const auto& replica : found->second)
+            sum += replica.inFlight;
+
+    return sum;
+}
+
+auto ReplicaTable::meanSlots (const std::string& service) const -> std::optional<double>
+{
+    const std::lock_guard lock (mutex);
+    const auto found = services.find (service);
+
+    if (found == services.end() || found->second.empty())
+        return {};
+
+    auto sum = 0.0;
+
+    for (const auto& replica : found->second)
+        sum += replica.info.slots;
+
+    return sum / static_cast<double> (found->second.size());
+}
+
 auto ReplicaTable::find (ReplicaNumber number) -> ReplicaState*
 {
     for (auto& [service, replicas] : services)
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -79,6 +79,13 @@
 
     auto noteLoad (ReplicaNumber number, const LoadReport& report, TimePoint now) -> void;
 
+    /** Notes a load that another router heard; an older one than what is known changes nothing.
+
+        @param hash   from replicaHash()
+        @param heard  when the replica told it
+    */
+    auto noteLoadHeard (std::uint32_t hash, const LoadReport& report, TimePoint heard) -> void;
+
     /** Notes a first sign of leaving: the replica gets nothing new from here on. */
     auto noteLeaving (ReplicaNumber number, TimePoint now) -> void;
 
@@ -108,6 +115,12 @@
 
     [[nodiscard]] auto capacity (const std::string& service, TimePoint now) const -> Capacity;
 
+    /** @returns this router's requests that a service's replicas have now. */
+    [[nodiscard]] auto inFlight (const std::string& service) const -> double;
+
+    /** @returns slots of a service's replica on average, or nothing when none is known. */
+    [[nodiscard]] auto meanSlots (const std::string& service) const -> std::optional<double>;
+
 private:
     auto find (ReplicaNumber number) -> ReplicaState*;
 
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -24,6 +24,11 @@
 constexpr auto promptTokensAMillisecond = 64.0;
 constexpr auto busyShare = 0.15;
 
+/** Of the replicas' slots, the part that may be taken on average: beyond it requests of a replica that many sessions share
+    wait for a slot. Measured on the grown sites, see docs/design/capacity.md.
+*/
+constexpr auto takenShare = 0.5;
+
 /** Replicas on top, so that a small service's long prompts don't all meet its short ones. */
 constexpr auto leastSpare = 2.0;
 
@@ -79,6 +84,16 @@
     return serving;
 }
 
+/** @returns replicas that read the prompts in time and have a slot for each request. */
+auto measureNeeded (const ServingState& state, const std::string& service, const ServiceWork& work) -> double
+{
+    constexpr auto thousand = 1000.0;
+    const auto forPrompts = work.tokensPerSecond / (promptTokensAMillisecond * thousand * busyShare);
+    const auto slots = state.replicas.meanSlots (service);
+    const auto forSlots = slots ? work.inFlight / (std::max (1.0, *slots) * takenShare) : 0.0;
+    return std::max (forPrompts, forSlots) + leastSpare;
+}
+
 /** @returns how many replicas the service needs, averaged; rises at once and falls slowly. */
 auto noteNeeded (const ServingState& state,
                  CapacityMemory& memory,
@@ -86,16 +101,17 @@
                  double found,
                  TimePoint now) -> double
 {
-    constexpr auto thousand = 1000.0;
-    const auto tokens = state.work.of (service, now) + state.peers.work (service, now);
-    const auto measured = tokens / (promptTokensAMillisecond * thousand * busyShare) + leastSpare;
+    auto work = state.peers.work (service, now);
+    work.tokensPerSecond += state.work.of (service, now);
+    work.inFlight += state.replicas.inFlight (service);
+    const auto measured = measureNeeded (state, service, work);
     const auto known = memory.needed.find (service);
 
     if (known == memory.needed.end())
         return memory.needed[service] = std::max (measured, found * startShare);
 
     // Before the first traffic there is nothing to measure.
-    if (tokens <= 0.0)
+    if (work.tokensPerSecond <= 0.0)
         return known->second;
 
     const auto fall = std::chrono::duration<double> (tick) / std::chrono::duration<double> (fallTime);
--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -21,6 +21,9 @@
 */
 constexpr auto startShare = 0.15;
 
+/** A bucket is nearly full above this part of its burst. */
+constexpr auto tightShare = 0.7;
+
 /** What a refused caller's request needs of the bucket, at most: it is admitted as soon as the bucket is not empty. */
 constexpr auto leastLevel = 1.0;
 
@@ -65,6 +68,17 @@
         accounts[account].bucket.level -= amount;
 }
 
+auto SharedQuota::isTight (TimePoint now) const -> bool
+{
+    return std::ranges::any_of (accounts,
+                                [now] (const auto& entry)
+                                {
+                                    auto bucket = entry.second.bucket;
+                                    refill (bucket, now);
+                                    return bucket.rate > 0.0 && bucket.level < tightShare * bucket.burst;
+                                });
+}
+
 auto SharedQuota::admitted (TimePoint now) const -> AdmittedByAccount
 {
     AdmittedByAccount all;
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -39,6 +39,11 @@
     /** Takes out what other nodes admitted; negative amounts are given back. */
     auto charge (const std::map<std::string, double, std::less<>>& tokens) -> void;
 
+    /** @returns whether some account has used so much of its burst that the nodes must tell each other sooner what they
+        admit. While buckets are nearly full late news change nothing.
+    */
+    [[nodiscard]] auto isTight (TimePoint now) const -> bool;
+
     /** @returns what this node admitted, by client account. */
     [[nodiscard]] auto admitted (TimePoint now) const -> AdmittedByAccount;
 
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -15,6 +15,11 @@
 /** Digits of the keyed digest before the message. */
 constexpr auto digestLength = std::size_t { 64 };
 
+auto isAmount (double value) -> bool
+{
+    return std::isfinite (value) && value >= 0.0;
+}
+
 auto asMilliseconds (Duration duration) -> std::uint32_t
 {
     // Rounded up: an age must not look younger than it is.
@@ -43,11 +48,12 @@
         total->set_amount (use.tokens);
     }
 
-    for (const auto& [service, tokens] : report.work)
+    for (const auto& [service, work] : report.work)
     {
         auto* entry = message.add_work();
         entry->set_service (service);
-        entry->set_tokens_per_second (tokens);
+        entry->set_tokens_per_second (work.tokensPerSecond);
+        entry->set_in_flight (work.inFlight);
     }
 
     for (const auto& [window, counts] : report.usage)
@@ -64,11 +70,23 @@
     }
 }
 
+auto write (const std::vector<SharedLoad>& loads, schema::ReplicaLoads& message) -> void
+{
+    for (const auto& load : loads)
+    {
+        message.add_replica (load.replica);
+        message.add_running (load.running);
+        message.add_waiting (load.waiting);
+        message.add_age_milliseconds (asMilliseconds (load.age));
+    }
+}
+
 auto write (const NewsQuestion& question, schema::NewsQuestion& message) -> void
 {
     message.set_node (question.node);
     message.set_number (question.number);
     message.set_directory_revision (question.directoryRevision);
+    write (question.loads, *message.mutable_loads());
 }
 
 auto write (const NewsAnswer& answer, schema::NewsAnswer& message) -> void
@@ -81,6 +99,7 @@
     message.set_complete (answer.changes.isComplete);
     message.set_missed_changes (answer.missedChanges);
     message.set_keep_missing_milliseconds (asMilliseconds (answer.keepMissing));
+    write (answer.loads, *message.mutable_loads());
 
     for (const auto& entry : answer.changes.entries)
     {
@@ -104,6 +123,12 @@
     }
 }
 
+auto write (const LoadNotice& notice, schema::LoadNotice& message) -> void
+{
+    message.set_node (notice.node);
+    write (notice.loads, *message.mutable_loads());
+}
+
 auto read (const schema::NodeReport& message) -> PeerReport
 {
     PeerReport report;
@@ -116,28 +141,41 @@
     report.leaving = message.leaving();
 
     for (const auto& entry : message.rates())
-        if (std::isfinite (entry.amount()) && entry.amount() >= 0.0)
+        if (isAmount (entry.amount()))
             report.admitted[entry.account()].tokensPerSecond = entry.amount();
 
     for (const auto& entry : message.admitted())
-        if (std::isfinite (entry.amount()) && entry.amount() >= 0.0)
+        if (isAmount (entry.amount()))
             report.admitted[entry.account()].tokens = entry.amount();
 
     for (const auto& entry : message.work())
-        if (std::isfinite (entry.tokens_per_second()) && entry.tokens_per_second() >= 0.0)
-            report.work[entry.service()] = entry.tokens_per_second();
+        if (isAmount (entry.tokens_per_second()) && isAmount (entry.in_flight()))
+            report.work[entry.service()] = { entry.tokens_per_second(), entry.in_flight() };
 
     for (const auto& entry : message.usage())
         for (const auto& figure : entry.counts())
-            if (std::isfinite (figure.amount()) && figure.amount() >= 0.0)
+            if (isAmount (figure.amount()))
                 report.usage[entry.window()][figure.account()] = static_cast<std::uint64_t> (figure.amount());
 
     return report;
 }
 
+auto read (const schema::ReplicaLoads& message) -> std::vector<SharedLoad>
+{
+    std::vector<SharedLoad> loads;
+    const auto count = std::min ({ message.replica_size(), message.running_size(), message.waiting_size(),
+                                   message.age_milliseconds_size() });
+
+    for (auto index = 0; index < count; ++index)
+        loads.push_back ({ message.replica (index), message.running (index), message.waiting (index),
+                           std::chrono::milliseconds (message.age_milliseconds (index)) });
+
+    return loads;
+}
+
 auto read (const schema::NewsQuestion& message) -> NewsQuestion
 {
-    return { message.node(), message.number(), message.directory_revision() };
+    return { message.node(), message.number(), message.directory_revision(), read (message.loads()) };
 }
 
 auto read (const schema::ReplicaEntry& message) -> DirectoryEntry
@@ -167,6 +205,7 @@
     answer.changes.isComplete = message.complete();
     answer.missedChanges = message.missed_changes();
     answer.keepMissing = std::chrono::milliseconds (message.keep_missing_milliseconds());
+    answer.loads = read (message.loads());
 
     for (const auto& entry : message.entries())
         answer.changes.entries.push_back (read (entry));
@@ -187,8 +226,10 @@
         write (*report, *datagram.mutable_report());
     else if (const auto* question = std::get_if<NewsQuestion> (&message))
         write (*question, *datagram.mutable_question());
+    else if (const auto* answer = std::get_if<NewsAnswer> (&message))
+        write (*answer, *datagram.mutable_answer());
     else
-        write (std::get<NewsAnswer> (message), *datagram.mutable_answer());
+        write (std::get<LoadNotice> (message), *datagram.mutable_loads());
 
     const auto text = datagram.SerializeAsString();
     return keyedDigest (secret, text) + text;
@@ -218,6 +259,9 @@
     if (message.has_answer() && ! message.answer().node().empty())
         return read (message.answer());
 
+    if (message.has_loads() && ! message.loads().node().empty())
+        return LoadNotice { message.loads().node(), read (message.loads().loads()) };
+
     return {};
 }
 
--- a/modules/snowrudder_serving/members/News.cpp
+++ b/modules/snowrudder_serving/members/News.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/** Questions of some two seconds may still be answered. */
+/** Questions of the last two seconds may still be answered. */
 constexpr auto mostOpen = std::size_t { 12 };
 
 /** Changes told in one answer: some 100 bytes each, in a datagram of 8 KB. */
@@ -59,7 +59,7 @@
     if (news.open.size() > mostOpen)
         news.open.pop_front();
 
-    return { std::move (node), news.lastNumber, directory.revision };
+    return { std::move (node), news.lastNumber, directory.revision, {} };
 }
 
 auto makeAnswer (const NewsQuestion& question,
--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -2,6 +2,7 @@
 
 #include "../configuration/ConfigurationState.h"
 #include "../directory/ReplicaDirectory.h"
+#include "SharedLoads.h"
 
 #include <cstdint>
 #include <deque>
@@ -20,6 +21,8 @@
     std::uint64_t number = 0;
     /** Up to which revision of the store the asker knows the replicas' changes. */
     std::uint64_t directoryRevision = 0;
+    /** Loads that the asker heard since its last question. */
+    std::vector<SharedLoad> loads;
 };
 
 /** What a node knows of the state store. */
@@ -35,6 +38,8 @@
     std::uint64_t missedChanges = 0;
     /** For so long entries that go missing may come back. */
     Duration keepMissing {};
+    /** Loads that anybody heard lately. */
+    std::vector<SharedLoad> loads;
 };
 
 /** What a node knows from others of the state store, and what it asked. */
@@ -61,7 +66,7 @@
     std::map<std::string, std::uint64_t, std::less<>> missedChanges;
 };
 
-/** A reader proves its configuration every 0.9 s, and a node asks its two readers in turn every 0.4 s: while one of them
+/** A reader proves its configuration every 0.9 s, and a node asks its two readers in turn every 0.2 s: while one of them
     lives no news is older than this. A leaving replica must get nothing after 2 s on the sites known.
 */
 inline constexpr auto newsLimit = Duration (1800ms);
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -12,11 +12,17 @@
 /** Twice within the time in which limits must follow demand (1 s). */
 constexpr auto sendInterval = 400ms;
 
+/** How often loads of replicas are told and news are asked for: a replica of a model begins four requests a second. */
+constexpr auto newsInterval = 200ms;
+
 /** Datagrams that a node sends a round at most: its cost stays flat as the fleet grows. Targets take turns, so that each
     of 83 other nodes is told within four rounds.
 */
 constexpr auto mostTargets = std::size_t { 24 };
 
+/** The same while an account comes near its limit: at 83 nodes each is told within 0.8 s. */
+constexpr auto mostTargetsWhenTight = std::size_t { 48 };
+
 /** A member's entry goes this long after its node died. */
 constexpr auto memberLease = Duration (12s);
 constexpr auto renewInterval = Duration (4s);
@@ -59,6 +65,7 @@
 
     asio::co_spawn (state.loop, receiveLoop(), asio::detached);
     asio::co_spawn (state.loop, sendLoop(), asio::detached);
+    asio::co_spawn (state.loop, newsLoop(), asio::detached);
     asio::co_spawn (state.loop, membersLoop(), asio::detached);
     return {};
 }
@@ -93,8 +100,10 @@
             take (std::move (*report));
         else if (const auto* question = std::get_if<NewsQuestion> (&*message))
             answer (*question, sender);
+        else if (auto* told = std::get_if<NewsAnswer> (&*message))
+            take (std::move (*told));
         else
-            take (std::move (std::get<NewsAnswer> (*message)));
+            takeLoads (std::get<LoadNotice> (*message).loads, false);
     }
 }
 
@@ -111,14 +120,17 @@
 
 auto PeerExchange::answer (const NewsQuestion& question, const Endpoint& sender) -> void
 {
-    const auto told =
-        makeAnswer (question, state.configuration, state.directory, state.settings.node, SteadyClock::now());
+    const auto now = SteadyClock::now();
+    takeLoads (question.loads, true);
+    auto told = makeAnswer (question, state.configuration, state.directory, state.settings.node, now);
+    told.loads = state.loads.recent (now);
     send (encodeMessage (told, secret), sender);
 }
 
 auto PeerExchange::take (NewsAnswer answer) -> void
 {
     const auto now = SteadyClock::now();
+    takeLoads (answer.loads, false);
     const auto effect =
         takeAnswer (state.news, state.configuration, state.directory, std::move (answer), now);
 
@@ -142,11 +154,51 @@
 
         for (const auto& target : chooseTargets())
             send (report, target);
+    }
+}
 
-        askForNews (SteadyClock::now());
+auto PeerExchange::newsLoop() -> Task<void>
+{
+    for (;;)
+    {
+        co_await pauseFor (state.loop, newsInterval);
+
+        if (secret.empty() || members.empty())
+            continue;
+
+        const auto now = SteadyClock::now();
+
+        if (state.news.isReader)
+            tellLoads (now);
+
+        askForNews (now);
     }
 }
 
+auto PeerExchange::takeLoads (const std::vector<SharedLoad>& loads, bool isToTell) -> void
+{
+    const auto now = SteadyClock::now();
+
+    for (const auto& load : loads)
+        if (state.loads.note (load, isToTell, now))
+            state.replicas.noteLoadHeard (load.replica, { load.running, load.waiting, 0.0, false },
+                                          now - load.age);
+}
+
+auto PeerExchange::tellLoads (TimePoint now) -> void
+{
+    LoadNotice notice { state.settings.node, state.loads.takeToTell (now) };
+
+    if (notice.loads.empty())
+        return;
+
+    const auto datagram = encodeMessage (notice, secret);
+
+    for (const auto* readers : { &ownReaders, &otherReaders })
+        for (const auto& reader : *readers)
+            send (datagram, reader);
+}
+
 auto PeerExchange::send (const std::string& datagram, const Endpoint& target) -> void
 {
     // A lost datagram is made good by the next one.
@@ -158,10 +210,15 @@
 {
     const auto ask = [&] (const std::vector<Endpoint>& readers, std::size_t& next)
     {
-        if (! readers.empty())
-            send (
-                encodeMessage (makeQuestion (state.news, state.directory, state.settings.node, now), secret),
-                readers[next++ % readers.size()]);
+        if (readers.empty())
+            return;
+
+        auto question = makeQuestion (state.news, state.directory, state.settings.node, now);
+
+        if (! state.news.isReader)
+            question.loads = state.loads.takeToTell (now);
+
+        send (encodeMessage (question, secret), readers[next++ % readers.size()]);
     };
 
     if (! state.news.isReader)
@@ -326,12 +383,14 @@
     for (const auto& [name, endpoint] : members)
         all.push_back (endpoint);
 
-    if (all.size() <= mostTargets)
+    const auto wanted = state.quota.isTight (SteadyClock::now()) ? mostTargetsWhenTight : mostTargets;
+
+    if (all.size() <= wanted)
         return all;
 
     std::vector<Endpoint> chosen;
 
-    for (auto count = std::size_t { 0 }; count < mostTargets; ++count)
+    for (auto count = std::size_t { 0 }; count < wanted; ++count)
         chosen.push_back (all[nextTarget++ % all.size()]);
 
     return chosen;
@@ -355,7 +414,9 @@
 
     report.admitted = state.quota.admitted (now);
     state.work.forEach (now,
-                        [&] (const std::string& service, double tokens) { report.work[service] = tokens; });
+                        [&] (const std::string& service, double tokens) {
+                            report.work[service] = { tokens, state.replicas.inFlight (service) };
+                        });
 
     // Windows that ended before have been reported, or are late.
     const auto trueNow = state.trueTime.now (now);
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -40,6 +40,9 @@
     auto answer (const NewsQuestion& question, const Endpoint& sender) -> void;
     auto take (NewsAnswer answer) -> void;
     auto sendLoop() -> Task<void>;
+    auto newsLoop() -> Task<void>;
+    auto takeLoads (const std::vector<SharedLoad>& loads, bool isToTell) -> void;
+    auto tellLoads (TimePoint now) -> void;
     auto send (const std::string& datagram, const Endpoint& target) -> void;
     auto askForNews (TimePoint now) -> void;
     auto membersLoop() -> Task<void>;
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -70,14 +70,17 @@
         { return now - entry.second.heard <= heardTime && ! entry.second.latest.leaving; }));
 }
 
-auto PeerTable::work (const std::string& service, TimePoint now) const -> double
+auto PeerTable::work (const std::string& service, TimePoint now) const -> ServiceWork
 {
-    auto sum = 0.0;
+    ServiceWork sum;
 
     for (const auto& [name, peer] : peers)
         if (const auto found = peer.latest.work.find (service);
             now - peer.heard <= heardTime && found != peer.latest.work.end())
-            sum += found->second;
+        {
+            sum.tokensPerSecond += found->second.tokensPerSecond;
+            sum.inFlight += found->second.inFlight;
+        }
 
     return sum;
 }
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -19,6 +19,15 @@
     double tokensPerSecond = 0.0;
 };
 
+/** What a node gave to the replicas of one service. */
+struct ServiceWork
+{
+    /** Prompt tokens to be read, lately. */
+    double tokensPerSecond = 0.0;
+    /** Requests that replicas have now. */
+    double inFlight = 0.0;
+};
+
 using AdmittedByAccount = std::map<std::string, AdmittedTokens, std::less<>>;
 
 /** What a node tells the others of itself, some times a second. */
@@ -35,8 +44,8 @@
     Duration proofAge {};
     bool leaving = false;
     AdmittedByAccount admitted;
-    /** Prompt tokens a second that it sent to replicas, by service. */
-    std::map<std::string, double, std::less<>> work;
+    /** By service. */
+    std::map<std::string, ServiceWork, std::less<>> work;
     /** Its counts of requests that began to run, by window. */
     std::map<std::uint64_t, AccountCounts> usage;
 };
@@ -62,8 +71,8 @@
     /** @returns nodes heard of within `heardTime`. */
     [[nodiscard]] auto countHeard (TimePoint now) const -> std::size_t;
 
-    /** @returns prompt tokens a second that the other nodes sent to a service's replicas. */
-    [[nodiscard]] auto work (const std::string& service, TimePoint now) const -> double;
+    /** @returns what the other nodes gave to a service's replicas. */
+    [[nodiscard]] auto work (const std::string& service, TimePoint now) const -> ServiceWork;
 
     /** Adds the other nodes' counts of a window. Those of nodes that died count too. */
     auto addUsage (std::uint64_t window, AccountCounts& counts) const -> void;
--- /dev/null
+++ b/modules/snowrudder_serving/members/SharedLoads.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "snowrudder_routing/snowrudder_routing.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace snowrudder
+{
+
+/** A replica's word of its load, as some node heard it with an answer. */
+struct SharedLoad
+{
+    /** Of the replica's name, from replicaHash(). */
+    std::uint32_t replica = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /** Since it was heard. */
+    Duration age {};
+};
+
+/** Told by a node that reads the store to the others that do. */
+struct LoadNotice
+{
+    std::string node;
+    std::vector<SharedLoad> loads;
+};
+
+/** Loads of replicas that nodes tell each other: each node hears most replicas too seldom to know them by itself. The
+    newest word counts; old ones are forgotten.
+*/
+class SharedLoads
+{
+public:
+    /** Notes a load; an older one than what is known changes nothing.
+
+        @param isToTell  whether this node is to hand it on
+        @returns         whether it is news
+    */
+    auto note (const SharedLoad& load, bool isToTell, TimePoint now) -> bool;
+
+    /** @returns what is to be handed on, once. */
+    auto takeToTell (TimePoint now) -> std::vector<SharedLoad>;
+
+    /** @returns what was heard lately by anybody, the newest first where there is more than fits. */
+    auto recent (TimePoint now) -> std::vector<SharedLoad>;
+
+    /** Loads older than this say little: a model's replica turns over a tenth of its requests in it. */
+    static constexpr auto longestAge = Duration (1s);
+
+    /** Loads in one datagram: ten bytes each, beside the changes of replicas. */
+    static constexpr auto mostLoads = std::size_t { 200 };
+
+private:
+    struct Entry
+    {
+        std::uint32_t running = 0;
+        std::uint32_t waiting = 0;
+        TimePoint heard {};
+        bool isToTell = false;
+    };
+
+    static auto asLoad (std::uint32_t replica, const Entry& entry, TimePoint now) -> SharedLoad;
+
+    std::map<std::uint32_t, Entry> entries;
+};
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -88,6 +88,7 @@
     PeerTable peers;
     TrueTime trueTime;
     NewsState news;
+    SharedLoads loads;
     /** Ends the pause before the next look at the configuration. */
     const std::shared_ptr<Signal> configurationWake;
     /** Nodes that the store last listed, this one included. */
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -196,7 +196,12 @@
     }
 
     if (answer.load)
+    {
         state.replicas.noteLoad (ticket.number, *answer.load, now);
+        state.loads.note (
+            { replicaHash (ticket.info.name), answer.load->running, answer.load->waiting, Duration::zero() },
+            true, now);
+    }
 
     if (answer.isOtherReplica)
         state.replicas.noteLeaving (ticket.number, now);
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -206,6 +206,20 @@
     CHECK (admitted >= 1000.0 * 9.6);
 }
 
+TEST_CASE ("an account near its limit is told of sooner, until its bucket is filled again")
+{
+    SharedQuota quota;
+    const auto limits = account (100.0, 1000.0);
+    quota.admit (limits, 1.0, QuotaBounds(), start);
+    CHECK (quota.isTight (start));
+    CHECK_FALSE (quota.isTight (start + 20s));
+
+    // Others' use counts as well.
+    quota.charge ({ { "alpha", 900.0 } });
+    CHECK (quota.isTight (start + 1s));
+    CHECK_FALSE (SharedQuota().isTight (start));
+}
+
 TEST_CASE ("a node that has just started does not give the whole burst out anew")
 {
     SharedQuota quota;
@@ -308,7 +322,7 @@
     report.sequence = 9;
     report.proofAge = 250ms;
     report.admitted["alpha"] = { 10.0, 2.5 };
-    report.work["model"] = 64.0;
+    report.work["model"] = { 64.0, 3.0 };
     report.usage[77]["alpha"] = 12;
 
     auto datagram = encodeMessage (report, "secret");
@@ -320,7 +334,7 @@
     CHECK (read->sequence == 9);
     CHECK (read->proofAge == 250ms);
     CHECK (read->admitted.at ("alpha").tokensPerSecond == Approx (2.5));
-    CHECK (read->work.at ("model") == Approx (64.0));
+    CHECK (read->work.at ("model").tokensPerSecond == Approx (64.0));
     CHECK (read->usage.at (77).at ("alpha") == 12);
 
     CHECK_FALSE (decodeMessage (datagram, "other"));
