Long prompts go to a fifth of the replicas; log lines tell what was believed of a replica and when the answer began

Change: prompts with more than 16,000 tokens of their own go to a fifth of the replicas, which takes no others; all nodes split them the same way. The route line tells the requests believed and the age of the replica's word; the end line when the first byte came, and counts the run that was answered.

--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -3,6 +3,7 @@
 #include "../prefix/PromptBlocks.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace snowrudder
 {
@@ -46,6 +47,62 @@
         std::erase_if (candidates, [] (const Candidate& candidate) { return ! candidate.hasRoom; });
 }
 
+/** @returns whether the replicas are split for requests like this one. */
+auto isSplit (const ChoiceInput& input, const ChoiceWeights& weights, std::size_t usable) -> bool
+{
+    return weights.longPrompt > 0.0 && input.promptTokens > 0.0 && usable >= weights.leastToSplit;
+}
+
+/** Leaves out the replicas of the other part where long prompts are kept apart: all routers split them the same way. A
+    request that has tried its own part may use the other.
+*/
+auto keepOwnPart (std::vector<Candidate>& candidates,
+                  std::span<const ReplicaState> replicas,
+                  const ChoiceInput& input,
+                  const ChoiceWeights& weights,
+                  TimePoint now) -> void
+{
+    std::vector<std::uint32_t> hashes;
+    hashes.reserve (replicas.size());
+
+    for (const auto& replica : replicas)
+        if (useOf (replica, now) == ReplicaUse::usable)
+            hashes.push_back (replica.hash);
+
+    const auto part = std::lround (weights.longPromptShare * static_cast<double> (hashes.size()));
+    const auto middle = hashes.begin() + std::max (1L, part);
+    std::ranges::nth_element (hashes, middle);
+
+    const auto isLong = input.ownTokens > weights.longPrompt;
+    const auto isOther = [&] (const Candidate& candidate)
+    { return isLong != (replicas[candidate.index].hash < *middle); };
+
+    if (! std::ranges::all_of (candidates, isOther))
+        std::erase_if (candidates, isOther);
+}
+
+/** @returns the candidate that the hash ranking puts first. */
+auto rankedFirst (const std::vector<Candidate>& candidates,
+                  std::span<const ReplicaState> replicas,
+                  std::uint64_t anchor) -> std::optional<std::size_t>
+{
+    auto best = std::optional<std::size_t> {};
+    auto bestValue = std::uint64_t { 0 };
+
+    for (const auto& candidate : candidates)
+    {
+        const auto value = rendezvousValue (anchor, replicas[candidate.index].info.name);
+
+        if (best && value <= bestValue)
+            continue;
+
+        best = candidate.index;
+        bestValue = value;
+    }
+
+    return best;
+}
+
 /** What waiting on a replica costs: prompts before this one, and no slot free. */
 auto waitCost (const ReplicaState& replica, double believed, const ChoiceWeights& weights, TimePoint now)
     -> double
@@ -120,6 +177,12 @@
     if (input.isOverShare)
         keepThoseWithRoom (choice.candidates);
 
+    if (isSplit (input, weights, choice.usable))
+    {
+        keepOwnPart (choice.candidates, replicas, input, weights, now);
+        best = rankedFirst (choice.candidates, replicas, anchor);
+    }
+
     if (choice.candidates.empty())
         return {};
 
@@ -139,7 +202,10 @@
     choice.candidates.resize (kept);
 
     const auto& winner = choice.candidates.front();
-    const auto isCached = matchedTokens (input, replicas[winner.index].number) > 0.0;
+    const auto& chosen = replicas[winner.index];
+    choice.believed = believedRequests (chosen, others);
+    choice.loadAge = chosen.reportTime ? std::optional<Duration> (now - *chosen.reportTime) : std::nullopt;
+    const auto isCached = matchedTokens (input, chosen.number) > 0.0;
     choice.reason = choice.usable == 1     ? "only"
                     : isCached             ? "cached"
                     : winner.index == best ? "ranked"
--- a/modules/snowrudder_routing/choice/ChooseReplica.h
+++ b/modules/snowrudder_routing/choice/ChooseReplica.h
@@ -31,6 +31,14 @@
         them (docs/design/overload.md).
     */
     double fullOccupancy = 1.5;
+    /** Prompts with more tokens of their own go to a part of the replicas that takes no others: a long prompt is computed in
+        pieces between the tokens of all that run beside it, and holds up each of their events. 0 keeps none apart.
+    */
+    double longPrompt = 0.0;
+    /** Part of the replicas that takes long prompts. */
+    double longPromptShare = 0.2;
+    /** Fewer usable replicas than this are not split. */
+    std::size_t leastToSplit = 6;
     /** New replicas get work slowly for this long. */
     Duration slowStart = 10s;
 };
@@ -44,6 +52,8 @@
     /** The block whose hash the ranking is made for; without it, the one that `anchorBytes` names. */
     std::optional<std::size_t> anchorBlock;
     double promptTokens = 0.0;
+    /** Of these, the last ones that no other request shares. */
+    double ownTokens = 0.0;
     /** Replicas already tried by this request. */
     std::span<const ReplicaNumber> tried;
     std::span<const PrefixMatch> matches;
@@ -72,6 +82,10 @@
     /** One word for the log: cached, ranked, spilled, or only. */
     std::string_view reason;
     std::size_t usable = 0;
+    /** Requests believed on the first candidate, everybody's together. */
+    double believed = 0.0;
+    /** Age of the first candidate's own word of its load; nothing while it has not said any. */
+    std::optional<Duration> loadAge;
 };
 
 /** @returns the usable replicas with the least expected cost, or nothing when none is usable.
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -12,6 +12,9 @@
 /** Twice within the time in which limits must follow demand (1 s). */
 constexpr auto sendInterval = 400ms;
 
+/** The same while an account comes near its limit: what is admitted between two reports goes over it. */
+constexpr auto sendIntervalWhenTight = 200ms;
+
 /** How often loads of replicas are told and news are asked for: a replica of a model begins four requests a second. */
 constexpr auto newsInterval = 200ms;
 
@@ -20,9 +23,6 @@
 */
 constexpr auto mostTargets = std::size_t { 24 };
 
-/** The same while an account comes near its limit: at 83 nodes each is told within 0.8 s. */
-constexpr auto mostTargetsWhenTight = std::size_t { 48 };
-
 /** A member's entry goes this long after its node died. */
 constexpr auto memberLease = Duration (12s);
 constexpr auto renewInterval = Duration (4s);
@@ -145,7 +145,8 @@
 {
     for (;;)
     {
-        co_await pauseFor (state.loop, sendInterval);
+        const auto isTight = state.quota.isTight (SteadyClock::now());
+        co_await pauseFor (state.loop, isTight ? sendIntervalWhenTight : sendInterval);
 
         if (secret.empty() || members.empty())
             continue;
@@ -383,14 +384,12 @@
     for (const auto& [name, endpoint] : members)
         all.push_back (endpoint);
 
-    const auto wanted = state.quota.isTight (SteadyClock::now()) ? mostTargetsWhenTight : mostTargets;
-
-    if (all.size() <= wanted)
+    if (all.size() <= mostTargets)
         return all;
 
     std::vector<Endpoint> chosen;
 
-    for (auto count = std::size_t { 0 }; count < wanted; ++count)
+    for (auto count = std::size_t { 0 }; count < mostTargets; ++count)
         chosen.push_back (all[nextTarget++ % all.size()]);
 
     return chosen;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -29,6 +29,18 @@
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
+/** Prompts are read in pieces of 4,096 tokens, some 64 ms each and twice that deep in a long one; an event of a stream waits
+    for five to eight of them, and may pause for 500 to 600 ms on the sites known.
+*/
+constexpr auto longPromptTokens = 16000.0;
+
+auto routedWeights() -> ChoiceWeights
+{
+    ChoiceWeights weights;
+    weights.longPrompt = longPromptTokens;
+    return weights;
+}
+
 } // namespace
 
 RoutedRun::RoutedRun (ServingState& servingState, Exchange& callerExchange, RoutedRequest routedRequest)
@@ -118,7 +130,7 @@
 
 auto RoutedRun::attempt() -> Task<Failure>
 {
-    auto taken = state.replicas.take (request.service, choiceInput(), ChoiceWeights(), SteadyClock::now());
+    auto taken = state.replicas.take (request.service, choiceInput(), routedWeights(), SteadyClock::now());
     ++sends;
 
     if (! taken)
@@ -133,23 +145,29 @@
     state.work.note (request.service, ticket.expectedTokens, SteadyClock::now());
     tried.push_back (ticket.number);
     lastReplica = ticket.info.name;
+    const auto& chosen = taken->choice.candidates.front();
+    const auto loadAge = taken->choice.loadAge;
     LogLine ("route")
         .with ("request", request.caller.id)
         .with ("service", request.service)
         .with ("attempt", sends)
         .with ("replica", lastReplica)
-        .with ("score", taken->choice.candidates.front().score)
-        .with ("uncached", taken->choice.candidates.front().uncachedTokens)
+        .with ("score", chosen.score)
+        .with ("uncached", chosen.uncachedTokens)
+        .with ("believed", taken->choice.believed)
+        .with ("load_age_milliseconds", loadAge ? inMilliseconds (*loadAge) : -1.0)
         .with ("reason", taken->choice.reason)
         .with ("usable", taken->choice.usable)
         .info();
 
     UpstreamCall call (state.pool, parseEndpoint (ticket.info.endpoint), timeouts());
     currentCall = &call;
+    const auto runsBefore = runs;
     const auto outcome = co_await callReplica (call, ticket);
     currentCall = nullptr;
 
-    if (! outcome || ranAfter (*outcome) != Ran::no)
+    // An attempt whose answer began is counted already.
+    if (runs == runsBefore && (! outcome || ranAfter (*outcome) != Ran::no))
         ++runs;
 
     const auto health = isCallerGone ? AttemptHealth::neutral
@@ -217,8 +235,10 @@
     if (call.status() >= serverErrors && mayRunAgain())
         return failed (call, FailureCause::failed);
 
+    ++runs;
     noteBegun();
-    state.counts.firstByte.add (now - request.accepted);
+    firstByte = now - request.accepted;
+    state.counts.firstByte.add (*firstByte);
     state.replicas.noteAnswering (ticket, blocks, request.caller.promptTokens);
     return {};
 }
@@ -355,6 +375,7 @@
         .with ("sends", sends)
         .with ("runs", runs)
         .with ("replica", lastReplica)
+        .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
         .with ("milliseconds", inMilliseconds (SteadyClock::now() - request.accepted))
         .info();
 }
@@ -372,7 +393,10 @@
     constexpr auto ownParts = std::size_t { 2 };
 
     if (blocks.size() >= ownParts)
+    {
         input.anchorBlock = blocks.size() - ownParts;
+        input.ownTokens = request.caller.promptTokens - blockTokens[*input.anchorBlock];
+    }
 
     return input;
 }
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -60,6 +60,8 @@
     std::uint32_t sends = 0;
     std::uint32_t runs = 0;
     std::string lastReplica;
+    /** From the request's arrival to the head of the answer. */
+    std::optional<Duration> firstByte;
     UpstreamCall* currentCall = nullptr;
     bool isCallerGone = false;
     bool isCounted = false;
--- a/tests/bench/Policies.cpp
+++ b/tests/bench/Policies.cpp
@@ -26,7 +26,14 @@
 
 auto choose (std::size_t index, std::size_t usable, const ChoiceInput& input) -> std::optional<Choice>
 {
-    return Choice { { { index, 0.0, input.promptTokens } }, "baseline", usable };
+    Candidate candidate;
+    candidate.index = index;
+    candidate.uncachedTokens = input.promptTokens;
+    Choice choice;
+    choice.candidates.push_back (candidate);
+    choice.reason = "baseline";
+    choice.usable = usable;
+    return choice;
 }
 
 auto lessLoaded (std::span<const ReplicaState> replicas, std::size_t first, std::size_t second) -> std::size_t
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -176,6 +176,21 @@
                 self.changed.wait(min(left, 0.2))
 
 
+class Door:
+    """Another address of a store, for one node: it can be shut while the others are served."""
+
+    def __init__(self, port, store):
+        self.store = store
+        self.shut = False
+        self.server = Server(port, self)
+
+    def handle(self, call, body):
+        if self.shut:
+            call.answer(503)
+        else:
+            self.store.handle(call, body)
+
+
 class Cloud:
     """Takes duty calls and keeps them."""
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -9,7 +9,7 @@
 import unittest
 
 from harness import BUILD, free_ports, raw, request, wait_until
-from platform_stand_in import Cloud, Replica, Store
+from platform_stand_in import Cloud, Door, Replica, Store
 
 
 def configuration(version=1, keys=("key-alpha",), **more):
@@ -28,13 +28,13 @@
 
 
 class Node:
-    def __init__(self, platform, name):
+    def __init__(self, platform, name, store_port=None):
         self.name = name
         self.front, self.readiness, self.peers, self.metrics = free_ports(4)
         self.settings = platform.folder / f"{name}.conf"
         self.settings.write_text(f"node_name={name}\nzone=a\nip=127.0.0.1\nlisten.front=127.0.0.1:{self.front}\n"
                                  f"listen.readiness=127.0.0.1:{self.readiness}\nport_range={self.peers},{self.peers}\n"
-                                 f"platform.address=127.0.0.1:{platform.store_port}\n"
+                                 f"platform.address=127.0.0.1:{store_port or platform.store_port}\n"
                                  f"cloud.address=127.0.0.1:{platform.cloud_port}\ncloud.duties=metered,autoscale\n"
                                  "bounds.revoke_ms=2500\nbounds.report_window_s=1\nbounds.grace_s=6\nbounds.lease_ms=3000\n")
         self.log = platform.folder / f"{name}.log"
@@ -71,6 +71,13 @@
             self.store.put(f"servers/{replica.name}", replica.entry("svc"))
         self.nodes = [Node(self, f"front-{number}") for number in range(nodes)]
         self.first = self.nodes[0]
+        self.doors = []
+
+    def add_node_behind_door(self):
+        door = Door(free_ports(1)[0], self.store)
+        self.doors.append(door)
+        self.nodes.append(Node(self, f"front-{len(self.nodes)}", door.server.server_port))
+        return self.nodes[-1], door
 
     def __enter__(self):
         try:
@@ -87,7 +94,7 @@
             if node.process.poll() is None:
                 node.process.kill()
             node.process.wait()
-        for server in (self.store, self.cloud, *self.replicas):
+        for server in (self.store, self.cloud, *self.doors, *self.replicas):
             server.server.shutdown()
             server.server.server_close()
 
@@ -95,6 +102,60 @@
         return [run for replica in self.replicas for run in replica.runs]
 
 
+class News(unittest.TestCase):
+    """Nodes that hand on what the store told them."""
+
+    def settled(self, platform):
+        wait_until(lambda: sum("store_read_by_others" in node.log.read_text() for node in platform.nodes) == len(
+            platform.nodes) - 2, "all but two nodes leave the store to others")
+        return [node for node in platform.nodes if "store_read_by_others" in node.log.read_text()]
+
+    def test_few_nodes_read_the_store_and_all_know_what_it_holds(self):
+        with Platform(nodes=5) as platform:
+            followers = self.settled(platform)
+            leaving = platform.replicas[0]
+            platform.store.put(f"servers/{leaving.name}", leaving.entry("svc", state="draining"))
+            for node in followers:
+                wait_until(lambda node=node: f"replica_leaving replica={leaving.name}" in node.log.read_text(), "seen as leaving")
+                self.assertEqual(node.call("GET", "/again/x").json(), {"by": platform.replicas[1].name})
+            platform.store.put("op/config", configuration(2, keys=("key-new",)))
+            for node in followers:
+                wait_until(lambda node=node: node.call("GET", "/again/x", key="key-new").status == 200, "the new key is known")
+                self.assertEqual(node.call("GET", "/again/x").status, 401)
+            # Two readers ask some three times a second together; five nodes asked seven times.
+            platform.store.calls.clear()
+            time.sleep(3)
+            asked = [path for path in platform.store.calls if path.endswith("kv-txn")]
+            self.assertLess(len(asked), 12)
+
+    def test_a_node_that_the_store_turns_away_serves_on_the_others_proofs_and_drops_a_revoked_key(self):
+        with Platform(nodes=3) as platform:
+            node, door = platform.add_node_behind_door()
+            wait_until(node.is_ready, "ready")
+            self.settled(platform)
+            door.shut = True
+            # Longer than a proof of its own would last.
+            for number in range(8):
+                time.sleep(0.5)
+                self.assertEqual(node.call("GET", "/again/x", id=f"r-{number}").status, 200)
+            self.assertTrue(node.is_ready())
+            platform.store.put("op/config", configuration(2, keys=("key-new",)))
+            time.sleep(2.6)
+            self.assertNotEqual(node.call("GET", "/again/x").status, 200)
+
+    def test_nodes_whose_readers_die_read_the_store_themselves(self):
+        with Platform(nodes=4) as platform:
+            followers = self.settled(platform)
+            for node in platform.nodes:
+                if node not in followers:
+                    node.process.kill()
+            leaving = platform.replicas[0]
+            platform.store.put(f"servers/{leaving.name}", leaving.entry("svc", state="draining"))
+            for node in followers:
+                wait_until(lambda node=node: f"replica_leaving replica={leaving.name}" in node.log.read_text(), "seen as leaving")
+                self.assertEqual(node.call("GET", "/again/x").status, 200)
+
+
 class Serving(unittest.TestCase):
     def test_a_request_reaches_a_replica_with_its_account_and_without_its_key(self):
         with Platform() as platform:
--- a/tests/unit/NewsTests.cpp
+++ b/tests/unit/NewsTests.cpp
@@ -266,6 +266,30 @@
     CHECK (namesIn (asker.directory) == std::set<std::string> { "one", "two" });
 }
 
+TEST_CASE ("the newest load of a replica counts, is handed on once, and is forgotten")
+{
+    SharedLoads loads;
+    CHECK (loads.note ({ 7, 3, 0, 100ms }, true, start));
+    CHECK_FALSE (loads.note ({ 7, 9, 9, 200ms }, true, start));
+    CHECK (loads.note ({ 8, 1, 0, 0ms }, false, start));
+    CHECK_FALSE (loads.note ({ 9, 1, 0, 2s }, true, start));
+
+    const auto told = loads.takeToTell (start + 50ms);
+    REQUIRE (told.size() == 1);
+    CHECK (told.front().running == 3);
+    CHECK (told.front().age == 150ms);
+    CHECK (loads.takeToTell (start + 50ms).empty());
+    CHECK (loads.recent (start + 50ms).size() == 2);
+    CHECK (loads.recent (start + 2s).empty());
+
+    const auto message = decodeMessage (encodeMessage (LoadNotice { "one", told }, "secret"), "secret");
+    REQUIRE (message);
+    const auto* notice = std::get_if<LoadNotice> (&*message);
+    REQUIRE (notice != nullptr);
+    CHECK (notice->loads.front().replica == 7);
+    CHECK (notice->loads.front().age == 150ms);
+}
+
 TEST_CASE ("two nodes of each failure domain read for the others, and all choose the same ones")
 {
     std::map<std::string, MemberInfo> members;
--- a/tests/unit/RoutingTests.cpp
+++ b/tests/unit/RoutingTests.cpp
@@ -130,6 +130,95 @@
     CHECK (counts.size() == 2);
 }
 
+TEST_CASE ("long prompts and short ones go to different replicas, on all routers alike")
+{
+    std::vector<ListedReplica> replicas;
+
+    for (auto number = 0; number < 20; ++number)
+        replicas.push_back (listed ("r-" + std::to_string (number)));
+
+    ChoiceWeights weights;
+    weights.longPrompt = 1000.0;
+    std::set<std::string> forLong;
+    std::set<std::string> forShort;
+
+    for (auto router = 0; router < 3; ++router)
+    {
+        ReplicaTable table;
+        table.update (replicas, now);
+
+        for (auto number = std::uint64_t { 1 }; number <= 200; ++number)
+        {
+            const std::vector<std::uint64_t> blocks { number };
+            auto input = inputFor (blocks);
+            input.ownTokens = number % 2 == 0 ? 5000.0 : 10.0;
+            const auto taken = table.take ("s", input, weights, now);
+            (number % 2 == 0 ? forLong : forShort).insert (taken->ticket.info.name);
+        }
+    }
+
+    CHECK (forLong.size() == 4);
+
+    for (const auto& name : forLong)
+        CHECK_FALSE (forShort.contains (name));
+}
+
+TEST_CASE ("few replicas are not split, and a request that tried its part uses the other")
+{
+    ChoiceWeights weights;
+    weights.longPrompt = 1000.0;
+    const std::vector<std::uint64_t> blocks { 7 };
+    auto input = inputFor (blocks);
+    input.ownTokens = 5000.0;
+
+    ReplicaTable few;
+    few.update ({ listed ("x"), listed ("y") }, now);
+    std::set<std::string> used;
+
+    for (auto number = std::uint64_t { 0 }; number < 50; ++number)
+    {
+        const std::vector<std::uint64_t> own { number };
+        input.blocks = own;
+        used.insert (few.take ("s", input, weights, now)->ticket.info.name);
+    }
+
+    CHECK (used.size() == 2);
+
+    ReplicaTable six;
+    six.update ({ listed ("a"), listed ("b"), listed ("c"), listed ("d"), listed ("e"), listed ("f") }, now);
+    input.blocks = blocks;
+    const auto first = six.take ("s", input, weights, now);
+    const std::vector<ReplicaNumber> tried { first->ticket.number };
+    input.tried = tried;
+    const auto second = six.take ("s", input, weights, now);
+    REQUIRE (second);
+    CHECK (second->ticket.number != first->ticket.number);
+}
+
+TEST_CASE ("a load that another router heard counts with what was sent since, and never goes back")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x") }, now);
+    const std::vector<std::uint64_t> blocks { 1 };
+    const auto believed = [&]
+    {
+        auto sum = 0.0;
+        table.forEach ([&] (const ReplicaState& replica) { sum = believedRequests (replica); });
+        return sum;
+    };
+
+    table.take ("s", inputFor (blocks), {}, now);
+    table.take ("s", inputFor (blocks), {}, now + 300ms);
+    // The replica spoke between the two: only the second is not in its word.
+    table.noteLoadHeard (replicaHash ("x"), { 5, 2, 0.0, false }, now + 200ms);
+    CHECK (believed() == Approx (8.0));
+
+    table.noteLoadHeard (replicaHash ("x"), { 1, 0, 0.0, false }, now + 100ms);
+    CHECK (believed() == Approx (8.0));
+    table.noteLoadHeard (replicaHash ("other"), { 50, 0, 0.0, false }, now + 400ms);
+    CHECK (believed() == Approx (8.0));
+}
+
 TEST_CASE ("the prefix index forgets the least recently used")
 {
     PrefixIndex index (4);
