--- /dev/null
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -0,0 +1,190 @@
+#include "Membership.h"
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** A member's entry goes this long after its node died. */
+constexpr auto memberLease = Duration (12s);
+constexpr auto renewInterval = Duration (4s);
+
+/** The members are listed this often. A list that may be seconds old does: nodes that are not heard don't count. */
+constexpr auto listInterval = 2s;
+constexpr auto failurePause = 1s;
+
+} // namespace
+
+/** @returns the address of IP-NUMBER:PORT text, or nothing where it is none. */
+auto datagramEndpoint (std::string_view text) -> std::optional<asio::ip::udp::endpoint>
+{
+    const auto parsed = parseEndpoint (text);
+    return parsed.port() == 0 ? std::nullopt
+                              : std::optional (asio::ip::udp::endpoint (parsed.address(), parsed.port()));
+}
+
+Membership::Membership (ServingState& servingState, const StateStore& stateStore)
+    : state (servingState), store (stateStore)
+{
+}
+
+auto Membership::leave() -> Task<void>
+{
+    if (lease != 0)
+        co_await store.endLease (lease);
+}
+
+auto Membership::follow() -> Task<void>
+{
+    for (;;)
+    {
+        const auto isInTouch = co_await refresh();
+
+        if (! isInTouch)
+            co_await pauseFor (state.loop, jittered (failurePause));
+    }
+}
+
+auto Membership::refresh() -> Task<bool>
+{
+    if (agreedSecret.empty())
+        co_await agreeOnSecret();
+
+    if (agreedSecret.empty())
+        co_return false;
+
+    if (! state.leaving)
+        co_await joinMembers();
+
+    const auto listed = co_await store.list (std::string (memberPrefix), ListAge::secondsOld);
+
+    if (listed.outcome != StoreOutcome::done)
+        co_return false;
+
+    takeMembers (listed);
+    co_await pauseFor (state.loop, jittered (listInterval));
+    co_return true;
+}
+
+auto Membership::agreeOnSecret() -> Task<void>
+{
+    StoreTransaction propose;
+    propose.conditions.push_back ({ std::string (secretKey), 0 });
+    StoredItem item;
+    item.key = secretKey;
+    item.value = toString (makeUuid (wallTimeNow()));
+    const auto proposed = item.value;
+    propose.puts.push_back (std::move (item));
+    const auto result = co_await store.commit (std::move (propose));
+
+    if (result.outcome == StoreOutcome::done)
+        agreedSecret = proposed;
+    else if (result.outcome == StoreOutcome::refused && ! result.items.empty() &&
+             result.items.front().revision != 0)
+        agreedSecret = result.items.front().value;
+}
+
+auto Membership::joinMembers() -> Task<void>
+{
+    const auto now = SteadyClock::now();
+
+    if (lease != 0)
+    {
+        if (now - renewed < renewInterval)
+            co_return;
+
+        const auto outcome = co_await store.renewLease (lease);
+
+        if (outcome == StoreOutcome::done)
+        {
+            renewed = now;
+            co_return;
+        }
+
+        if (outcome != StoreOutcome::refused)
+            co_return;
+
+        lease = 0;
+        LogLine ("membership_lapsed").warning();
+    }
+
+    const auto granted = co_await store.grantLease (memberLease);
+
+    if (granted.outcome != StoreOutcome::done)
+        co_return;
+
+    StoreTransaction join;
+    StoredItem item;
+    item.key = std::string (memberPrefix) + state.settings.node;
+    item.value = writeMember ({ state.settings.listenPeers, state.settings.failureDomain });
+    item.lease = granted.lease;
+    join.puts.push_back (std::move (item));
+    const auto joined = co_await store.commit (std::move (join));
+
+    if (joined.outcome != StoreOutcome::done)
+        co_return;
+
+    lease = granted.lease;
+    renewed = now;
+    LogLine ("membership_joined").with ("lease", lease).info();
+}
+
+auto Membership::takeMembers (const ReadItems& listed) -> void
+{
+    std::map<std::string, MemberInfo> members;
+    std::map<std::string, Endpoint> endpoints;
+    members[state.settings.node] = { state.settings.listenPeers, state.settings.failureDomain };
+
+    for (const auto& item : listed.items)
+    {
+        const auto name = item.key.substr (memberPrefix.size());
+        auto member = readMember (item.value);
+        const auto endpoint = datagramEndpoint (member.endpoint);
+
+        if (name == state.settings.node || ! endpoint)
+            continue;
+
+        endpoints.emplace (name, *endpoint);
+        members.emplace (name, std::move (member));
+    }
+
+    if (members.size() != state.memberCount)
+        LogLine ("members_changed").with ("before", state.memberCount).with ("now", members.size()).info();
+
+    endpointsOfOthers.clear();
+
+    for (const auto& [name, endpoint] : endpoints)
+        endpointsOfOthers.push_back (endpoint);
+
+    state.memberCount = members.size();
+    state.retryBudgets.setMostSaved (state.savedRetries());
+    noteReaders (members, endpoints);
+}
+
+auto Membership::noteReaders (const std::map<std::string, MemberInfo>& members,
+                              const std::map<std::string, Endpoint>& endpoints) -> void
+{
+    readersOfDomain.clear();
+    readersElsewhere.clear();
+    auto isReader = false;
+
+    for (const auto& [domain, names] : chooseReaders (members))
+        for (const auto& name : names)
+            if (name == state.settings.node)
+                isReader = true;
+            else if (domain == state.settings.failureDomain)
+                readersOfDomain.push_back (endpoints.at (name));
+            else
+                readersElsewhere.push_back (endpoints.at (name));
+
+    if (isReader != state.news.isReader)
+        LogLine (isReader ? "store_reader" : "store_read_by_others")
+            .with ("readers", readersOfDomain.size())
+            .with ("members", members.size())
+            .info();
+
+    state.news.isReader = isReader;
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "../node/ServingState.h"
+#include "../store/StateStore.h"
+#include "Readers.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snowrudder
+{
+
+/** Keys under which nodes note their address for datagrams, and the fleet's secret. */
+inline constexpr auto memberPrefix = std::string_view ("snowrudder/members/");
+inline constexpr auto secretKey = std::string_view ("snowrudder/secret");
+
+/** @returns the address of IP-NUMBER:PORT text, or nothing where it is none. */
+auto datagramEndpoint (std::string_view text) -> std::optional<asio::ip::udp::endpoint>;
+
+/** Enters this node among the members in the state store, under a lease, and keeps up with the others: where their
+    datagrams go, the secret that signs them, and which nodes read the store for the others.
+*/
+class Membership
+{
+public:
+    using Endpoint = asio::ip::udp::endpoint;
+
+    Membership (ServingState& servingState, const StateStore& stateStore);
+
+    /** Enters this node and lists the others, for ever. */
+    auto follow() -> Task<void>;
+
+    /** Takes this node out of the members. */
+    auto leave() -> Task<void>;
+
+    /** Empty until the nodes have agreed on one. */
+    [[nodiscard]] auto secret() const -> const std::string& { return agreedSecret; }
+
+    /** The other nodes, in the order of their names. */
+    [[nodiscard]] auto others() const -> const std::vector<Endpoint>& { return endpointsOfOthers; }
+
+    /** The other nodes that read the store: in this node's failure domain, and elsewhere. */
+    [[nodiscard]] auto ownReaders() const -> const std::vector<Endpoint>& { return readersOfDomain; }
+    [[nodiscard]] auto otherReaders() const -> const std::vector<Endpoint>& { return readersElsewhere; }
+
+private:
+    auto refresh() -> Task<bool>;
+    auto agreeOnSecret() -> Task<void>;
+    auto joinMembers() -> Task<void>;
+    auto takeMembers (const ReadItems& listed) -> void;
+    auto noteReaders (const std::map<std::string, MemberInfo>& members,
+                      const std::map<std::string, Endpoint>& endpoints) -> void;
+
+    ServingState& state;
+    const StateStore& store;
+    std::string agreedSecret;
+    std::uint64_t lease = 0;
+    TimePoint renewed {};
+    std::vector<Endpoint> endpointsOfOthers;
+    std::vector<Endpoint> readersOfDomain;
+    std::vector<Endpoint> readersElsewhere;
+};
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -23,26 +23,10 @@
 */
 constexpr auto mostTargets = std::size_t { 24 };
 
-/** A member's entry goes this long after its node died. */
-constexpr auto memberLease = Duration (12s);
-constexpr auto renewInterval = Duration (4s);
-
-/** The members are listed this often. A list that may be seconds old does: nodes that are not heard don't count. */
-constexpr auto listInterval = 2s;
-constexpr auto failurePause = 1s;
-
-/** @returns the address of IP-NUMBER:PORT text, or nothing where it is none. */
-auto datagramEndpoint (std::string_view text) -> std::optional<asio::ip::udp::endpoint>
-{
-    const auto parsed = parseEndpoint (text);
-    return parsed.port() == 0 ? std::nullopt
-                              : std::optional (asio::ip::udp::endpoint (parsed.address(), parsed.port()));
-}
-
 } // namespace
 
-PeerExchange::PeerExchange (ServingState& servingState, const StateStore& stateStore)
-    : state (servingState), store (stateStore), socket (servingState.loop),
+PeerExchange::PeerExchange (ServingState& servingState, const Membership& known)
+    : state (servingState), membership (known), socket (servingState.loop),
       incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count()))
 {
 }
@@ -66,16 +50,9 @@
     asio::co_spawn (state.loop, receiveLoop(), asio::detached);
     asio::co_spawn (state.loop, sendLoop(), asio::detached);
     asio::co_spawn (state.loop, newsLoop(), asio::detached);
-    asio::co_spawn (state.loop, membersLoop(), asio::detached);
     return {};
 }
 
-auto PeerExchange::leave() -> Task<void>
-{
-    if (lease != 0)
-        co_await store.endLease (lease);
-}
-
 auto PeerExchange::receiveLoop() -> Task<void>
 {
     std::array<char, largestDatagram> datagram;
@@ -89,10 +66,10 @@
         if (error == asio::error::operation_aborted)
             co_return;
 
-        if (error || secret.empty())
+        if (error || membership.secret().empty())
             continue;
 
-        auto message = decodeMessage (std::string_view (datagram.data(), size), secret);
+        auto message = decodeMessage (std::string_view (datagram.data(), size), membership.secret());
 
         if (! message)
             state.metrics.counter ("snowrudder_strange_datagrams_total").add();
@@ -124,7 +101,7 @@
     takeLoads (question.loads, true);
     auto told = makeAnswer (question, state.configuration, state.directory, state.settings.node, now);
     told.loads = state.loads.recent (now);
-    send (encodeMessage (told, secret), sender);
+    send (encodeMessage (told, membership.secret()), sender);
 }
 
 auto PeerExchange::take (NewsAnswer answer) -> void
@@ -148,10 +125,10 @@
         const auto isTight = state.quota.isTight (SteadyClock::now());
         co_await pauseFor (state.loop, isTight ? sendIntervalWhenTight : sendInterval);
 
-        if (secret.empty() || members.empty())
+        if (membership.secret().empty() || membership.others().empty())
             continue;
 
-        const auto report = encodeMessage (ownReport(), secret);
+        const auto report = encodeMessage (ownReport(), membership.secret());
 
         for (const auto& target : chooseTargets())
             send (report, target);
@@ -164,7 +141,7 @@
     {
         co_await pauseFor (state.loop, newsInterval);
 
-        if (secret.empty() || members.empty())
+        if (membership.secret().empty() || membership.others().empty())
             continue;
 
         const auto now = SteadyClock::now();
@@ -193,9 +170,9 @@
     if (notice.loads.empty())
         return;
 
-    const auto datagram = encodeMessage (notice, secret);
+    const auto datagram = encodeMessage (notice, membership.secret());
 
-    for (const auto* readers : { &ownReaders, &otherReaders })
+    for (const auto* readers : { &membership.ownReaders(), &membership.otherReaders() })
         for (const auto& reader : *readers)
             send (datagram, reader);
 }
@@ -219,170 +196,20 @@
         if (! state.news.isReader)
             question.loads = state.loads.takeToTell (now);
 
-        send (encodeMessage (question, secret), readers[next++ % readers.size()]);
+        send (encodeMessage (question, membership.secret()), readers[next++ % readers.size()]);
     };
 
     if (! state.news.isReader)
-        ask (ownReaders, nextOwnReader);
+        ask (membership.ownReaders(), nextOwnReader);
 
     // What the store itself told lately is as good.
     if (now - std::max (state.configuration.provenAt, state.news.provenAt) > newsOverdue)
-        ask (otherReaders, nextOtherReader);
-}
-
-auto PeerExchange::membersLoop() -> Task<void>
-{
-    for (;;)
-    {
-        const auto isInTouch = co_await followMembers();
-
-        if (! isInTouch)
-            co_await pauseFor (state.loop, jittered (failurePause));
-    }
-}
-
-auto PeerExchange::followMembers() -> Task<bool>
-{
-    if (secret.empty())
-        co_await agreeOnSecret();
-
-    if (secret.empty())
-        co_return false;
-
-    if (! state.leaving)
-        co_await joinMembers();
-
-    const auto listed = co_await store.list (std::string (memberPrefix), ListAge::secondsOld);
-
-    if (listed.outcome != StoreOutcome::done)
-        co_return false;
-
-    takeMembers (listed);
-    co_await pauseFor (state.loop, jittered (listInterval));
-    co_return true;
-}
-
-auto PeerExchange::agreeOnSecret() -> Task<void>
-{
-    StoreTransaction propose;
-    propose.conditions.push_back ({ std::string (secretKey), 0 });
-    StoredItem item;
-    item.key = secretKey;
-    item.value = toString (makeUuid (wallTimeNow()));
-    const auto proposed = item.value;
-    propose.puts.push_back (std::move (item));
-    const auto result = co_await store.commit (std::move (propose));
-
-    if (result.outcome == StoreOutcome::done)
-        secret = proposed;
-    else if (result.outcome == StoreOutcome::refused && ! result.items.empty() &&
-             result.items.front().revision != 0)
-        secret = result.items.front().value;
-}
-
-auto PeerExchange::joinMembers() -> Task<void>
-{
-    const auto now = SteadyClock::now();
-
-    if (lease != 0)
-    {
-        if (now - renewed < renewInterval)
-            co_return;
-
-        const auto outcome = co_await store.renewLease (lease);
-
-        if (outcome == StoreOutcome::done)
-        {
-            renewed = now;
-            co_return;
-        }
-
-        if (outcome != StoreOutcome::refused)
-            co_return;
-
-        lease = 0;
-        LogLine ("membership_lapsed").warning();
-    }
-
-    const auto granted = co_await store.grantLease (memberLease);
-
-    if (granted.outcome != StoreOutcome::done)
-        co_return;
-
-    StoreTransaction join;
-    StoredItem item;
-    item.key = std::string (memberPrefix) + state.settings.node;
-    item.value = writeMember ({ state.settings.listenPeers, state.settings.failureDomain });
-    item.lease = granted.lease;
-    join.puts.push_back (std::move (item));
-    const auto joined = co_await store.commit (std::move (join));
-
-    if (joined.outcome != StoreOutcome::done)
-        co_return;
-
-    lease = granted.lease;
-    renewed = now;
-    LogLine ("membership_joined").with ("lease", lease).info();
-}
-
-auto PeerExchange::takeMembers (const ReadItems& listed) -> void
-{
-    std::map<std::string, Endpoint> found;
-    known.clear();
-    known[state.settings.node] = { state.settings.listenPeers, state.settings.failureDomain };
-
-    for (const auto& item : listed.items)
-    {
-        const auto name = item.key.substr (memberPrefix.size());
-        auto member = readMember (item.value);
-        const auto endpoint = datagramEndpoint (member.endpoint);
-
-        if (name == state.settings.node || ! endpoint)
-            continue;
-
-        found.emplace (name, *endpoint);
-        known.emplace (name, std::move (member));
-    }
-
-    if (found.size() != members.size())
-        LogLine ("members_changed").with ("before", members.size()).with ("now", found.size()).info();
-
-    members = std::move (found);
-    state.memberCount = members.size() + 1;
-    state.retryBudgets.setMostSaved (state.savedRetries());
-    noteReaders();
-}
-
-auto PeerExchange::noteReaders() -> void
-{
-    ownReaders.clear();
-    otherReaders.clear();
-    auto isReader = false;
-
-    for (const auto& [domain, names] : chooseReaders (known))
-        for (const auto& name : names)
-            if (name == state.settings.node)
-                isReader = true;
-            else if (domain == state.settings.failureDomain)
-                ownReaders.push_back (members.at (name));
-            else
-                otherReaders.push_back (members.at (name));
-
-    if (isReader != state.news.isReader)
-        LogLine (isReader ? "store_reader" : "store_read_by_others")
-            .with ("readers", ownReaders.size())
-            .with ("members", known.size())
-            .info();
-
-    state.news.isReader = isReader;
+        ask (membership.otherReaders(), nextOtherReader);
 }
 
 auto PeerExchange::chooseTargets() -> std::vector<Endpoint>
 {
-    std::vector<Endpoint> all;
-
-    for (const auto& [name, endpoint] : members)
-        all.push_back (endpoint);
+    const auto& all = membership.others();
 
     if (all.size() <= mostTargets)
         return all;
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -23,7 +23,8 @@
 ServingNode::ServingNode (asio::io_context& eventLoop,
                           const ServingSettings& settings,
                           const std::function<ServingFace (ConnectionPool&)>& makeFace)
-    : state (eventLoop, settings), face (makeFace (state.pool)), peers (state, face.store)
+    : state (eventLoop, settings), face (makeFace (state.pool)), membership (state, face.store),
+      peers (state, membership)
 {
     state.protocol = face.upstreams;
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
@@ -88,6 +89,7 @@
                     followConfiguration (state, face.store, face.formats, [this] { applyConfiguration(); }),
                     asio::detached);
     asio::co_spawn (state.loop, followReplicas (state, face.store, face.formats), asio::detached);
+    asio::co_spawn (state.loop, membership.follow(), asio::detached);
     asio::co_spawn (state.loop, sweepLoop(), asio::detached);
 
     if (! state.settings.reportsUsage && ! state.settings.ordersReplicas)
@@ -179,7 +181,7 @@
     LogLine ("leaving").with ("open_requests", state.openRequests).info();
     co_await giveUpLeadership (state, face.store);
     // Before the wait: the store may be away, and the grace time does not wait for it.
-    co_await peers.leave();
+    co_await membership.leave();
 
     co_await pauseFor (state.loop, drainStart - SteadyClock::now());
     state.isDrained = true;
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -55,6 +55,7 @@
 
     ServingState state;
     ServingFace face;
+    Membership membership;
     PeerExchange peers;
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
