--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -95,6 +95,7 @@
     message.set_number (answer.number);
     message.set_configuration_revision (answer.configurationRevision);
     message.set_proof_age_milliseconds (asMilliseconds (answer.proofAge));
+    message.set_directory_age_milliseconds (asMilliseconds (answer.directoryAge));
     message.set_directory_revision (answer.changes.revision);
     message.set_complete (answer.changes.isComplete);
     message.set_missed_changes (answer.missedChanges);
@@ -166,6 +167,8 @@
     const auto count = std::min ({ message.replica_size(), message.running_size(), message.waiting_size(),
                                    message.age_milliseconds_size() });
 
+    loads.reserve (static_cast<std::size_t> (count));
+
     for (auto index = 0; index < count; ++index)
         loads.push_back ({ message.replica (index), message.running (index), message.waiting (index),
                            std::chrono::milliseconds (message.age_milliseconds (index)) });
@@ -201,6 +204,7 @@
     answer.number = message.number();
     answer.configurationRevision = message.configuration_revision();
     answer.proofAge = std::chrono::milliseconds (message.proof_age_milliseconds());
+    answer.directoryAge = std::chrono::milliseconds (message.directory_age_milliseconds());
     answer.changes.revision = message.directory_revision();
     answer.changes.isComplete = message.complete();
     answer.missedChanges = message.missed_changes();
--- a/modules/snowrudder_serving/members/News.cpp
+++ b/modules/snowrudder_serving/members/News.cpp
@@ -63,6 +63,7 @@
 }
 
 auto makeAnswer (const NewsQuestion& question,
+                 const NewsState& news,
                  const ConfigurationState& configuration,
                  const ReplicaDirectory& directory,
                  std::string node,
@@ -78,6 +79,7 @@
         answer.proofAge = now - configuration.provenAt;
     }
 
+    answer.directoryAge = now - std::max (news.ownProvenAt, news.provenAt);
     answer.changes = changesAfter (directory, question.directoryRevision, mostChanges);
     answer.missedChanges = directory.missedChanges;
 
@@ -100,6 +102,7 @@
         return effect;
 
     const auto provenAt = *sent - answer.proofAge;
+    const auto directoryProvenAt = *sent - answer.directoryAge;
     effect.newerConfiguration = noteConfigurationHeard (news, configuration, answer.configurationRevision);
 
     if (configuration.current && configuration.current->revision == answer.configurationRevision)
@@ -109,7 +112,7 @@
     if (directory.revision == 0)
         return effect;
 
-    const auto isRecent = now - provenAt <= newsLimit;
+    const auto isRecent = now - directoryProvenAt <= newsLimit;
 
     if (! news.isReader && isRecent)
         directory.keepMissingUntil = now + answer.keepMissing;
@@ -120,7 +123,7 @@
     if (! answer.changes.isComplete)
         return effect;
 
-    news.provenAt = std::max (news.provenAt, provenAt);
+    news.provenAt = std::max (news.provenAt, directoryProvenAt);
     effect.directory = applyChanges (directory, std::move (answer.changes), now);
     return effect;
 }
--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -33,6 +33,8 @@
     /** Revision of its configuration, and how old the proof is that it was the newest. */
     std::uint64_t configurationRevision = 0;
     Duration proofAge {};
+    /** How old its knowledge of the replicas is; it may have proofs of the configuration from others that are younger. */
+    Duration directoryAge {};
     DirectoryChanges changes;
     /** Of its directory; see there. */
     std::uint64_t missedChanges = 0;
@@ -53,7 +55,9 @@
 
     /** Whether this node reads the store itself. */
     bool isReader = true;
-    /** The latest time at which another node is known to have had the store's word. */
+    /** The latest time at which this node itself had the store's word. */
+    TimePoint ownProvenAt {};
+    /** The latest time up to which others told all changes of replicas. */
     TimePoint provenAt {};
     /** The newest configuration that any node told of. */
     std::uint64_t newestConfiguration = 0;
@@ -102,6 +106,7 @@
 
 /** @returns the answer to a question. */
 auto makeAnswer (const NewsQuestion& question,
+                 const NewsState& news,
                  const ConfigurationState& configuration,
                  const ReplicaDirectory& directory,
                  std::string node,
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -99,7 +99,8 @@
 {
     const auto now = SteadyClock::now();
     takeLoads (question.loads, true);
-    auto told = makeAnswer (question, state.configuration, state.directory, state.settings.node, now);
+    auto told =
+        makeAnswer (question, state.news, state.configuration, state.directory, state.settings.node, now);
     told.loads = state.loads.recent (now);
     send (encodeMessage (told, membership.secret()), sender);
 }
@@ -203,7 +204,7 @@
         ask (membership.ownReaders(), nextOwnReader);
 
     // What the store itself told lately is as good.
-    if (now - std::max (state.configuration.provenAt, state.news.provenAt) > newsOverdue)
+    if (now - std::max (state.news.ownProvenAt, state.news.provenAt) > newsOverdue)
         ask (membership.otherReaders(), nextOtherReader);
 }
 
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -87,6 +87,7 @@
     if (outcome != StoreOutcome::done && outcome != StoreOutcome::refused)
         co_return false;
 
+    state.news.ownProvenAt = std::max (state.news.ownProvenAt, asked);
     auto isNewest = outcome == StoreOutcome::done && state.configuration.current != nullptr;
 
     for (const auto& item : newer)
--- a/tests/unit/NewsTests.cpp
+++ b/tests/unit/NewsTests.cpp
@@ -48,6 +48,7 @@
     node.news.needsList = false;
     node.configuration.current = configurationAt (5);
     node.configuration.provenAt = start;
+    node.news.ownProvenAt = start;
     applyList (node.directory, { entryOf ("one", 3), entryOf ("two", 4) }, 6, start);
     return node;
 }
@@ -56,7 +57,8 @@
 auto exchange (Knowledge& asker, const Knowledge& reader, TimePoint sent, Duration way = 1ms) -> NewsEffect
 {
     const auto question = makeQuestion (asker.news, asker.directory, "asker", sent);
-    auto answer = makeAnswer (question, reader.configuration, reader.directory, "reader", sent + way / 2);
+    auto answer =
+        makeAnswer (question, reader.news, reader.configuration, reader.directory, "reader", sent + way / 2);
     return takeAnswer (asker.news, asker.configuration, asker.directory, std::move (answer), sent + way);
 }
 
@@ -92,7 +94,8 @@
     auto asker = knowing (false);
     asker.configuration.provenAt = start - 10s;
     const auto question = makeQuestion (asker.news, asker.directory, "asker", start);
-    const auto answer = makeAnswer (question, reader.configuration, reader.directory, "reader", start);
+    const auto answer =
+        makeAnswer (question, reader.news, reader.configuration, reader.directory, "reader", start);
 
     auto strange = answer;
     strange.number = 77;
@@ -144,6 +147,22 @@
     CHECK (asksStore (reader.news, start));
 }
 
+TEST_CASE ("a reader that has proofs from others but not their changes of replicas is no source of them")
+{
+    // Found by a hunt: a node followed a reader that was cut off, and sent to a leaving replica for 2.8 s.
+    auto source = knowing (true);
+    auto cutOff = knowing (true);
+    auto asker = knowing (false);
+    source.configuration.provenAt = source.news.ownProvenAt = start + 4s;
+    source.directory.removalsKnownAfter = 9;
+    exchange (cutOff, source, start + 4s);
+    CHECK (cutOff.configuration.provenAt > start + 3s);
+
+    exchange (asker, cutOff, start + 4s);
+    CHECK (asker.configuration.provenAt > start + 3s);
+    CHECK (asksStore (asker.news, start + 4s));
+}
+
 TEST_CASE ("changes of replicas are handed on after what the asker knows")
 {
     auto reader = knowing (true);
@@ -200,7 +219,7 @@
 
     const auto question = makeQuestion (news, {}, "asker", start);
     const auto answer =
-        makeAnswer (question, reader.configuration, reader.directory, "reader", start + 1500us);
+        makeAnswer (question, reader.news, reader.configuration, reader.directory, "reader", start + 1500us);
     const auto datagram = encodeMessage (answer, "secret");
     CHECK (datagram.size() <= largestDatagram);
 
@@ -425,6 +444,7 @@
 
         reader.configuration.current = configurationAt (revisionOf (configurationChanged));
         reader.configuration.provenAt = now;
+        reader.news.ownProvenAt = now;
     }
 
     auto ask (bool isSettling) -> void
@@ -432,8 +452,8 @@
         const auto which = random() % readers.size();
         const auto& reader = readers[which];
         const auto question = makeQuestion (asker.news, asker.directory, "asker", now);
-        auto answer =
-            makeAnswer (question, reader.configuration, reader.directory, std::to_string (which), now);
+        auto answer = makeAnswer (question, reader.news, reader.configuration, reader.directory,
+                                  std::to_string (which), now);
         const auto way = std::chrono::milliseconds (isSettling ? 1 : random() % 2000);
         takeAnswer (asker.news, asker.configuration, asker.directory, std::move (answer), now + way);
 
--- a/tests/unit/RoutingTests.cpp
+++ b/tests/unit/RoutingTests.cpp
@@ -133,6 +133,7 @@
 TEST_CASE ("long prompts and short ones go to different replicas, on all routers alike")
 {
     std::vector<ListedReplica> replicas;
+    replicas.reserve (20);
 
     for (auto number = 0; number < 20; ++number)
         replicas.push_back (listed ("r-" + std::to_string (number)));
