A reader that alone is cut off makes nobody keep replicas that are gone

Change: such a reader takes the others' word in this too; what may come back is kept on from answer to answer for 0.6 s at most; a node whose store comes back while others had it all along keeps nothing.

--- a/modules/snowrudder_serving/members/News.cpp
+++ b/modules/snowrudder_serving/members/News.cpp
@@ -14,8 +14,10 @@
 /** Changes told in one answer: some 100 bytes each, in a datagram of 8 KB. */
 constexpr auto mostChanges = std::size_t { 48 };
 
-/** While the store is away no end is known; the next answer comes long before this. */
-constexpr auto longestKept = Duration (5s);
+/** Entries that may come back are kept on from answer to answer. The next answer comes before this, and a node that took
+    the store for away because it alone is cut off makes others keep them no longer.
+*/
+constexpr auto longestKept = Duration (600ms);
 
 /** @returns when the question was sent, if it is known and not answered yet. */
 auto takeQuestion (NewsState& news, std::uint64_t number) -> std::optional<TimePoint>
@@ -112,9 +114,11 @@
     if (directory.revision == 0)
         return effect;
 
-    const auto isRecent = now - directoryProvenAt <= newsLimit;
+    // A node that reads the store itself goes by its own calls, unless it alone is cut off.
+    const auto isRecent = now - directoryProvenAt <= newsOverdue;
+    const auto takesWord = ! news.isReader || now - news.ownProvenAt > newsOverdue;
 
-    if (! news.isReader && isRecent)
+    if (takesWord && isRecent && answer.changes.isComplete)
         directory.keepMissingUntil = now + answer.keepMissing;
 
     if (hasMissedMore (news, answer) || ! answer.changes.isComplete)
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -151,8 +151,12 @@
     state.isStoreReached = isAnswered;
     state.configurationWake->notify();
 
-    // Entries may lapse from the outage's begin on, and watches may tell so before the store counts as back.
-    state.directory.keepMissingUntil = isAnswered ? SteadyClock::now() + lapseTime : TimePoint::max();
+    // Entries may lapse from the outage's begin on, and watches may tell so before the store counts as back. Where others
+    // had the store meanwhile there was no outage.
+    const auto now = SteadyClock::now();
+    const auto othersHadIt = now - state.news.provenAt <= newsLimit;
+    const auto keptAfter = othersHadIt ? Duration::zero() : lapseTime;
+    state.directory.keepMissingUntil = isAnswered ? now + keptAfter : TimePoint::max();
 
     LogLine (isAnswered ? "store_regained" : "store_lost")
         .with ("purpose", purpose)
