--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -56,6 +56,13 @@
             given["X-Api-Key"] = key
         return request(self.front, method, path, body, {name: text for name, text in given.items() if text is not None})
 
+    def open_stream(self):
+        """A caller's connection with a stream asked for, its answer still to be read."""
+        caller = socket.create_connection(("127.0.0.1", self.front))
+        caller.sendall(b"POST /stream/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
+                       b"X-Api-Key: key-alpha\r\nContent-Length: 0\r\n\r\n")
+        return caller
+
 
 class Platform:
     """The stand-ins and some nodes."""
@@ -310,9 +317,7 @@
         with Platform() as platform:
             for replica in platform.replicas:
                 replica.behave, replica.events = ["slow"], 30
-            with socket.create_connection(("127.0.0.1", platform.first.front)) as caller:
-                caller.sendall(b"POST /stream/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
-                               b"X-Api-Key: key-alpha\r\nContent-Length: 0\r\n\r\n")
+            with platform.first.open_stream() as caller:
                 caller.recv(1000)
             wait_until(lambda: any(replica.gone.is_set() for replica in platform.replicas), "the replica is told")
 
@@ -411,9 +416,7 @@
         with Platform() as platform:
             for replica in platform.replicas:
                 replica.behave, replica.events = ["slow"], 8
-            with socket.create_connection(("127.0.0.1", platform.first.front)) as caller:
-                caller.sendall(b"POST /stream/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
-                               b"X-Api-Key: key-alpha\r\nContent-Length: 0\r\n\r\n")
+            with platform.first.open_stream() as caller:
                 received = caller.recv(1000)
                 platform.first.process.send_signal(signal.SIGTERM)
                 wait_until(lambda: not platform.first.is_ready(), "unready")
--- /dev/null
+++ b/tests/unit/ReaderTests.cpp
@@ -0,0 +1,58 @@
+#include "ServingFixtures.h"
+
+#include "snowrudder_serving/members/DatagramCodec.h"
+#include "snowrudder_serving/members/Readers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowrudder;
+using namespace snowrudder::tests;
+
+TEST_CASE ("the newest load of a replica counts, is handed on once, and is forgotten")
+{
+    SharedLoads loads;
+    CHECK (loads.note ({ 7, 3, 0, 100ms }, true, start));
+    CHECK_FALSE (loads.note ({ 7, 9, 9, 200ms }, true, start));
+    CHECK (loads.note ({ 8, 1, 0, 0ms }, false, start));
+    CHECK_FALSE (loads.note ({ 9, 1, 0, 2s }, true, start));
+
+    const auto told = loads.takeToTell (start + 50ms);
+    REQUIRE (told.size() == 1);
+    CHECK (told.front().running == 3);
+    CHECK (told.front().age == 150ms);
+    CHECK (loads.takeToTell (start + 50ms).empty());
+    CHECK (loads.recent (start + 50ms).size() == 2);
+    CHECK (loads.recent (start + 2s).empty());
+
+    const auto message = decodeMessage (encodeMessage (LoadNotice { "one", told }, "secret"), "secret");
+    REQUIRE (message);
+    const auto* notice = std::get_if<LoadNotice> (&*message);
+    REQUIRE (notice != nullptr);
+    CHECK (notice->loads.front().replica == 7);
+    CHECK (notice->loads.front().age == 150ms);
+}
+
+TEST_CASE ("two nodes of each failure domain read for the others, and all choose the same ones")
+{
+    std::map<std::string, MemberInfo> members;
+
+    for (auto number = 0; number < 40; ++number)
+        members["node-" + std::to_string (number)] = { "10.0.0.1:7600", number % 4 == 0 ? "a" : "b" };
+
+    members["alone"] = { "10.0.0.9:7600", "c" };
+    const auto readers = chooseReaders (members);
+    CHECK (readers.at ("a").size() == readersADomain);
+    CHECK (readers.at ("b").size() == readersADomain);
+    CHECK (readers.at ("c") == std::vector<std::string> { "alone" });
+
+    // A reader that goes is replaced, the other one stays.
+    const auto gone = readers.at ("b").front();
+    const auto kept = readers.at ("b").back();
+    members.erase (gone);
+    CHECK (chooseReaders (members).at ("b").front() == kept);
+
+    const auto read = readMember (writeMember ({ "10.0.0.1:7600", "launceston" }));
+    CHECK (read.endpoint == "10.0.0.1:7600");
+    CHECK (read.failureDomain == "launceston");
+    CHECK (readMember ("10.0.0.1:7600").failureDomain.empty());
+}
--- /dev/null
+++ b/tests/unit/ServingFixtures.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "snowrudder_serving/directory/ReplicaDirectory.h"
+#include "snowrudder_serving/members/News.h"
+
+#include <set>
+#include <string>
+
+namespace snowrudder::tests
+{
+
+/** Any point in time but the clock's first: a default TimePoint stands for "never". */
+inline const auto start = TimePoint() + std::chrono::hours (1);
+
+/** @returns a replica's entry as a list or a watch tells it. */
+inline auto replicaEntry (const std::string& name, std::uint64_t revision) -> DirectoryEntry
+{
+    DirectoryEntry entry;
+    entry.key = "replicas/" + name;
+    entry.info.name = name;
+    entry.info.service = "model";
+    entry.revision = revision;
+    return entry;
+}
+
+/** What one node has of the store. */
+struct Knowledge
+{
+    NewsState news;
+    ConfigurationState configuration;
+    ReplicaDirectory directory;
+};
+
+inline auto configurationAt (std::uint64_t revision) -> std::shared_ptr<const RoutingConfiguration>
+{
+    auto made = std::make_shared<RoutingConfiguration>();
+    made->revision = revision;
+    return made;
+}
+
+/** A node with a configuration of revision 5 and two replicas, proved at `start`. */
+inline auto knowing (bool isReader) -> Knowledge
+{
+    Knowledge node;
+    node.news.isReader = isReader;
+    node.news.needsList = false;
+    node.configuration.current = configurationAt (5);
+    node.configuration.provenAt = start;
+    node.news.ownProvenAt = start;
+    applyList (node.directory, { replicaEntry ("one", 3), replicaEntry ("two", 4) }, 6, start);
+    return node;
+}
+
+/** Asks and is answered, with `way` between the question and its answer's arrival. */
+inline auto exchange (Knowledge& asker, const Knowledge& reader, TimePoint sent, Duration way = 1ms)
+    -> NewsEffect
+{
+    const auto question = makeQuestion (asker.news, asker.directory, "asker", sent);
+    auto answer =
+        makeAnswer (question, reader.news, reader.configuration, reader.directory, "reader", sent + way / 2);
+    return takeAnswer (asker.news, asker.configuration, asker.directory, std::move (answer), sent + way);
+}
+
+inline auto namesIn (const ReplicaDirectory& directory) -> std::set<std::string>
+{
+    std::set<std::string> names;
+
+    for (const auto& [key, entry] : directory.entries)
+        if (! entry.isMissing)
+            names.insert (entry.info.name);
+
+    return names;
+}
+
+} // namespace snowrudder::tests
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -1,6 +1,7 @@
+#include "ServingFixtures.h"
+
 #include "snowrudder_serving/capacity/CapacityPlan.h"
 #include "snowrudder_serving/configuration/ConfigurationState.h"
-#include "snowrudder_serving/directory/ReplicaDirectory.h"
 #include "snowrudder_serving/duties/Leadership.h"
 #include "snowrudder_serving/limits/SharedQuota.h"
 #include "snowrudder_serving/members/DatagramCodec.h"
@@ -11,13 +12,11 @@
 #include <catch2/catch.hpp>
 
 using namespace snowrudder;
+using namespace snowrudder::tests;
 
 namespace
 {
 
-/** Any point in time but the clock's first: a default TimePoint stands for "never". */
-const auto start = TimePoint() + std::chrono::hours (1);
-
 auto routeTo (std::string host, std::string prefix, std::string service) -> Route
 {
     Route route;
@@ -27,16 +26,6 @@
     return route;
 }
 
-auto replicaEntry (const std::string& name, std::uint64_t revision) -> DirectoryEntry
-{
-    DirectoryEntry entry;
-    entry.key = "replicas/" + name;
-    entry.info.name = name;
-    entry.info.service = "model";
-    entry.revision = revision;
-    return entry;
-}
-
 auto account (double tokensPerSecond, double burst) -> RoutedAccount
 {
     RoutedAccount made;
