Creating an item in the store, and finding who was first, stand in one place

Cause: the condition that a key is not there, with the item to write, was built by hand for the nodes' secret, the holder of the duties and a window's usage; the test for the item that stands instead was written three times. Change: makeCreation() and standingItem() in store/; a comment that stood in a header and its source stands once.

--- a/modules/snowrudder_serving/duties/LeadershipLoop.cpp
+++ b/modules/snowrudder_serving/duties/LeadershipLoop.cpp
@@ -1,3 +1,4 @@
+#include "../store/StoreTransactions.h"
 #include "DutyLoops.h"
 
 namespace snowrudder
@@ -47,13 +48,7 @@
         own.leaseEnd = asked + std::min (granted.length, state.leadershipTimes.lease);
     }
 
-    StoreTransaction take;
-    take.conditions.push_back ({ std::string (leaderKey), 0 });
-    StoredItem item;
-    item.key = leaderKey;
-    item.value = own.token;
-    item.lease = own.lease;
-    take.puts.push_back (std::move (item));
+    auto take = makeCreation (std::string (leaderKey), own.token, own.lease);
     const auto taken = co_await store.commit (std::move (take));
 
     if (taken.outcome == StoreOutcome::done && SteadyClock::now() < own.leaseEnd)
@@ -72,17 +67,17 @@
         co_return;
     }
 
-    const auto isHeld = ! read.items.empty() && read.items.front().revision != 0;
+    const auto* holder = standingItem (read.items);
 
     // A call of this node's own whose answer was lost took the duties.
-    if (isHeld && read.items.front().value == own.token && read.items.front().lease == own.lease &&
-        own.lease != 0 && SteadyClock::now() < own.leaseEnd)
+    if (holder != nullptr && holder->value == own.token && holder->lease == own.lease && own.lease != 0 &&
+        SteadyClock::now() < own.leaseEnd)
     {
-        noteHeld (own, read.items.front().revision);
+        noteHeld (own, holder->revision);
         co_return;
     }
 
-    if (isHeld)
+    if (holder != nullptr)
     {
         const auto changed = co_await store.watch (std::string (leaderKey), read.revision, watchTime);
 
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -1,3 +1,4 @@
+#include "../store/StoreTransactions.h"
 #include "DutyLoops.h"
 
 #include <boost/json.hpp>
@@ -74,13 +75,7 @@
 
     state.peers.addUsage (window, counts);
 
-    StoreTransaction record;
-    record.conditions.push_back ({ usageKey (window), 0 });
-    StoredItem item;
-    item.key = usageKey (window);
-    item.value = writeCounts (counts);
-    record.puts.push_back (std::move (item));
-
+    auto record = makeCreation (usageKey (window), writeCounts (counts));
     const auto keptWindows = static_cast<std::uint64_t> (keepTime / state.settings.usageWindow);
 
     if (window > keptWindows)
@@ -91,9 +86,9 @@
     if (result.outcome == StoreOutcome::done)
         co_return counts;
 
-    if (result.outcome == StoreOutcome::refused && ! result.items.empty() &&
-        result.items.front().revision != 0)
-        co_return readCounts (result.items.front().value);
+    if (result.outcome == StoreOutcome::refused)
+        if (const auto* earlier = standingItem (result.items))
+            co_return readCounts (earlier->value);
 
     co_return std::nullopt;
 }
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -1,5 +1,7 @@
 #include "Membership.h"
 
+#include "../store/StoreTransactions.h"
+
 namespace snowrudder
 {
 
@@ -16,7 +18,6 @@
 
 } // namespace
 
-/** @returns the address of IP-NUMBER:PORT text, or nothing where it is none. */
 auto datagramEndpoint (std::string_view text) -> std::optional<asio::ip::udp::endpoint>
 {
     const auto parsed = parseEndpoint (text);
@@ -69,20 +70,15 @@
 
 auto Membership::agreeOnSecret() -> Task<void>
 {
-    StoreTransaction propose;
-    propose.conditions.push_back ({ std::string (secretKey), 0 });
-    StoredItem item;
-    item.key = secretKey;
-    item.value = toString (makeUuid (wallTimeNow()));
-    const auto proposed = item.value;
-    propose.puts.push_back (std::move (item));
-    const auto result = co_await store.commit (std::move (propose));
+    const auto proposed = toString (makeUuid (wallTimeNow()));
+    const auto result = co_await store.commit (makeCreation (std::string (secretKey), proposed));
 
     if (result.outcome == StoreOutcome::done)
         agreedSecret = proposed;
-    else if (result.outcome == StoreOutcome::refused && ! result.items.empty() &&
-             result.items.front().revision != 0)
-        agreedSecret = result.items.front().value;
+
+    if (result.outcome == StoreOutcome::refused)
+        if (const auto* first = standingItem (result.items))
+            agreedSecret = first->value;
 }
 
 auto Membership::joinMembers() -> Task<void>
