Digests between nodes are checked in one place; a report's field that nothing read is gone

Cause: signed requests compare their digest in constant time, datagrams compared theirs as text; a report's failure domain was written and decoded, and nothing read it since members carry their own.

--- a/modules/snowrudder_core/ids/Signature.cpp
+++ b/modules/snowrudder_core/ids/Signature.cpp
@@ -42,6 +42,13 @@
     return hex;
 }
 
+auto isKeyedDigest (std::string_view digest, std::string_view secret, std::string_view message) -> bool
+{
+    const auto expected = keyedDigest (secret, message);
+    return digest.size() == expected.size() &&
+           CRYPTO_memcmp (digest.data(), expected.data(), expected.size()) == 0;
+}
+
 auto signMessage (std::string_view secret, std::string_view name, WallTime time, std::string_view message)
     -> std::string
 {
@@ -65,10 +72,8 @@
     const auto name = signature.substr (0, first);
     const auto timeText = signature.substr (first + 1, second - first - 1);
     const auto given = signature.substr (second + 1);
-    const auto expected = keyedDigest (secret, signedText (name, timeText, message));
 
-    if (given.size() != expected.size() ||
-        CRYPTO_memcmp (given.data(), expected.data(), expected.size()) != 0)
+    if (! isKeyedDigest (given, secret, signedText (name, timeText, message)))
         return {};
 
     auto milliseconds = std::int64_t { 0 };
--- a/modules/snowrudder_core/ids/Signature.h
+++ b/modules/snowrudder_core/ids/Signature.h
@@ -12,6 +12,9 @@
 /** @returns HMAC-SHA256 of a message as 64 hexadecimal digits. */
 auto keyedDigest (std::string_view secret, std::string_view message) -> std::string;
 
+/** @returns whether a digest is keyedDigest() of a message. Takes the same time wherever the two differ. */
+auto isKeyedDigest (std::string_view digest, std::string_view secret, std::string_view message) -> bool;
+
 /** Proves that a message between routers comes from one that knows the fleet's secret: `NAME;MILLISECONDS;HMAC`, the
     last being HMAC-SHA256 over name, time and the message.
 
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -31,7 +31,6 @@
 auto write (const PeerReport& report, schema::NodeReport& message) -> void
 {
     message.set_node (report.node);
-    message.set_failure_domain (report.failureDomain);
     message.set_incarnation (report.incarnation);
     message.set_sequence (report.sequence);
     message.set_configuration_revision (report.configurationRevision);
@@ -134,7 +133,6 @@
 {
     PeerReport report;
     report.node = message.node();
-    report.failureDomain = message.failure_domain();
     report.incarnation = message.incarnation();
     report.sequence = message.sequence();
     report.configurationRevision = message.configuration_revision();
@@ -246,7 +244,7 @@
 
     const auto text = datagram.substr (digestLength);
 
-    if (datagram.substr (0, digestLength) != keyedDigest (secret, text))
+    if (! isKeyedDigest (datagram.substr (0, digestLength), secret, text))
         return {};
 
     schema::NodeDatagram message;
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -228,7 +228,6 @@
     const auto now = SteadyClock::now();
     PeerReport report;
     report.node = state.settings.node;
-    report.failureDomain = state.settings.failureDomain;
     report.incarnation = incarnation;
     report.sequence = ++sequence;
     report.leaving = state.leaving;
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -34,7 +34,6 @@
 struct PeerReport
 {
     std::string node;
-    std::string failureDomain;
     /** Rises with each start of the node's process. */
     std::uint64_t incarnation = 0;
     /** Rises with each report. */
