The hash ranking, taking a load report and a service's totals stand once each

Cause: the loop that finds the first in the hash ranking stood twice, and ran twice for each choice among split replicas, on the path of every request; a report was taken over in two functions; two functions walked a service's replicas for one sum each. Change: RankedFirst, seen once for each replica; the bound of the split is found before the loop; takeReport(); totals().

--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace snowrudder
 {
@@ -47,21 +48,17 @@
         std::erase_if (candidates, [] (const Candidate& candidate) { return ! candidate.hasRoom; });
 }
 
-/** @returns whether the replicas are split for requests like this one. */
-auto isSplit (const ChoiceInput& input, const ChoiceWeights& weights, std::size_t usable) -> bool
-{
-    return weights.longPrompt > 0.0 && input.promptTokens > 0.0 && usable >= weights.leastToSplit;
-}
-
-/** Leaves out the replicas of the other part where long prompts are kept apart: all routers split them the same way. A
-    request that has tried its own part may use the other.
+/** @returns the hash below which a replica takes long prompts, where they are kept apart: all routers split the replicas
+    the same way. Nothing where they are not split for requests like this one.
 */
-auto keepOwnPart (std::vector<Candidate>& candidates,
-                  std::span<const ReplicaState> replicas,
-                  const ChoiceInput& input,
-                  const ChoiceWeights& weights,
-                  TimePoint now) -> void
+auto longPromptBound (std::span<const ReplicaState> replicas,
+                      const ChoiceInput& input,
+                      const ChoiceWeights& weights,
+                      TimePoint now) -> std::optional<std::uint32_t>
 {
+    if (weights.longPrompt <= 0.0 || input.promptTokens <= 0.0)
+        return {};
+
     std::vector<std::uint32_t> hashes;
     hashes.reserve (replicas.size());
 
@@ -69,39 +66,54 @@
         if (useOf (replica, now) == ReplicaUse::usable)
             hashes.push_back (replica.hash);
 
+    if (hashes.size() < weights.leastToSplit)
+        return {};
+
     const auto part = std::lround (weights.longPromptShare * static_cast<double> (hashes.size()));
     const auto middle = hashes.begin() + std::max (1L, part);
     std::ranges::nth_element (hashes, middle);
+    return *middle;
+}
 
-    const auto isLong = input.ownTokens > weights.longPrompt;
+/** Leaves out the replicas of the other part. A request that has tried its own part may use the other. */
+auto keepOwnPart (std::vector<Candidate>& candidates,
+                  std::span<const ReplicaState> replicas,
+                  bool isLong,
+                  std::uint32_t bound) -> void
+{
     const auto isOther = [&] (const Candidate& candidate)
-    { return isLong != (replicas[candidate.index].hash < *middle); };
+    { return isLong != (replicas[candidate.index].hash < bound); };
 
     if (! std::ranges::all_of (candidates, isOther))
         std::erase_if (candidates, isOther);
 }
 
-/** @returns the candidate that the hash ranking puts first. */
-auto rankedFirst (const std::vector<Candidate>& candidates,
-                  std::span<const ReplicaState> replicas,
-                  std::uint64_t anchor) -> std::optional<std::size_t>
+/** The replica that the hash ranking for a prompt puts first among those seen so far. */
+class RankedFirst
 {
-    auto best = std::optional<std::size_t> {};
-    auto bestValue = std::uint64_t { 0 };
+public:
+    explicit RankedFirst (std::uint64_t promptAnchor) : anchor (promptAnchor) {}
 
-    for (const auto& candidate : candidates)
+    auto see (std::size_t index, const ReplicaState& replica) -> void
     {
-        const auto value = rendezvousValue (anchor, replicas[candidate.index].info.name);
+        const auto value = rendezvousValue (anchor, replica.info.name);
 
-        if (best && value <= bestValue)
-            continue;
+        if (first != none && value <= firstValue)
+            return;
 
-        best = candidate.index;
-        bestValue = value;
+        first = index;
+        firstValue = value;
     }
 
-    return best;
-}
+    [[nodiscard]] auto is (std::size_t index) const -> bool { return first == index; }
+
+private:
+    static constexpr auto none = std::numeric_limits<std::size_t>::max();
+
+    std::uint64_t anchor;
+    std::size_t first = none;
+    std::uint64_t firstValue = 0;
+};
 
 /** What waiting on a replica costs: prompts before this one, and no slot free. */
 auto waitCost (const ReplicaState& replica, double believed, const ChoiceWeights& weights, TimePoint now)
@@ -144,10 +156,9 @@
                     TimePoint now) -> std::optional<Choice>
 {
     Choice choice;
-    const auto anchor = anchorOf (input, weights);
     const auto others = countedOthers (input.routers);
-    auto best = std::optional<std::size_t> {};
-    auto bestValue = std::uint64_t { 0 };
+    const auto bound = longPromptBound (replicas, input, weights, now);
+    RankedFirst ranked (anchorOf (input, weights));
 
     for (auto index = std::size_t { 0 }; index < replicas.size(); ++index)
     {
@@ -157,13 +168,9 @@
             continue;
 
         ++choice.usable;
-        const auto value = rendezvousValue (anchor, replica.info.name);
 
-        if (! best || value > bestValue)
-        {
-            best = index;
-            bestValue = value;
-        }
+        if (! bound)
+            ranked.see (index, replica);
 
         if (wasTried (input, replica.number))
             continue;
@@ -177,10 +184,12 @@
     if (input.isOverShare)
         keepThoseWithRoom (choice.candidates);
 
-    if (isSplit (input, weights, choice.usable))
+    if (bound)
     {
-        keepOwnPart (choice.candidates, replicas, input, weights, now);
-        best = rankedFirst (choice.candidates, replicas, anchor);
+        keepOwnPart (choice.candidates, replicas, input.ownTokens > weights.longPrompt, *bound);
+
+        for (const auto& candidate : choice.candidates)
+            ranked.see (candidate.index, replicas[candidate.index]);
     }
 
     if (choice.candidates.empty())
@@ -188,7 +197,7 @@
 
     for (auto& candidate : choice.candidates)
     {
-        if (candidate.index == best && ! input.blocks.empty())
+        if (ranked.is (candidate.index) && ! input.blocks.empty())
             candidate.uncachedTokens =
                 std::min (candidate.uncachedTokens, input.promptTokens * (1.0 - weights.assumedCached));
 
@@ -206,10 +215,10 @@
     choice.believed = believedRequests (chosen, others);
     choice.loadAge = chosen.reportTime ? std::optional<Duration> (now - *chosen.reportTime) : std::nullopt;
     const auto isCached = matchedTokens (input, chosen.number) > 0.0;
-    choice.reason = choice.usable == 1     ? "only"
-                    : isCached             ? "cached"
-                    : winner.index == best ? "ranked"
-                                           : "spilled";
+    choice.reason = choice.usable == 1         ? "only"
+                    : isCached                 ? "cached"
+                    : ranked.is (winner.index) ? "ranked"
+                                               : "spilled";
     return choice;
 }
 
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -17,6 +17,16 @@
     return first.name == second.name && first.vm == second.vm && first.endpoint == second.endpoint;
 }
 
+/** @param sentSince  requests that this router has sent since the replica spoke */
+auto takeReport (ReplicaState& replica, const LoadReport& report, TimePoint heard, std::uint32_t sentSince)
+    -> void
+{
+    replica.report = report;
+    replica.reportTime = heard;
+    replica.inFlightAtReport = replica.inFlight - std::min (replica.inFlight, sentSince);
+    replica.ownPendingAtReport = replica.ownPendingTokens;
+}
+
 } // namespace
 
 auto ReplicaTable::update (const std::vector<ListedReplica>& listed, TimePoint now) -> void
@@ -153,10 +163,8 @@
     if (replica == nullptr)
         return;
 
-    replica->report = report;
-    replica->reportTime = now;
-    replica->inFlightAtReport = replica->inFlight;
-    replica->ownPendingAtReport = replica->ownPendingTokens;
+    const auto nothingSince = std::uint32_t { 0 };
+    takeReport (*replica, report, now, nothingSince);
 
     if (report.leaving && ! replica->leavingSince)
         replica->leavingSince = now;
@@ -175,10 +183,7 @@
             // What this router sent after the replica spoke is not in its word.
             const auto sentSince = static_cast<std::uint32_t> (
                 std::ranges::count_if (replica.takes, [heard] (TimePoint taken) { return taken > heard; }));
-            replica.report = report;
-            replica.reportTime = heard;
-            replica.inFlightAtReport = replica.inFlight - std::min (replica.inFlight, sentSince);
-            replica.ownPendingAtReport = replica.ownPendingTokens;
+            takeReport (replica, report, heard, sentSince);
         }
 }
 
@@ -231,33 +236,23 @@
     return capacity;
 }
 
-auto ReplicaTable::inFlight (const std::string& service) const -> double
+auto ReplicaTable::totals (const std::string& service) const -> Totals
 {
     const std::lock_guard lock (mutex);
+    Totals totals;
     const auto found = services.find (service);
-    auto sum = 0.0;
-
-    if (found != services.end())
-        for (const auto& replica : found->second)
-            sum += replica.inFlight;
 
-    return sum;
-}
-
-auto ReplicaTable::meanSlots (const std::string& service) const -> std::optional<double>
-{
-    const std::lock_guard lock (mutex);
-    const auto found = services.find (service);
-
-    if (found == services.end() || found->second.empty())
-        return {};
-
-    auto sum = 0.0;
+    if (found == services.end())
+        return totals;
 
     for (const auto& replica : found->second)
-        sum += replica.info.slots;
+    {
+        totals.replicas += 1.0;
+        totals.slots += replica.info.slots;
+        totals.inFlight += replica.inFlight;
+    }
 
-    return sum / static_cast<double> (found->second.size());
+    return totals;
 }
 
 auto ReplicaTable::find (ReplicaNumber number) -> ReplicaState*
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -115,11 +115,16 @@
 
     [[nodiscard]] auto capacity (const std::string& service, TimePoint now) const -> Capacity;
 
-    /** @returns this router's requests that a service's replicas have now. */
-    [[nodiscard]] auto inFlight (const std::string& service) const -> double;
+    /** Of all replicas of a service, usable or not. */
+    struct Totals
+    {
+        double replicas = 0.0;
+        double slots = 0.0;
+        /** This router's requests that they have now. */
+        double inFlight = 0.0;
+    };
 
-    /** @returns slots of a service's replica on average, or nothing when none is known. */
-    [[nodiscard]] auto meanSlots (const std::string& service) const -> std::optional<double>;
+    [[nodiscard]] auto totals (const std::string& service) const -> Totals;
 
 private:
     auto find (ReplicaNumber number) -> ReplicaState*;
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -85,12 +85,13 @@
 }
 
 /** @returns replicas that read the prompts in time and have a slot for each request. */
-auto measureNeeded (const ServingState& state, const std::string& service, const ServiceWork& work) -> double
+auto measureNeeded (const ReplicaTable::Totals& replicas, const ServiceWork& work) -> double
 {
     constexpr auto thousand = 1000.0;
     const auto forPrompts = work.tokensPerSecond / (promptTokensAMillisecond * thousand * busyShare);
-    const auto slots = state.replicas.meanSlots (service);
-    const auto forSlots = slots ? work.inFlight / (std::max (1.0, *slots) * takenShare) : 0.0;
+    const auto slots = replicas.slots / std::max (1.0, replicas.replicas);
+    const auto forSlots =
+        replicas.replicas > 0.0 ? work.inFlight / (std::max (1.0, slots) * takenShare) : 0.0;
     return std::max (forPrompts, forSlots) + leastSpare;
 }
 
@@ -101,10 +102,11 @@
                  double found,
                  TimePoint now) -> double
 {
+    const auto replicas = state.replicas.totals (service);
     auto work = state.peers.work (service, now);
     work.tokensPerSecond += state.work.of (service, now);
-    work.inFlight += state.replicas.inFlight (service);
-    const auto measured = measureNeeded (state, service, work);
+    work.inFlight += replicas.inFlight;
+    const auto measured = measureNeeded (replicas, work);
     const auto known = memory.needed.find (service);
 
     if (known == memory.needed.end())
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -241,7 +241,7 @@
     report.admitted = state.quota.admitted (now);
     state.work.forEach (now,
                         [&] (const std::string& service, double tokens) {
-                            report.work[service] = { tokens, state.replicas.inFlight (service) };
+                            report.work[service] = { tokens, state.replicas.totals (service).inFlight };
                         });
 
     // Windows that ended before have been reported, or are late.
