--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -99,6 +99,9 @@
     {
         const auto outcome = co_await attempt();
 
+        if (outcome && ranAfter (*outcome) == Ran::no)
+            ++unrun;
+
         if (! outcome || isCallerGone)
             break;
 
@@ -115,7 +118,7 @@
             co_return;
         }
 
-        requireInvariant (request.route->isRepeatable() || runs == 0,
+        requireInvariant (request.route->isRepeatable() || runs() == 0,
                           "a request marked not repeatable runs at most once");
         state.counts.retries.add();
         co_await pauseFor (state.loop, decision.pause);
@@ -162,14 +165,9 @@
 
     UpstreamCall call (state.pool, parseEndpoint (ticket.info.endpoint), timeouts());
     currentCall = &call;
-    const auto runsBefore = runs;
     const auto outcome = co_await callReplica (call, ticket);
     currentCall = nullptr;
 
-    // An attempt whose answer began is counted already.
-    if (runs == runsBefore && (! outcome || ranAfter (*outcome) != Ran::no))
-        ++runs;
-
     const auto health = isCallerGone ? AttemptHealth::neutral
                         : outcome    ? healthOf (*outcome)
                                      : AttemptHealth::good;
@@ -235,7 +233,6 @@
     if (call.status() >= serverErrors && mayRunAgain())
         return failed (call, FailureCause::failed);
 
-    ++runs;
     noteBegun();
     firstByte = now - request.accepted;
     state.counts.firstByte.add (*firstByte);
@@ -290,9 +287,8 @@
 {
     RetryInput input;
     input.repeatable = request.route->isRepeatable();
-    input.mayHaveRun = runs > 0;
-    const auto unrun = sends - runs;
-    input.attempts = std::max (1U, runs + (unrun > freeAttempts ? unrun - freeAttempts : 0));
+    input.mayHaveRun = runs() > 0;
+    input.attempts = std::max (1U, runs() + (unrun > freeAttempts ? unrun - freeAttempts : 0));
     // An attempt that no replica ran leaves the route's number untouched, so that one more may be sent.
     input.mostAttempts = request.route->mostAttempts + (ranAfter (outcome) == Ran::no ? 1 : 0);
     input.deadline = request.end;
@@ -324,7 +320,7 @@
 
     auto problem = problemAfter (outcome, decision);
 
-    if (runs == 0)
+    if (runs() == 0)
     {
         const auto isRefused = outcome.cause == FailureCause::refused;
         const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
@@ -373,7 +369,7 @@
         .with ("outcome", outcome)
         .with ("status", status)
         .with ("sends", sends)
-        .with ("runs", runs)
+        .with ("runs", runs())
         .with ("replica", lastReplica)
         .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
         .with ("milliseconds", inMilliseconds (SteadyClock::now() - request.accepted))
@@ -424,7 +420,7 @@
 
 auto RoutedRun::mayRunAgain() const -> bool
 {
-    return request.route->isRepeatable() && runs + 1 < request.route->mostAttempts &&
+    return request.route->isRepeatable() && runs() < request.route->mostAttempts &&
            SteadyClock::now() < request.end;
 }
 
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -43,6 +43,8 @@
     auto onCallerGone() -> void;
     auto logEnd (std::string_view outcome, unsigned status) -> void;
 
+    /** @returns attempts that may have run, the present one included. */
+    [[nodiscard]] auto runs() const -> std::uint32_t { return sends - unrun; }
     [[nodiscard]] auto choiceInput() const -> ChoiceInput;
     [[nodiscard]] auto attemptFields (const ReplicaTicket& ticket) const -> AttemptFields;
     [[nodiscard]] auto timeouts() const -> CallTimeouts;
@@ -56,9 +58,9 @@
     std::vector<std::uint64_t> blocks;
     std::vector<double> blockTokens;
     std::vector<ReplicaNumber> tried;
-    /** Attempts, and those of them that may have run. */
+    /** Attempts, the present one included, and those of them that surely did not run. */
     std::uint32_t sends = 0;
-    std::uint32_t runs = 0;
+    std::uint32_t unrun = 0;
     std::string lastReplica;
     /** From the request's arrival to the head of the answer. */
     std::optional<Duration> firstByte;
