The pause after a failed store call stands once; a wake-up that had nothing to do is gone

Cause: the choice between a reader's pause and a follower's stood twice. A change of the store's reach woke the check of the configuration, also the check that had just noticed it: one more call at each loss and each return; the list of replicas that it was meant for asks by itself 0.25 s later. Change: pauseAfterFailure(); the wake-up comes from news of a newer configuration only.

--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -13,7 +13,7 @@
 constexpr auto failurePause = 250ms;
 
 /** A node that others read the store for leaves it to them to ask often while the store fails. */
-constexpr auto followerPause = 1s;
+constexpr auto followerPause = Duration (1s);
 
 /** A node that others read the store for looks this often whether it must read itself. */
 constexpr auto idlePause = 200ms;
@@ -31,6 +31,12 @@
 */
 constexpr auto gatherTime = 400ms;
 
+/** @returns how long to wait after the store did not answer. */
+auto pauseAfterFailure (const NewsState& news) -> Duration
+{
+    return news.isReader ? Duration (failurePause) : followerPause;
+}
+
 auto takeConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
 {
     const auto read = formats.readConfiguration (item);
@@ -149,7 +155,6 @@
         return;
 
     state.isStoreReached = isAnswered;
-    state.configurationWake->notify();
 
     // Entries may lapse from the outage's begin on, and watches may tell so before the store counts as back. Where others
     // had the store meanwhile there was no outage.
@@ -192,7 +197,7 @@
 
         wasFresh = fresh;
         const auto isSettled = isAnswered && state.configuration.current;
-        const Duration pause = isSettled ? checkInterval : state.news.isReader ? failurePause : followerPause;
+        const auto pause = isSettled ? Duration (checkInterval) : pauseAfterFailure (state.news);
         co_await state.configurationWake->wait (SteadyClock::now() + pause);
     }
 }
@@ -249,7 +254,7 @@
 
         if (listed.outcome != StoreOutcome::done)
         {
-            co_await pauseFor (state.loop, state.news.isReader ? Duration (failurePause) : followerPause);
+            co_await pauseFor (state.loop, pauseAfterFailure (state.news));
             continue;
         }
 
