A nearly empty bucket is shared out by rations; a node that starts is told what is left

Found beside it: charges that came before a node's first request of an account were a debt that was never filled up, so that accounts inside their limit were refused. Change: rations by each node's part of what is asked while the bucket holds less than a report's delay of demand; a starting node asks all others what is left and admits nothing of limited accounts until it knows; the debt is filled up. Measured: QuotaFleetTests in virtual time: without rations and settling 11 of 80 checks fail, up to 1.58 million tokens over the limit; with them none.

--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -45,7 +45,8 @@
                  const RoutedAccount& account,
                  TimePoint now) -> std::optional<Problem>
 {
-    const QuotaBounds bounds { state.settings.quotaSlack, state.quotaShare (now) };
+    const auto bounds =
+        quotaBounds (state.sharing, state.peers, state.settings.quotaSlack, drawJitter(), now);
     const auto admission = state.quota.admit (account, tokensOf (caller, account), bounds, now);
 
     if (admission.admitted)
--- /dev/null
+++ b/modules/snowrudder_serving/limits/QuotaSharing.cpp
@@ -0,0 +1,58 @@
+#include "QuotaSharing.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** Until the store has listed the members, a node may be any of a large fleet that all start now. */
+constexpr auto membersUnlisted = std::size_t { 100 };
+
+auto countMembers (const QuotaSharing& sharing) -> std::size_t
+{
+    return std::max<std::size_t> (sharing.members.value_or (membersUnlisted), 1);
+}
+
+} // namespace
+
+auto quotaShare (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> double
+{
+    const auto members = countMembers (sharing);
+    return 2 * peers.countHeard (now) >= members - 1 ? 1.0 : 1.0 / static_cast<double> (members);
+}
+
+auto unsettledTime (const QuotaSharing& sharing, TimePoint now) -> Duration
+{
+    if (sharing.isAdopted)
+        return Duration::zero();
+
+    return std::max<Duration> (sharing.startTime + reportDelay (countMembers (sharing)) - now,
+                               Duration::zero());
+}
+
+auto quotaBounds (const QuotaSharing& sharing,
+                  const PeerTable& peers,
+                  double slack,
+                  double draw,
+                  TimePoint now) -> QuotaBounds
+{
+    return { slack, quotaShare (sharing, peers, now), reportDelay (countMembers (sharing)),
+             unsettledTime (sharing, now), draw };
+}
+
+auto askedOfOthers (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> AccountAmounts
+{
+    auto asked = peers.asked (now);
+    const auto heard = std::max<std::size_t> (peers.countHeard (now), 1);
+    const auto others = std::max (countMembers (sharing), heard + 1) - 1;
+
+    for (auto& [account, tokensPerSecond] : asked)
+        tokensPerSecond *= static_cast<double> (others) / static_cast<double> (heard);
+
+    return asked;
+}
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/limits/QuotaSharing.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "../members/PeerTable.h"
+#include "../members/ReportTimes.h"
+#include "SharedQuota.h"
+
+namespace snowrudder
+{
+
+/** What a node knows of the others that share its limits. */
+struct QuotaSharing
+{
+    /** When this node began to admit requests. */
+    TimePoint startTime {};
+    /** Nodes that the store last listed, this one included; nothing before it listed them once. */
+    std::optional<std::size_t> members;
+    /** Whether another node has told this one what is left of the limits. */
+    bool isAdopted = false;
+};
+
+/** @returns the part of the limits that a node may use: all while it hears most of the others, whose use it then counts;
+    else an even part.
+*/
+auto quotaShare (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> double;
+
+/** @returns for how long a node that has just started can't know yet what the others admit; zero when another node has
+    told it, or when the others' reports must have come.
+*/
+auto unsettledTime (const QuotaSharing& sharing, TimePoint now) -> Duration;
+
+/** @param slack  tokens by which all nodes together may go over a limit in a window
+    @param draw   a random number from 0 to 1
+*/
+auto quotaBounds (const QuotaSharing& sharing,
+                  const PeerTable& peers,
+                  double slack,
+                  double draw,
+                  TimePoint now) -> QuotaBounds;
+
+/** @returns tokens a second that the other nodes are asked for; those not heard are taken to be asked for as much as the
+    others are.
+*/
+auto askedOfOthers (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> AccountAmounts;
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -18,6 +18,12 @@
     double slack = 0.0;
     /** Part of the limit that this node may take: all of it, or an even part while it can't hear the others. */
     double share = 1.0;
+    /** Until every other node has heard what this one admitted. */
+    Duration reportDelay {};
+    /** For how long this node, which has just started, can't know yet what the others admit; nothing is admitted. */
+    Duration unsettled {};
+    /** A random number from 0 to 1. */
+    double draw = 0.5;
 };
 
 /** The limits of client accounts, in tokens a second over all nodes, without a call for each request.
@@ -25,6 +31,9 @@
     Each node keeps a copy of each account's one bucket: it takes out what it admits at once, and what the others admitted
     as soon as they tell. The copies differ by what was admitted within the time between two reports; a bucket that went
     below zero by it is filled up first, so that the rate holds over any longer time.
+
+    While a bucket holds less than all nodes together are asked for within that time, they can't tell early enough that it
+    is empty. Each node then keeps to a ration of the account's rate, by its part of what is asked.
 */
 class SharedQuota
 {
@@ -37,7 +46,13 @@
         -> Admission;
 
     /** Takes out what other nodes admitted; negative amounts are given back. */
-    auto charge (const std::map<std::string, double, std::less<>>& tokens) -> void;
+    auto charge (const AccountAmounts& tokens, TimePoint now) -> void;
+
+    /** Takes over what another node believes to be left in the buckets, at the start of this one. */
+    auto adopt (const AdmittedByAccount& others, TimePoint now) -> void;
+
+    /** Notes what all other nodes together are asked for, in tokens a second. */
+    auto noteOthersAsked (const AccountAmounts& asked) -> void;
 
     /** @returns whether some account has used so much of its burst that the nodes must tell each other sooner what they
         admit. While buckets are nearly full late news change nothing.
@@ -48,19 +63,38 @@
     [[nodiscard]] auto admitted (TimePoint now) const -> AdmittedByAccount;
 
 private:
+    /** Rates are averaged over this time: long against a request's size, short against a day's swing. */
+    static constexpr auto rateTime = Duration (2s);
+
+    /** A sum of tokens that fades over `rateTime`. */
+    struct FadingSum
+    {
+        double tokens = 0.0;
+        TimePoint at {};
+
+        auto add (double more, TimePoint now) -> void;
+        [[nodiscard]] auto perSecond (TimePoint now) const -> double;
+    };
+
     struct State
     {
         TokenBucket bucket;
+        /** Whether the bucket has its first level. */
+        bool isBegun = false;
+        /** This node's part of the rate while the bucket is nearly empty. */
+        TokenBucket ration;
         double total = 0.0;
-        /** Tokens admitted, fading over `rateTime`. */
-        double recent = 0.0;
-        TimePoint recentAt {};
+        FadingSum admitted;
+        FadingSum asked;
+        double othersAskedPerSecond = 0.0;
     };
 
-    /** Rates are averaged over this time: long against a request's size, short against a day's swing. */
-    static constexpr auto rateTime = Duration (2s);
-
-    static auto recentNow (const State& state, TimePoint now) -> double;
+    static auto refillBucket (State& state,
+                              const RoutedAccount& account,
+                              const QuotaBounds& bounds,
+                              TimePoint now) -> void;
+    static auto refillRation (
+        State& state, const QuotaBounds& bounds, double tokens, double reserve, TimePoint now) -> void;
 
     std::map<std::string, State, std::less<>> accounts;
 };
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -36,6 +36,7 @@
     message.set_configuration_revision (report.configurationRevision);
     message.set_proof_age_milliseconds (asMilliseconds (report.proofAge));
     message.set_leaving (report.leaving);
+    message.set_settled (report.isSettled);
 
     for (const auto& [account, use] : report.admitted)
     {
@@ -45,6 +46,12 @@
         auto* total = message.add_admitted();
         total->set_account (account);
         total->set_amount (use.tokens);
+        auto* asked = message.add_asked();
+        asked->set_account (account);
+        asked->set_amount (use.askedPerSecond);
+        auto* level = message.add_levels();
+        level->set_account (account);
+        level->set_amount (use.level);
     }
 
     for (const auto& [service, work] : report.work)
@@ -138,6 +145,7 @@
     report.configurationRevision = message.configuration_revision();
     report.proofAge = std::chrono::milliseconds (message.proof_age_milliseconds());
     report.leaving = message.leaving();
+    report.isSettled = message.settled();
 
     for (const auto& entry : message.rates())
         if (isAmount (entry.amount()))
@@ -147,6 +155,14 @@
         if (isAmount (entry.amount()))
             report.admitted[entry.account()].tokens = entry.amount();
 
+    for (const auto& entry : message.asked())
+        if (isAmount (entry.amount()))
+            report.admitted[entry.account()].askedPerSecond = entry.amount();
+
+    for (const auto& entry : message.levels())
+        if (std::isfinite (entry.amount()))
+            report.admitted[entry.account()].level = entry.amount();
+
     for (const auto& entry : message.work())
         if (isAmount (entry.tokens_per_second()) && isAmount (entry.in_flight()))
             report.work[entry.service()] = { entry.tokens_per_second(), entry.in_flight() };
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -154,6 +154,7 @@
         endpointsOfOthers.push_back (endpoint);
 
     state.memberCount = members.size();
+    state.sharing.members = members.size();
     state.retryBudgets.setMostSaved (state.savedRetries());
     noteReaders (members, endpoints);
 }
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -1,5 +1,7 @@
 #include "PeerExchange.h"
 
+#include "ReportTimes.h"
+
 #include <algorithm>
 #include <array>
 
@@ -9,20 +11,12 @@
 namespace
 {
 
-/** Twice within the time in which limits must follow demand (1 s). */
-constexpr auto sendInterval = 400ms;
-
-/** The same while an account comes near its limit: what is admitted between two reports goes over it. */
-constexpr auto sendIntervalWhenTight = 200ms;
+/** How often a node that has just started looks whether it knows the others. */
+constexpr auto greetingInterval = 20ms;
 
 /** How often loads of replicas are told and news are asked for: a replica of a model begins four requests a second. */
 constexpr auto newsInterval = 200ms;
 
-/** Datagrams that a node sends a round at most: its cost stays flat as the fleet grows. Targets take turns, so that each
-    of 83 other nodes is told within four rounds.
-*/
-constexpr auto mostTargets = std::size_t { 24 };
-
 } // namespace
 
 PeerExchange::PeerExchange (ServingState& servingState, const Membership& known)
@@ -74,7 +68,7 @@
         if (! message)
             state.metrics.counter ("snowrudder_strange_datagrams_total").add();
         else if (auto* report = std::get_if<PeerReport> (&*message))
-            take (std::move (*report));
+            take (std::move (*report), sender);
         else if (const auto* question = std::get_if<NewsQuestion> (&*message))
             answer (*question, sender);
         else if (auto* told = std::get_if<NewsAnswer> (&*message))
@@ -84,15 +78,31 @@
     }
 }
 
-auto PeerExchange::take (PeerReport report) -> void
+auto PeerExchange::take (PeerReport report, const Endpoint& sender) -> void
 {
     if (report.node == state.settings.node)
         return;
 
+    // A node that has just started is told at once what is left of the shared limits.
+    if (state.peers.isFirst (report))
+        send (encodeMessage (ownReport(), membership.secret()), sender);
+
     if (noteConfigurationHeard (state.news, state.configuration, report.configurationRevision))
         state.configurationWake->notify();
 
-    state.quota.charge (state.peers.note (std::move (report), SteadyClock::now()));
+    const auto now = SteadyClock::now();
+
+    if (report.isSettled && unsettledTime (state.sharing, now) > Duration::zero())
+    {
+        state.quota.adopt (report.admitted, now);
+        state.sharing.isAdopted = true;
+        LogLine ("limits_adopted")
+            .with ("from", report.node)
+            .with ("accounts", report.admitted.size())
+            .info();
+    }
+
+    state.quota.charge (state.peers.note (std::move (report), now), now);
 }
 
 auto PeerExchange::answer (const NewsQuestion& question, const Endpoint& sender) -> void
@@ -124,15 +134,21 @@
     for (;;)
     {
         const auto isTight = state.quota.isTight (SteadyClock::now());
-        co_await pauseFor (state.loop, isTight ? sendIntervalWhenTight : sendInterval);
+        co_await pauseFor (state.loop, ! hasGreeted ? greetingInterval
+                                       : isTight    ? reportIntervalWhenTight
+                                                    : reportInterval);
+        state.quota.noteOthersAsked (askedOfOthers (state.sharing, state.peers, SteadyClock::now()));
 
         if (membership.secret().empty() || membership.others().empty())
             continue;
 
         const auto report = encodeMessage (ownReport(), membership.secret());
 
-        for (const auto& target : chooseTargets())
+        // The first one goes to all: each answers with what it knows of the shared limits.
+        for (const auto& target : hasGreeted ? chooseTargets() : membership.others())
             send (report, target);
+
+        hasGreeted = true;
     }
 }
 
@@ -212,12 +228,12 @@
 {
     const auto& all = membership.others();
 
-    if (all.size() <= mostTargets)
+    if (all.size() <= mostReportTargets)
         return all;
 
     std::vector<Endpoint> chosen;
 
-    for (auto count = std::size_t { 0 }; count < mostTargets; ++count)
+    for (auto count = std::size_t { 0 }; count < mostReportTargets; ++count)
         chosen.push_back (all[nextTarget++ % all.size()]);
 
     return chosen;
@@ -231,6 +247,7 @@
     report.incarnation = incarnation;
     report.sequence = ++sequence;
     report.leaving = state.leaving;
+    report.isSettled = unsettledTime (state.sharing, now) == Duration::zero();
 
     if (state.configuration.current)
     {
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -28,7 +28,7 @@
     using Endpoint = Membership::Endpoint;
 
     auto receiveLoop() -> Task<void>;
-    auto take (PeerReport report) -> void;
+    auto take (PeerReport report, const Endpoint& sender) -> void;
     auto answer (const NewsQuestion& question, const Endpoint& sender) -> void;
     auto take (NewsAnswer answer) -> void;
     auto sendLoop() -> Task<void>;
@@ -45,6 +45,8 @@
     asio::ip::udp::socket socket;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    /** Whether all others have been told of this node once. */
+    bool hasGreeted = false;
     /** Places from which the next round goes on. */
     std::size_t nextTarget = 0;
     std::size_t nextOwnReader = 0;
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -11,9 +11,9 @@
         sum[account] += count;
 }
 
-auto PeerTable::note (PeerReport report, TimePoint now) -> std::map<std::string, double, std::less<>>
+auto PeerTable::note (PeerReport report, TimePoint now) -> AccountAmounts
 {
-    std::map<std::string, double, std::less<>> charged;
+    AccountAmounts charged;
     auto& peer = peers[report.node];
     const auto isKnown = peer.heard != TimePoint();
     const auto isSameStart = isKnown && report.incarnation == peer.latest.incarnation;
@@ -28,9 +28,13 @@
         for (const auto& [window, counts] : peer.latest.usage)
             addCounts (peer.earlierUsage[window], counts);
 
-    if (isKnown)
-        for (const auto& [account, use] : report.admitted)
+    const auto sinceStart = std::chrono::duration<double> (std::min (now - startTime, rateTime)).count();
+
+    for (const auto& [account, use] : report.admitted)
+        if (isKnown)
             charged[account] = use.tokens - (isSameStart ? peer.latest.admitted[account].tokens : 0.0);
+        else if (const auto likely = std::min (use.tokens, use.tokensPerSecond * sinceStart); likely > 0.0)
+            charged[account] = likely;
 
     for (const auto& [account, tokens] : peer.assumed)
         charged[account] -= tokens;
@@ -41,9 +45,15 @@
     return charged;
 }
 
-auto PeerTable::assumeSilent (Duration passed, TimePoint now) -> std::map<std::string, double, std::less<>>
+auto PeerTable::isFirst (const PeerReport& report) const -> bool
+{
+    const auto found = peers.find (report.node);
+    return found == peers.end() || found->second.latest.incarnation < report.incarnation;
+}
+
+auto PeerTable::assumeSilent (Duration passed, TimePoint now) -> AccountAmounts
 {
-    std::map<std::string, double, std::less<>> charged;
+    AccountAmounts charged;
 
     for (auto& [name, peer] : peers)
     {
@@ -63,6 +73,18 @@
     return charged;
 }
 
+auto PeerTable::asked (TimePoint now) const -> AccountAmounts
+{
+    AccountAmounts sum;
+
+    for (const auto& [name, peer] : peers)
+        if (now - peer.heard <= heardTime)
+            for (const auto& [account, use] : peer.latest.admitted)
+                sum[account] += use.askedPerSecond;
+
+    return sum;
+}
+
 auto PeerTable::countHeard (TimePoint now) const -> std::size_t
 {
     return static_cast<std::size_t> (std::ranges::count_if (
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -17,8 +17,15 @@
     double tokens = 0.0;
     /** Lately. */
     double tokensPerSecond = 0.0;
+    /** What callers lately asked for, admitted or not. */
+    double askedPerSecond = 0.0;
+    /** What the node believes to be left of the account's burst; below zero after an overshoot. */
+    double level = 0.0;
 };
 
+/** Amounts by client account. */
+using AccountAmounts = std::map<std::string, double, std::less<>>;
+
 /** What a node gave to the replicas of one service. */
 struct ServiceWork
 {
@@ -42,6 +49,8 @@
     std::uint64_t configurationRevision = 0;
     Duration proofAge {};
     bool leaving = false;
+    /** Whether it has been there long enough to know what the others admit. */
+    bool isSettled = false;
     AdmittedByAccount admitted;
     /** By service. */
     std::map<std::string, ServiceWork, std::less<>> work;
@@ -53,19 +62,28 @@
 class PeerTable
 {
 public:
+    /** @param started  when this node began to admit requests */
+    explicit PeerTable (TimePoint started = {}) : startTime (started) {}
+
     /** Takes a report in; one that is older than what is known changes nothing.
 
-        @returns tokens that the node admitted since its last report, by client account; none for a node heard of for the
-                 first time, for what it admitted before is not known to concern this node's time
+        @returns tokens that the node admitted since its last report. Of a node heard of for the first time, what it is
+                 likely to have admitted since this one started
     */
-    auto note (PeerReport report, TimePoint now) -> std::map<std::string, double, std::less<>>;
+    auto note (PeerReport report, TimePoint now) -> AccountAmounts;
+
+    /** @returns whether a report is the first of its node's process that is heard here. */
+    [[nodiscard]] auto isFirst (const PeerReport& report) const -> bool;
 
     /** Charges what nodes that have fallen silent may go on admitting: their last rate, for a few seconds.
 
         @param passed  since the last call
-        @returns       tokens by client account
+        @returns       tokens
     */
-    auto assumeSilent (Duration passed, TimePoint now) -> std::map<std::string, double, std::less<>>;
+    auto assumeSilent (Duration passed, TimePoint now) -> AccountAmounts;
+
+    /** @returns tokens a second that callers lately asked of the nodes heard of within `heardTime`. */
+    [[nodiscard]] auto asked (TimePoint now) const -> AccountAmounts;
 
     /** @returns nodes heard of within `heardTime`. */
     [[nodiscard]] auto countHeard (TimePoint now) const -> std::size_t;
@@ -89,16 +107,20 @@
     static constexpr auto assumedTime = Duration (4s);
 
 private:
+    /** The rates that peers tell are averages over about this time; see SharedQuota. */
+    static constexpr auto rateTime = Duration (2s);
+
     struct Peer
     {
         PeerReport latest;
         TimePoint heard {};
         /** Tokens charged while it was silent, to be set off against what it tells next. */
-        std::map<std::string, double, std::less<>> assumed;
+        AccountAmounts assumed;
         /** Counts of its earlier incarnations: a restart forgets its own. */
         std::map<std::uint64_t, AccountCounts> earlierUsage;
     };
 
+    TimePoint startTime;
     std::map<std::string, Peer, std::less<>> peers;
 };
 
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -135,7 +135,7 @@
         const auto now = SteadyClock::now();
         state.trueTime.compare (now, wallTimeNow().time_since_epoch());
         state.pool.closeOld (now);
-        state.quota.charge (state.peers.assumeSilent (sweepInterval, now));
+        state.quota.charge (state.peers.assumeSilent (sweepInterval, now), now);
 
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -5,7 +5,7 @@
 #include "../directory/ReplicaDirectory.h"
 #include "../duties/Leadership.h"
 #include "../duties/UsageWindows.h"
-#include "../limits/SharedQuota.h"
+#include "../limits/QuotaSharing.h"
 #include "../members/News.h"
 #include "../members/PeerTable.h"
 #include "../members/TrueTime.h"
@@ -27,7 +27,7 @@
     ServingState (asio::io_context& eventLoop, const ServingSettings& servingSettings)
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
-          usage (servingSettings.usageWindow),
+          usage (servingSettings.usageWindow), peers (sharing.startTime),
           configurationWake (std::make_shared<Signal> (eventLoop.get_executor()))
     {
     }
@@ -48,15 +48,6 @@
     /** Nodes that share limits and replicas, this one included. */
     [[nodiscard]] auto nodeCount (TimePoint now) const -> std::size_t { return peers.countHeard (now) + 1; }
 
-    /** @returns the part of shared limits that this node may use: all while it hears most of the others, whose use it
-        then counts; else an even part.
-    */
-    [[nodiscard]] auto quotaShare (TimePoint now) const -> double
-    {
-        const auto others = std::max<std::size_t> (memberCount, 1) - 1;
-        return 2 * peers.countHeard (now) >= others ? 1.0 : 1.0 / static_cast<double> (others + 1);
-    }
-
     /** @returns retries that this node may save up: its part of half of the fleet's fixed number. The other half is kept back
         for nodes that know each other late. A node without any could not even replace an attempt that was refused.
     */
@@ -85,6 +76,7 @@
     WorkMeter work;
     Leadership leadership;
     const LeadershipTimes leadershipTimes;
+    QuotaSharing sharing { SteadyClock::now(), std::nullopt, false };
     PeerTable peers;
     TrueTime trueTime;
     NewsState news;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -268,7 +268,12 @@
         if (const auto error = co_await call.readSome (piece))
             co_return failed (call, failureOf (error));
 
-        if (co_await exchange.writePiece (events.add (piece)))
+        const auto whole = events.add (piece);
+
+        if (! whole.empty())
+            notePause();
+
+        if (co_await exchange.writePiece (whole))
             co_return Failure {};
     }
 
@@ -350,6 +355,16 @@
     state.usage.note (request.account->name, state.trueTime.now (SteadyClock::now()));
 }
 
+auto RoutedRun::notePause() -> void
+{
+    const auto now = SteadyClock::now();
+
+    if (eventsPassed)
+        longestPause = std::max (longestPause, now - *eventsPassed);
+
+    eventsPassed = now;
+}
+
 auto RoutedRun::onCallerGone() -> void
 {
     isCallerGone = true;
@@ -371,7 +386,9 @@
         .with ("sends", sends)
         .with ("runs", runs())
         .with ("replica", lastReplica)
+        .with ("prompt_tokens", request.caller.promptTokens)
         .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
+        .with ("longest_pause_milliseconds", inMilliseconds (longestPause))
         .with ("milliseconds", inMilliseconds (SteadyClock::now() - request.accepted))
         .info();
 }
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -40,6 +40,7 @@
     auto fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
     auto refuse (Problem problem) -> Task<void>;
     auto noteBegun() -> void;
+    auto notePause() -> void;
     auto onCallerGone() -> void;
     auto logEnd (std::string_view outcome, unsigned status) -> void;
 
@@ -64,6 +65,9 @@
     std::string lastReplica;
     /** From the request's arrival to the head of the answer. */
     std::optional<Duration> firstByte;
+    /** When events were last passed on, and the longest time between two of them: users see both in a slow stream. */
+    std::optional<TimePoint> eventsPassed;
+    Duration longestPause {};
     UpstreamCall* currentCall = nullptr;
     bool isCallerGone = false;
     bool isCounted = false;
--- /dev/null
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -0,0 +1,282 @@
+#include "ServingFixtures.h"
+
+#include "snowrudder_serving/limits/QuotaSharing.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+using namespace snowrudder;
+using namespace snowrudder::tests;
+
+namespace
+{
+
+constexpr auto tick = 10ms;
+
+/** The window over which a limit is checked, and by how much it may be passed. */
+constexpr auto window = Duration (8s);
+constexpr auto overshootFactor = 1.1;
+constexpr auto slackTokens = 140'000.0;
+
+/** Requests of one account at all nodes of a fleet that tell each other what they admit, in virtual time. */
+class QuotaFleet
+{
+public:
+    QuotaFleet (std::size_t count, RoutedAccount accountLimits, std::uint64_t seed)
+        : limits (std::move (accountLimits)), random (seed), nodes (count)
+    {
+        for (auto& node : nodes)
+            startNode (node);
+    }
+
+    /** @param tokensPerSecond  that callers ask of all nodes together */
+    auto run (Duration time, double tokensPerSecond) -> void
+    {
+        for (const auto end = now + time; now < end; now += tick)
+        {
+            for (auto index = std::size_t { 0 }; index < nodes.size(); ++index)
+                report (index);
+
+            deliver();
+            ask (tokensPerSecond);
+        }
+    }
+
+    /** Kills all nodes at once: nothing that they knew is left. */
+    auto restartAll() -> void
+    {
+        underWay.clear();
+
+        for (auto& node : nodes)
+            startNode (node);
+    }
+
+    [[nodiscard]] auto admittedTokens() const -> double { return admittedSum; }
+    /** @returns what one bucket for all nodes would have admitted. */
+    [[nodiscard]] auto admittedByCentral() const -> double { return centralSum; }
+
+    /** @returns the most tokens admitted in a window, less what a window may have; above zero the limit is broken. */
+    [[nodiscard]] auto mostOverLimit() const -> double
+    {
+        const auto seconds = std::chrono::duration<double> (window).count();
+        const auto allowed =
+            (limits.tokensPerSecond * seconds + limits.burstTokens) * overshootFactor + slackTokens;
+        auto sum = 0.0;
+        auto most = 0.0;
+        auto first = admitted.begin();
+
+        for (const auto& [time, tokens] : admitted)
+        {
+            sum += tokens;
+
+            for (; time - first->first > window; ++first)
+                sum -= first->second;
+
+            most = std::max (most, sum);
+        }
+
+        return most - allowed;
+    }
+
+private:
+    struct Node
+    {
+        SharedQuota quota;
+        QuotaSharing sharing;
+        PeerTable peers;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint nextReport {};
+        std::size_t nextTarget = 0;
+    };
+
+    struct Datagram
+    {
+        TimePoint arrival {};
+        std::size_t source = 0;
+        std::size_t target = 0;
+        PeerReport report;
+    };
+
+    auto startNode (Node& node) -> void
+    {
+        const auto incarnation = node.incarnation + 1;
+        node = Node();
+        node.incarnation = incarnation;
+        node.sharing = { now, nodes.size(), false };
+        node.peers = PeerTable (now);
+        node.nextReport = now + std::uniform_int_distribution<int> (1, 20) (random) * tick;
+    }
+
+    auto ownReport (std::size_t index) -> PeerReport
+    {
+        auto& node = nodes[index];
+        PeerReport told;
+        told.node = std::to_string (index);
+        told.incarnation = node.incarnation;
+        told.sequence = ++node.sequence;
+        told.isSettled = unsettledTime (node.sharing, now) == Duration::zero();
+        told.admitted = node.quota.admitted (now);
+        return told;
+    }
+
+    auto report (std::size_t index) -> void
+    {
+        auto& node = nodes[index];
+
+        if (now < node.nextReport)
+            return;
+
+        node.nextReport = now + reportIntervalWhenTight;
+        node.quota.noteOthersAsked (askedOfOthers (node.sharing, node.peers, now));
+        const auto isFirst = node.sequence == 0;
+        const auto told = ownReport (index);
+        const auto others = nodes.size() - 1;
+
+        for (auto left = isFirst ? others : std::min (mostReportTargets, others); left > 0; --left)
+            underWay.push_back (
+                { now + 2 * tick, index, (index + 1 + node.nextTarget++ % others) % nodes.size(), told });
+    }
+
+    auto deliver() -> void
+    {
+        for (; ! underWay.empty() && underWay.front().arrival <= now; underWay.pop_front())
+        {
+            const auto datagram = underWay.front();
+            auto& node = nodes[datagram.target];
+
+            if (node.peers.isFirst (datagram.report))
+                underWay.push_back (
+                    { now + 2 * tick, datagram.target, datagram.source, ownReport (datagram.target) });
+
+            if (datagram.report.isSettled && unsettledTime (node.sharing, now) > Duration::zero())
+            {
+                node.quota.adopt (datagram.report.admitted, now);
+                node.sharing.isAdopted = true;
+            }
+
+            node.quota.charge (node.peers.note (datagram.report, now), now);
+        }
+    }
+
+    auto ask (double tokensPerSecond) -> void
+    {
+        constexpr auto meanSize = 12'000.0;
+        constexpr auto largestSize = 60'000.0;
+        const auto perTick = tokensPerSecond / meanSize * std::chrono::duration<double> (tick).count();
+        std::lognormal_distribution<double> sizes (std::log (meanSize) - 0.5, 1.0);
+
+        for (auto left = std::poisson_distribution<int> (perTick) (random); left > 0; --left)
+        {
+            auto& node = nodes[std::uniform_int_distribution<std::size_t> (0, nodes.size() - 1) (random)];
+            const auto size = std::min (sizes (random), largestSize);
+            const auto draw = std::uniform_real_distribution<double> (0.0, 1.0) (random);
+            const auto bounds = quotaBounds (node.sharing, node.peers, slackTokens, draw, now);
+            askCentral (size);
+
+            if (! node.quota.admit (limits, size, bounds, now).admitted)
+                continue;
+
+            admittedSum += size;
+            admitted.emplace_back (now, size);
+        }
+    }
+
+    /** What one bucket for all nodes would admit, the best that can be had. */
+    auto askCentral (double size) -> void
+    {
+        constexpr auto leastLevel = 1.0;
+        refill (central, now);
+
+        if (central.level < leastLevel)
+            return;
+
+        central.level -= size;
+        centralSum += size;
+    }
+
+    RoutedAccount limits;
+    TokenBucket central { limits.tokensPerSecond, limits.burstTokens, limits.burstTokens, start };
+    std::mt19937_64 random;
+    TimePoint now = start;
+    std::vector<Node> nodes;
+    std::deque<Datagram> underWay;
+    std::vector<std::pair<TimePoint, double>> admitted;
+    double admittedSum = 0.0;
+    double centralSum = 0.0;
+};
+
+auto limitOf (double tokensPerSecond) -> RoutedAccount
+{
+    RoutedAccount made;
+    made.name = "alpha";
+    made.tokensPerSecond = tokensPerSecond;
+    made.burstTokens = 1.1 * tokensPerSecond;
+    return made;
+}
+
+/** Nodes of both sizes of site, and accounts from a small one to a large one. */
+struct QuotaCase
+{
+    std::size_t nodes = 0;
+    double tokensPerSecond = 0.0;
+};
+
+constexpr auto quotaCases = std::array { QuotaCase { 9, 80'000.0 }, QuotaCase { 83, 40'000.0 },
+                                         QuotaCase { 83, 200'000.0 }, QuotaCase { 83, 850'000.0 } };
+
+} // namespace
+
+TEST_CASE ("a flood of one account stays within its limit at nodes that are all killed in it")
+{
+    for (const auto& [nodes, rate] : quotaCases)
+        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+        {
+            QuotaFleet fleet (nodes, limitOf (rate), seed);
+            fleet.run (3s, 0.5 * rate);
+            fleet.run (1s, 2.8 * rate);
+            fleet.restartAll();
+            fleet.run (4s, 2.8 * rate);
+            fleet.restartAll();
+            fleet.run (6s, 2.8 * rate);
+
+            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
+            CHECK (fleet.mostOverLimit() <= 0.0);
+        }
+}
+
+TEST_CASE ("an account that asks for more than its limit gets nearly all of it")
+{
+    for (const auto& [nodes, rate] : quotaCases)
+        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+        {
+            QuotaFleet fleet (nodes, limitOf (rate), seed);
+            fleet.run (10s, 2.0 * rate);
+            const auto before = fleet.admittedTokens();
+            const auto centralBefore = fleet.admittedByCentral();
+            fleet.run (20s, 2.0 * rate);
+
+            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
+            CHECK (fleet.mostOverLimit() <= 0.0);
+            CHECK (fleet.admittedTokens() - before >= 0.9 * (fleet.admittedByCentral() - centralBefore));
+        }
+}
+
+TEST_CASE ("an account that keeps to its limit is not refused")
+{
+    for (const auto& [nodes, rate] : quotaCases)
+        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+        {
+            QuotaFleet fleet (nodes, limitOf (rate), seed);
+            fleet.run (5s, 0.6 * rate);
+            const auto before = fleet.admittedTokens();
+            const auto centralBefore = fleet.admittedByCentral();
+            fleet.run (20s, 0.6 * rate);
+
+            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
+            CHECK (fleet.admittedTokens() - before >= 0.95 * (fleet.admittedByCentral() - centralBefore));
+        }
+}
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -185,8 +185,8 @@
         const auto now = start + round * 400ms;
         const auto byFirst = drainQuota (first, limits, 100.0, now);
         const auto bySecond = drainQuota (second, limits, 100.0, now);
-        second.charge ({ { "alpha", byFirst } });
-        first.charge ({ { "alpha", bySecond } });
+        second.charge ({ { "alpha", byFirst } }, now);
+        first.charge ({ { "alpha", bySecond } }, now);
         admitted += byFirst + bySecond;
     }
 
@@ -204,7 +204,7 @@
     CHECK_FALSE (quota.isTight (start + 20s));
 
     // Others' use counts as well.
-    quota.charge ({ { "alpha", 900.0 } });
+    quota.charge ({ { "alpha", 900.0 } }, start);
     CHECK (quota.isTight (start + 1s));
     CHECK_FALSE (SharedQuota().isTight (start));
 }
