Long prompts are announced between nodes; only shared tokens draw a request to its prefix's home

Cause: 83 nodes each send a replica one request in ten, so that a node knows next to nothing of the prompts that wait there: a replica tells its load with the head of an answer, when the prompt has been read. Requests whose prompt is hardly shared (24% of the short ones) were drawn to where their prefix ranks first as if 60% of all their tokens were cached there. Change: a node that sends a prompt of 6,000 tokens or more to read tells all others at once; they count it as waiting until it has been read at 64 tokens a millisecond. What is assumed cached is a part of the shared tokens only.

--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -124,7 +124,7 @@
     const auto excess = std::max (0.0, occupancy - 1.0);
 
     // A busy replica answers slower long before its slots run out.
-    auto cost = weights.queue * believedPendingTokens (replica);
+    auto cost = weights.queue * believedPendingTokens (replica, now);
     cost += weights.busySlot * (0.25 * occupancy * occupancy + excess * slots);
 
     // What the target leaves room for is nearly free: it only breaks ties towards the less busy replica.
@@ -197,9 +197,12 @@
 
     for (auto& candidate : choice.candidates)
     {
+        // Of a prompt's own tokens nothing can be cached anywhere.
+        const auto shared = std::max (0.0, input.promptTokens - input.ownTokens);
+
         if (ranked.is (candidate.index) && ! input.blocks.empty())
             candidate.uncachedTokens =
-                std::min (candidate.uncachedTokens, input.promptTokens * (1.0 - weights.assumedCached));
+                std::min (candidate.uncachedTokens, input.promptTokens - shared * weights.assumedCached);
 
         candidate.score += weights.recompute * candidate.uncachedTokens;
     }
@@ -213,6 +216,7 @@
     const auto& winner = choice.candidates.front();
     const auto& chosen = replicas[winner.index];
     choice.believed = believedRequests (chosen, others);
+    choice.pendingTokens = believedPendingTokens (chosen, now);
     choice.loadAge = chosen.reportTime ? std::optional<Duration> (now - *chosen.reportTime) : std::nullopt;
     const auto isCached = matchedTokens (input, chosen.number) > 0.0;
     choice.reason = choice.usable == 1         ? "only"
--- a/modules/snowrudder_routing/choice/ChooseReplica.h
+++ b/modules/snowrudder_routing/choice/ChooseReplica.h
@@ -84,6 +84,8 @@
     std::size_t usable = 0;
     /** Requests believed on the first candidate, everybody's together. */
     double believed = 0.0;
+    /** Prompt tokens believed to wait there, as far as routers told. */
+    double pendingTokens = 0.0;
     /** Age of the first candidate's own word of its load; nothing while it has not said any. */
     std::optional<Duration> loadAge;
 };
--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -74,6 +74,8 @@
     /** This router's requests on it when the report came: what was sent since is not in the report. */
     std::uint32_t inFlightAtReport = 0;
     double ownPendingAtReport = 0.0;
+    /** When it will have read the prompts that other routers announced, as far as is known. */
+    TimePoint othersPromptsUntil {};
     /** When this router's last requests were sent to it, the oldest first; the last `takesKept`. */
     std::vector<TimePoint> takes;
     static constexpr auto takesKept = std::size_t { 16 };
@@ -139,11 +141,20 @@
     return std::max (own, reported + change) + others * std::max (0.0, change);
 }
 
-/** @returns prompt tokens believed to wait for computing on a replica. */
-inline auto believedPendingTokens (const ReplicaState& replica) -> double
+/** Prompt tokens that a replica reads a millisecond, until measured otherwise: the engines of the sites known read 64 and
+    68.
+*/
+inline constexpr auto usualPromptSpeed = 64.0;
+
+/** @returns prompt tokens believed to wait for computing on a replica: its own word, what this router sent since, and what
+    other routers announced.
+*/
+inline auto believedPendingTokens (const ReplicaState& replica, TimePoint now) -> double
 {
+    using Milliseconds = std::chrono::duration<double, std::milli>;
     const auto change = replica.ownPendingTokens - replica.ownPendingAtReport;
-    return std::max (replica.ownPendingTokens, replica.report.pendingPromptTokens + change);
+    const auto own = std::max (replica.ownPendingTokens, replica.report.pendingPromptTokens + change);
+    return own + std::max (0.0, Milliseconds (replica.othersPromptsUntil - now).count() * usualPromptSpeed);
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -187,6 +187,18 @@
         }
 }
 
+auto ReplicaTable::notePromptHeard (std::uint32_t hash, double tokens, TimePoint now) -> void
+{
+    const std::lock_guard lock (mutex);
+    const auto reading = std::chrono::duration_cast<Duration> (
+        std::chrono::duration<double, std::milli> (tokens / usualPromptSpeed));
+
+    for (auto& [service, replicas] : services)
+        for (auto& replica : replicas)
+            if (replica.hash == hash)
+                replica.othersPromptsUntil = std::max (replica.othersPromptsUntil, now) + reading;
+}
+
 auto ReplicaTable::noteLeaving (ReplicaNumber number, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -86,6 +86,13 @@
     */
     auto noteLoadHeard (std::uint32_t hash, const LoadReport& report, TimePoint heard) -> void;
 
+    /** Notes a prompt that another router sent to a replica just now.
+
+        @param hash    from replicaHash()
+        @param tokens  that the replica has to read
+    */
+    auto notePromptHeard (std::uint32_t hash, double tokens, TimePoint now) -> void;
+
     /** Notes a first sign of leaving: the replica gets nothing new from here on. */
     auto noteLeaving (ReplicaNumber number, TimePoint now) -> void;
 
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -18,10 +18,7 @@
 /** An order is given again when what serves still differs from it after the boot time and this. */
 constexpr auto repeatPause = Duration (3s);
 
-/** Prompt tokens that a replica reads a millisecond, until measured otherwise (the engines of both first sites read 64
-    and 68), and the part of its time that may go to prompts when first tokens are to come in time.
-*/
-constexpr auto promptTokensAMillisecond = 64.0;
+/** The part of a replica's time that may go to prompts when first tokens are to come in time. */
 constexpr auto busyShare = 0.15;
 
 /** Of the replicas' slots, the part that may be taken on average: beyond it requests of a replica that many sessions share
@@ -88,7 +85,7 @@
 auto measureNeeded (const ReplicaTable::Totals& replicas, const ServiceWork& work) -> double
 {
     constexpr auto thousand = 1000.0;
-    const auto forPrompts = work.tokensPerSecond / (promptTokensAMillisecond * thousand * busyShare);
+    const auto forPrompts = work.tokensPerSecond / (usualPromptSpeed * thousand * busyShare);
     const auto slots = replicas.slots / std::max (1.0, replicas.replicas);
     const auto forSlots =
         replicas.replicas > 0.0 ? work.inFlight / (std::max (1.0, slots) * takenShare) : 0.0;
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -136,6 +136,13 @@
     write (notice.loads, *message.mutable_loads());
 }
 
+auto write (const PromptNotice& notice, schema::PromptNotice& message) -> void
+{
+    message.set_node (notice.node);
+    message.set_replica (notice.replica);
+    message.set_tokens (static_cast<std::uint32_t> (std::lround (notice.tokens)));
+}
+
 auto read (const schema::NodeReport& message) -> PeerReport
 {
     PeerReport report;
@@ -246,6 +253,8 @@
         write (*question, *datagram.mutable_question());
     else if (const auto* answer = std::get_if<NewsAnswer> (&message))
         write (*answer, *datagram.mutable_answer());
+    else if (const auto* prompt = std::get_if<PromptNotice> (&message))
+        write (*prompt, *datagram.mutable_prompt());
     else
         write (std::get<LoadNotice> (message), *datagram.mutable_loads());
 
@@ -271,6 +280,10 @@
     if (message.has_report() && ! message.report().node().empty())
         return read (message.report());
 
+    if (message.has_prompt() && ! message.prompt().node().empty())
+        return PromptNotice { message.prompt().node(), message.prompt().replica(),
+                              static_cast<double> (message.prompt().tokens()) };
+
     if (message.has_question() && ! message.question().node().empty())
         return read (message.question());
 
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -17,7 +17,7 @@
 inline constexpr auto largestDatagram = std::size_t { 8 * 1024 };
 
 /** What nodes tell each other directly. */
-using NodeMessage = std::variant<PeerReport, NewsQuestion, NewsAnswer, LoadNotice>;
+using NodeMessage = std::variant<PeerReport, NewsQuestion, NewsAnswer, LoadNotice, PromptNotice>;
 
 /** @returns a message as a datagram: a signature over the rest, then the serialized message.
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -47,6 +47,18 @@
     return {};
 }
 
+auto PeerExchange::announce (PromptNotice notice) -> void
+{
+    if (membership.secret().empty())
+        return;
+
+    notice.node = state.settings.node;
+    const auto datagram = encodeMessage (notice, membership.secret());
+
+    for (const auto& target : membership.others())
+        send (datagram, target);
+}
+
 auto PeerExchange::receiveLoop() -> Task<void>
 {
     std::array<char, largestDatagram> datagram;
@@ -73,6 +85,8 @@
             answer (*question, sender);
         else if (auto* told = std::get_if<NewsAnswer> (&*message))
             take (std::move (*told));
+        else if (const auto* prompt = std::get_if<PromptNotice> (&*message))
+            state.replicas.notePromptHeard (prompt->replica, prompt->tokens, SteadyClock::now());
         else
             takeLoads (std::get<LoadNotice> (*message).loads, false);
     }
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -24,6 +24,9 @@
     */
     auto start() -> std::error_code;
 
+    /** Tells all others of a prompt that a replica has to read. */
+    auto announce (PromptNotice notice) -> void;
+
 private:
     using Endpoint = Membership::Endpoint;
 
--- a/modules/snowrudder_serving/members/SharedLoads.h
+++ b/modules/snowrudder_serving/members/SharedLoads.h
@@ -28,6 +28,18 @@
     std::vector<SharedLoad> loads;
 };
 
+/** Told by a node that has just sent a replica a prompt that takes it long to read: loads that replicas tell come with their
+    answers, when the prompt has been read.
+*/
+struct PromptNotice
+{
+    std::string node;
+    /** Of the replica's name, from replicaHash(). */
+    std::uint32_t replica = 0;
+    /** Tokens that the replica is expected to read. */
+    double tokens = 0.0;
+};
+
 /** Loads of replicas that nodes tell each other: each node hears most replicas too seldom to know them by itself. The
     newest word counts; old ones are forgotten.
 */
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -27,6 +27,7 @@
       peers (state, membership)
 {
     state.protocol = face.upstreams;
+    state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
     state.trueTime.compare (SteadyClock::now(), wallTimeNow().time_since_epoch());
 }
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -62,6 +62,8 @@
     const ServingSettings settings;
     /** Set once, before the first request. */
     UpstreamProtocol protocol;
+    /** Tells the other nodes of a prompt that a replica has to read. Set once, before the first request. */
+    std::function<void (PromptNotice)> announcePrompt;
     ConnectionPool pool;
     Metrics metrics;
     ServingMetrics counts;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -34,6 +34,11 @@
 */
 constexpr auto longPromptTokens = 16000.0;
 
+/** A prompt that takes a replica 100 ms to read holds up what else runs there; the other nodes are told at once. On the grown
+    sites some 30 a second are, each node's part of it one in three seconds.
+*/
+constexpr auto announcedTokens = 6000.0;
+
 auto routedWeights() -> ChoiceWeights
 {
     ChoiceWeights weights;
@@ -147,6 +152,10 @@
     auto ticket = taken->ticket;
     state.work.note (request.service, ticket.expectedTokens, SteadyClock::now());
     tried.push_back (ticket.number);
+
+    if (ticket.expectedTokens >= announcedTokens)
+        state.announcePrompt ({ {}, replicaHash (ticket.info.name), ticket.expectedTokens });
+
     lastReplica = ticket.info.name;
     const auto& chosen = taken->choice.candidates.front();
     const auto loadAge = taken->choice.loadAge;
@@ -158,6 +167,7 @@
         .with ("score", chosen.score)
         .with ("uncached", chosen.uncachedTokens)
         .with ("believed", taken->choice.believed)
+        .with ("pending_tokens", taken->choice.pendingTokens)
         .with ("load_age_milliseconds", loadAge ? inMilliseconds (*loadAge) : -1.0)
         .with ("reason", taken->choice.reason)
         .with ("usable", taken->choice.usable)
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -32,6 +32,18 @@
     CHECK (notice->loads.front().age == 150ms);
 }
 
+TEST_CASE ("a prompt that a replica has to read is told in a datagram of its own")
+{
+    const auto message =
+        decodeMessage (encodeMessage (PromptNotice { "one", 77, 12'000.0 }, "secret"), "secret");
+    REQUIRE (message);
+    const auto* notice = std::get_if<PromptNotice> (&*message);
+    REQUIRE (notice != nullptr);
+    CHECK (notice->node == "one");
+    CHECK (notice->replica == 77);
+    CHECK (notice->tokens == Approx (12'000.0));
+}
+
 TEST_CASE ("two nodes of each failure domain read for the others, and all choose the same ones")
 {
     std::map<std::string, MemberInfo> members;
--- a/tests/unit/RoutingTests.cpp
+++ b/tests/unit/RoutingTests.cpp
@@ -196,6 +196,60 @@
     CHECK (second->ticket.number != first->ticket.number);
 }
 
+TEST_CASE ("a prompt that another router announced keeps others off until it has been read")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x"), listed ("y") }, now);
+    constexpr auto tokens = 32'000.0;
+    table.notePromptHeard (replicaHash ("x"), tokens, now);
+    table.notePromptHeard (replicaHash ("not there"), tokens, now);
+    ChoiceInput input;
+    input.promptTokens = 500.0;
+
+    for (auto count = 0; count < 5; ++count)
+        CHECK (table.take ("s", input, {}, now + 100ms)->ticket.info.name == "y");
+
+    // At 64 tokens a millisecond it has been read by now; y has five requests.
+    const auto later = table.take ("s", input, {}, now + 501ms);
+    CHECK (later->ticket.info.name == "x");
+    CHECK (later->choice.pendingTokens == 0.0);
+}
+
+TEST_CASE ("only what prompts share draws a request to where its prefix ranks first")
+{
+    const std::vector<std::uint64_t> blocks { 11, 12 };
+    const std::vector<double> blockTokens { 100.0, 800.0 };
+    ChoiceInput input;
+    input.blocks = blocks;
+    input.blockTokens = blockTokens;
+    input.promptTokens = 800.0;
+    input.anchorBlock = 0;
+    input.ownTokens = 700.0;
+
+    const auto ranked = [&]
+    {
+        ReplicaTable table;
+        table.update ({ listed ("x"), listed ("y") }, now);
+        return table.take ("s", input, {}, now)->ticket.info.name;
+    }();
+
+    ReplicaTable table;
+    table.update ({ listed ("x"), listed ("y") }, now);
+    constexpr auto waiting = 6000.0;
+    table.notePromptHeard (replicaHash (ranked), waiting, now);
+    CHECK (table.take ("s", input, {}, now)->ticket.info.name != ranked);
+
+    // Where most of the prompt is shared, the same wait is worth it.
+    input.promptTokens = 5800.0;
+    input.ownTokens = 700.0;
+    const std::vector<double> longShared { 5100.0, 5800.0 };
+    input.blockTokens = longShared;
+    ReplicaTable other;
+    other.update ({ listed ("x"), listed ("y") }, now);
+    other.notePromptHeard (replicaHash (ranked), waiting, now);
+    CHECK (other.take ("s", input, {}, now)->ticket.info.name == ranked);
+}
+
 TEST_CASE ("a load that another router heard counts with what was sent since, and never goes back")
 {
     ReplicaTable table;
