While reclaims go on, on-demand replicas make up for the failure domains that may go next

On-demand replicas were ordered at 23.8 s, when orders for reclaimable ones had been refused, and served at 28 s: late 15 to 57% of the streams from 24 to 33 s, 1 to 2% before. Refused domains were also ordered down to what still served there, to 0. Change: a domain that loses three quarters of its reclaimable replicas against its order, and a refused order, are signs of a wave; for 8 s after one, two more domains are taken to be at risk, so that the first notice brings on-demand replicas. Orders that were refused stand, and their room is counted. A look each 0.5 s.

--- a/modules/snowrudder_serving/capacity/CapacityPlan.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace snowrudder
 {
@@ -55,14 +56,24 @@
     return found == input.serving.end() ? DomainCapacity() : found->second;
 }
 
+/** @returns reclaimable replicas that serve, are planned to stay, and are in no domain at risk. */
+auto reliablyServing (Plan& plan, const CapacityInput& input) -> std::uint32_t
+{
+    std::vector<std::uint32_t> byDomain;
+
+    for (const auto& [domain, capacity] : input.serving)
+        byDomain.push_back (std::min (capacity.reclaimable, plan[domain].reclaimable));
+
+    std::ranges::sort (byDomain);
+    byDomain.resize (byDomain.size() - std::min (input.domainsAtRisk, byDomain.size()));
+    return std::accumulate (byDomain.begin(), byDomain.end(), std::uint32_t { 0 });
+}
+
 /** Keeps or adds on-demand replicas for what is needed and not served by reclaimable ones. */
 auto fillGap (Plan& plan, const CapacityInput& input, const std::vector<std::string>& domains) -> void
 {
     const auto wanted = static_cast<std::uint32_t> (std::ceil (input.needed * input.onDemandShare));
-    auto served = std::uint32_t { 0 };
-
-    for (const auto& [domain, capacity] : input.serving)
-        served += std::min (capacity.reclaimable, plan[domain].reclaimable);
+    auto served = reliablyServing (plan, input);
 
     // Those that serve already are kept before others are ordered: a new one takes its boot time.
     for (const auto& domain : domains)
@@ -74,8 +85,9 @@
 
     for (const auto& domain : domains)
     {
-        // What is ordered and does not serve takes no room from what makes up for it.
-        const auto reclaimable = servingIn (input, domain).reclaimable;
+        const auto standing = input.standing.find (domain);
+        const auto reclaimable = std::max (servingIn (input, domain).reclaimable,
+                                           standing == input.standing.end() ? 0U : standing->second);
 
         for (; served < wanted && plan[domain].onDemand + reclaimable < input.bounds.most; ++served)
             ++plan[domain].onDemand;
--- a/modules/snowrudder_serving/capacity/CapacityPlan.h
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.h
@@ -32,13 +32,18 @@
     double onDemandShare = 1.0;
     /** Failure domains where no more reclaimable replicas are to be had now. */
     std::set<std::string> dry;
+    /** Reclaimable replicas that orders stand for there: they take room though they don't serve. */
+    std::map<std::string, std::uint32_t> standing;
+    /** Failure domains, those with the most reclaimable replicas, that may lose them before on-demand ones could boot. */
+    std::size_t domainsAtRisk = 0;
 };
 
 /** Plans the replicas of a service: the cheapest mix that still has what is needed when the failure domain with the most
     reclaimable replicas loses them all at once.
 
-    Reclaimable replicas are spread evenly over the domains; a domain where no more are to be had keeps those that serve. On-demand ones make up for what does not serve yet, or was
-    taken away: they go as reclaimable ones come up, the dearest first, and come back where too little is left.
+    Reclaimable replicas are spread evenly over the domains; a domain where no more are to be had keeps those that serve.
+    On-demand ones make up for what does not serve yet, was taken away, or is at risk: they go as reclaimable ones come up, the
+    dearest first, and come back where too little is left.
 */
 auto planCapacity (const CapacityInput& input) -> std::map<std::string, DomainCapacity>;
 
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr auto tick = 1s;
+/** A reclaimed replica leaves 2 s after its notice, and an on-demand one serves 4 s after its order. */
+constexpr auto tick = 500ms;
 
 /** After a refusal for want of reclaimable replicas, until the next try. */
 constexpr auto dryPause = Duration (3s);
@@ -47,6 +48,12 @@
 /** Before work is measured, this part of what was found is taken as needed: whoever set it up knew the load. */
 constexpr auto startShare = 1.0;
 
+/** Reclaims come in waves: on the sites known two to four failure domains lose theirs within 13 s, and no new ones are to be
+    had for 12 to 15 s. For so long after the last sign of one, so many more domains are taken to be at risk.
+*/
+constexpr auto waveTime = Duration (8s);
+constexpr auto domainsAtRisk = std::size_t { 2 };
+
 using OrderKey = std::tuple<std::string, std::string, bool>;
 
 struct GivenOrder
@@ -60,6 +67,10 @@
 {
     std::map<OrderKey, GivenOrder> given;
     std::map<std::pair<std::string, std::string>, TimePoint> dryUntil;
+    /** Reclaimable replicas that served at the last look, by service and failure domain. */
+    std::map<std::pair<std::string, std::string>, std::uint32_t> served;
+    /** By service: when reclaims were last seen, or were the reason why an order was refused. */
+    std::map<std::string, TimePoint> reclaimSeen;
     std::map<std::string, double> needed;
     std::uint64_t fence = 0;
 };
@@ -141,7 +152,10 @@
     if (outcome == StoreOutcome::done)
         memory.given[{ order.service, order.failureDomain, order.isReclaimable }] = { order.replicas, now };
     else if (outcome == StoreOutcome::refused && order.isReclaimable)
+    {
         memory.dryUntil[{ order.service, order.failureDomain }] = now + dryPause;
+        memory.reclaimSeen[order.service] = now;
+    }
 }
 
 auto isDue (const CapacityMemory& memory,
@@ -158,6 +172,33 @@
     return serving != order.replicas && now - given->second.given > bootTime + repeatPause;
 }
 
+/** Notes a failure domain that has lost most of its reclaimable replicas although they were ordered. */
+auto noteReclaim (CapacityMemory& memory,
+                  const std::string& service,
+                  const std::string& domain,
+                  std::uint32_t serving,
+                  TimePoint now) -> void
+{
+    constexpr auto mostLost = 4U;
+    auto& before = memory.served[{ service, domain }];
+    const auto given = memory.given.find ({ service, domain, true });
+    const auto isOrdered = given != memory.given.end() && given->second.replicas > serving;
+
+    if (before > 0 && serving * mostLost <= before && isOrdered)
+    {
+        memory.reclaimSeen[service] = now;
+        LogLine ("reclaim_seen")
+            .with ("service", service)
+            .with ("failure_domain", domain)
+            .with ("before", before)
+            .with ("serving", serving)
+            .with ("ordered", given->second.replicas)
+            .info();
+    }
+
+    before = serving;
+}
+
 auto planService (ServingState& state,
                   const DutyCalls& calls,
                   CapacityMemory& memory,
@@ -177,8 +218,21 @@
 
     for (const auto& [place, until] : memory.dryUntil)
         if (place.first == service.name && now < until)
+        {
             input.dry.insert (place.second);
 
+            if (const auto given = memory.given.find ({ service.name, place.second, true });
+                given != memory.given.end())
+                input.standing[place.second] = given->second.replicas;
+        }
+
+    for (const auto& [domain, price] : input.bounds.domainPrices)
+        noteReclaim (memory, service.name, domain, input.serving[domain].reclaimable, now);
+
+    if (const auto seen = memory.reclaimSeen.find (service.name);
+        seen != memory.reclaimSeen.end() && now - seen->second < waveTime)
+        input.domainsAtRisk = domainsAtRisk;
+
     for (const auto& [domain, wanted] : planCapacity (input))
     {
         const auto serving = input.serving[domain];
@@ -187,7 +241,9 @@
         CapacityOrder reclaimable { service.name, domain, true, wanted.reclaimable };
         CapacityOrder onDemand { service.name, domain, false, wanted.onDemand };
 
-        if (isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
+        // An order that was refused stands: a smaller one would give up what may come back.
+        if (! input.dry.contains (domain) &&
+            isDue (memory, reclaimable, serving.reclaimable, input.bounds.bootTime, now))
             co_await give (state, calls, memory, std::move (reclaimable));
 
         if (isDue (memory, onDemand, serving.onDemand, input.bounds.bootTime, now))
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -438,6 +438,45 @@
     CHECK (plan["b"].onDemand == 2);
 }
 
+TEST_CASE ("while reclaims go on, on-demand replicas make up for the failure domains that may go next")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.bounds.most = 46;
+    input.needed = 40.0;
+    input.onDemandShare = 0.6;
+
+    for (const auto* domain : { "a", "b", "c", "d" })
+        input.serving[domain] = { 0, 14 };
+
+    CHECK (totalOf (planCapacity (input)).onDemand == 0);
+
+    // Two domains may lose 28 of the 41 that are planned and left; 24 are wanted.
+    input.serving["a"].reclaimable = 0;
+    input.dry = { "a" };
+    input.domainsAtRisk = 2;
+    CHECK (totalOf (planCapacity (input)).onDemand == 11);
+
+    // With one domain left nothing can be counted on.
+    input.serving["b"].reclaimable = 0;
+    input.serving["c"].reclaimable = 0;
+    input.dry = { "a", "b", "c" };
+    CHECK (totalOf (planCapacity (input)).onDemand == 24);
+}
+
+TEST_CASE ("an order that stands takes room though its replicas don't serve")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 12.0;
+    input.dry = { "a", "b", "c", "d" };
+    input.standing["b"] = 4;
+
+    auto plan = planCapacity (input);
+    CHECK (plan["b"].onDemand == 2);
+    CHECK (totalOf (plan).onDemand == 12);
+}
+
 TEST_CASE ("orders for reclaimable replicas that are not to be had leave room for on-demand ones")
 {
     CapacityInput input;
