--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -24,11 +24,14 @@
     */
     auto start() -> std::error_code;
 
+    /** Tells all others of a prompt that a replica has to read. */
+    auto announce (PromptNotice notice) -> void;
+
 private:
     using Endpoint = Membership::Endpoint;
 
     auto receiveLoop() -> Task<void>;
-    auto take (PeerReport report) -> void;
+    auto take (PeerReport report, const Endpoint& sender) -> void;
     auto answer (const NewsQuestion& question, const Endpoint& sender) -> void;
     auto take (NewsAnswer answer) -> void;
     auto sendLoop() -> Task<void>;
@@ -45,6 +48,8 @@
     asio::ip::udp::socket socket;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    /** Whether all others have been told of this node once. */
+    bool hasGreeted = false;
     /** Places from which the next round goes on. */
     std::size_t nextTarget = 0;
     std::size_t nextOwnReader = 0;
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -27,6 +27,7 @@
       peers (state, membership)
 {
     state.protocol = face.upstreams;
+    state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
     state.trueTime.compare (SteadyClock::now(), wallTimeNow().time_since_epoch());
 }
@@ -135,7 +136,7 @@
         const auto now = SteadyClock::now();
         state.trueTime.compare (now, wallTimeNow().time_since_epoch());
         state.pool.closeOld (now);
-        state.quota.charge (state.peers.assumeSilent (sweepInterval, now));
+        state.quota.charge (state.peers.assumeSilent (sweepInterval, now), now);
 
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
