Reports name an account once; nodes that start together find each other sooner

Change: one entry an account, rates as floats; members are listed every 0.4 s in a node's first 3 s, at a tenth of a call's price.

--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -40,18 +40,12 @@
 
     for (const auto& [account, use] : report.admitted)
     {
-        auto* rate = message.add_rates();
-        rate->set_account (account);
-        rate->set_amount (use.tokensPerSecond);
-        auto* total = message.add_admitted();
-        total->set_account (account);
-        total->set_amount (use.tokens);
-        auto* asked = message.add_asked();
-        asked->set_account (account);
-        asked->set_amount (use.askedPerSecond);
-        auto* level = message.add_levels();
-        level->set_account (account);
-        level->set_amount (use.level);
+        auto* entry = message.add_use();
+        entry->set_account (account);
+        entry->set_admitted (use.tokens);
+        entry->set_rate (static_cast<float> (use.tokensPerSecond));
+        entry->set_asked (static_cast<float> (use.askedPerSecond));
+        entry->set_level (static_cast<float> (use.level));
     }
 
     for (const auto& [service, work] : report.work)
@@ -154,21 +148,11 @@
     report.leaving = message.leaving();
     report.isSettled = message.settled();
 
-    for (const auto& entry : message.rates())
-        if (isAmount (entry.amount()))
-            report.admitted[entry.account()].tokensPerSecond = entry.amount();
-
-    for (const auto& entry : message.admitted())
-        if (isAmount (entry.amount()))
-            report.admitted[entry.account()].tokens = entry.amount();
-
-    for (const auto& entry : message.asked())
-        if (isAmount (entry.amount()))
-            report.admitted[entry.account()].askedPerSecond = entry.amount();
-
-    for (const auto& entry : message.levels())
-        if (std::isfinite (entry.amount()))
-            report.admitted[entry.account()].level = entry.amount();
+    for (const auto& entry : message.use())
+        if (isAmount (entry.admitted()) && isAmount (entry.rate()) && isAmount (entry.asked()) &&
+            std::isfinite (entry.level()))
+            report.admitted[entry.account()] = { entry.admitted(), entry.rate(), entry.asked(),
+                                                 entry.level() };
 
     for (const auto& entry : message.work())
         if (isAmount (entry.tokens_per_second()) && isAmount (entry.in_flight()))
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -14,6 +14,12 @@
 
 /** The members are listed this often. A list that may be seconds old does: nodes that are not heard don't count. */
 constexpr auto listInterval = 2s;
+
+/** A node that has just started lists them more often: until it knows who reads the store for it, it asks some three times a
+    second itself, and nodes that start together find each other late.
+*/
+constexpr auto firstListInterval = 400ms;
+constexpr auto firstLists = Duration (3s);
 constexpr auto failurePause = 1s;
 
 } // namespace
@@ -64,7 +70,8 @@
         co_return false;
 
     takeMembers (listed);
-    co_await pauseFor (state.loop, jittered (listInterval));
+    const auto isNew = SteadyClock::now() - state.sharing.startTime < firstLists;
+    co_await pauseFor (state.loop, jittered (isNew ? Duration (firstListInterval) : Duration (listInterval)));
     co_return true;
 }
 
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -310,7 +310,8 @@
     report.incarnation = 3;
     report.sequence = 9;
     report.proofAge = 250ms;
-    report.admitted["alpha"] = { 10.0, 2.5 };
+    report.admitted["alpha"] = { 10.0, 2.5, 40.0, -7.0 };
+    report.isSettled = true;
     report.work["model"] = { 64.0, 3.0 };
     report.usage[77]["alpha"] = 12;
 
@@ -322,7 +323,11 @@
     CHECK (read->node == "one");
     CHECK (read->sequence == 9);
     CHECK (read->proofAge == 250ms);
+    CHECK (read->admitted.at ("alpha").tokens == Approx (10.0));
     CHECK (read->admitted.at ("alpha").tokensPerSecond == Approx (2.5));
+    CHECK (read->admitted.at ("alpha").askedPerSecond == Approx (40.0));
+    CHECK (read->admitted.at ("alpha").level == Approx (-7.0));
+    CHECK (read->isSettled);
     CHECK (read->work.at ("model").tokensPerSecond == Approx (64.0));
     CHECK (read->usage.at (77).at ("alpha") == 12);
 
