--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -218,13 +218,12 @@
 
     for (const auto& [place, until] : memory.dryUntil)
         if (place.first == service.name && now < until)
-        {
             input.dry.insert (place.second);
 
-            if (const auto given = memory.given.find ({ service.name, place.second, true });
-                given != memory.given.end())
-                input.standing[place.second] = given->second.replicas;
-        }
+    // Also where reclaimable replicas are asked for again: on-demand ones that boot must not be moved meanwhile.
+    for (const auto& [domain, price] : input.bounds.domainPrices)
+        if (const auto given = memory.given.find ({ service.name, domain, true }); given != memory.given.end())
+            input.standing[domain] = given->second.replicas;
 
     for (const auto& [domain, price] : input.bounds.domainPrices)
         noteReclaim (memory, service.name, domain, input.serving[domain].reclaimable, now);
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -1,6 +1,7 @@
 #include "ServingNode.h"
 
 #include "../gateway/RoutedGateway.h"
+#include "../store/CountedStore.h"
 
 #include <csignal>
 
@@ -27,6 +28,7 @@
       peers (state, membership)
 {
     state.protocol = face.upstreams;
+    face.store = countCalls (std::move (face.store), state.metrics);
     state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
     state.trueTime.compare (SteadyClock::now(), wallTimeNow().time_since_epoch());
