A soak on real processes: faults from outside, promises checked from what callers and replicas saw

Four routers, stand-ins of the platform and a proxy before each store and replica; kills, stops, freezes, reloads, cuts, outages with and without lapsed entries, lost answers, replicas that misbehave or leave, revoked keys; drawn from a seed, in series and overlapping.

--- /dev/null
+++ b/tests/process/test_soak.py
@@ -0,0 +1,134 @@
+"""The soak's own checks find what they are for, and a short seeded run of it keeps every promise."""
+import pathlib
+import shutil
+import socket
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+
+import soak  # noqa: E402  (its folder is put on the path above)
+from ledger import Ledger, Run, Sent, duty_breaches  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.0, "answer": 7.0}
+
+
+class Checks(unittest.TestCase):
+    def setUp(self):
+        self.ledger = Ledger()
+
+    def send(self, id="r-1", kind="once", began=10.0, ended=10.1, status=200, fault=""):
+        self.ledger.note_sent(Sent(id, kind, "front-0", "alpha-0", "alpha", began, ended, status, fault=fault))
+
+    def run_at(self, id="r-1", replica="i-0", account="alpha", at=10.05):
+        self.ledger.note_run(Run(id, replica, account, at))
+
+    def assert_breach(self, part):
+        found = self.ledger.breaches(LIMITS)
+        self.assertTrue(any(part in line for line in found), found)
+
+    def test_a_request_served_as_promised_is_no_breach(self):
+        self.send()
+        self.run_at()
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+
+    def test_two_runs_of_what_may_run_once(self):
+        self.send()
+        self.run_at()
+        self.run_at(replica="i-1")
+        self.assert_breach("ran 2 times")
+
+    def test_a_run_after_a_refusal(self):
+        self.send(status=503)
+        self.run_at()
+        self.assert_breach("was told 503")
+
+    def test_a_run_that_nobody_asked_for_or_for_another_account(self):
+        self.run_at("r-9")
+        self.assert_breach("without a request")
+        self.send()
+        self.run_at(account="beta")
+        self.assert_breach("ran for beta")
+
+    def test_a_run_with_a_revoked_key(self):
+        self.ledger.revoked["alpha-0"] = 6.0
+        self.send()
+        self.run_at()
+        self.assert_breach("after its key was revoked")
+
+    def test_a_run_at_a_replica_that_was_leaving_counts_at_calm_nodes_only(self):
+        self.ledger.left["i-0"] = 6.0
+        self.send()
+        self.run_at()
+        self.assert_breach("after it was leaving")
+        self.ledger.disturb("front-0", 9.0, 9.5)
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+
+    def test_an_answer_held_back_or_wrong(self):
+        self.send(ended=18.0)
+        self.run_at()
+        self.assert_breach("was held")
+        self.send("r-2", fault="a success without a signature")
+        self.assert_breach("without a signature")
+
+    def test_duties_done_twice_or_out_of_turn(self):
+        twice = [(1.0, "/usage", "a", 5, {"window_id": 1, "counts": {"x": 1}}),
+                 (2.0, "/usage", "a", 5, {"window_id": 1, "counts": {"x": 2}})]
+        self.assertTrue(duty_breaches(twice, {}, 0.3))
+        back = [(1.0, "/scale", "b", 6, {}), (2.0, "/scale", "a", 5, {})]
+        self.assertTrue(duty_breaches(back, {}, 0.3))
+        self.assertEqual(duty_breaches(back, {"a": 1.9}, 0.3), [])
+
+
+class Proxies(unittest.TestCase):
+    def setUp(self):
+        self.echo = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self.serve, daemon=True).start()
+        self.proxy = Proxy(self.echo.getsockname()[1])
+        self.caller = socket.create_connection(("127.0.0.1", self.proxy.port), 5)
+
+    def tearDown(self):
+        self.caller.close()
+        self.proxy.close()
+        self.echo.close()
+
+    def serve(self):
+        connection, _ = self.echo.accept()
+        while data := connection.recv(100):
+            connection.sendall(data)
+
+    def test_bytes_pass_and_those_held_up_come_later(self):
+        self.caller.sendall(b"one")
+        self.assertEqual(self.caller.recv(10), b"one")
+        self.proxy.set("silent")
+        self.caller.sendall(b"two")
+        self.caller.settimeout(0.3)
+        with self.assertRaises(TimeoutError):
+            self.caller.recv(10)
+        self.proxy.set("pass")
+        self.caller.settimeout(5)
+        self.assertEqual(self.caller.recv(10), b"two")
+
+    def test_open_connections_are_reset(self):
+        self.caller.sendall(b"one")
+        self.caller.recv(10)
+        self.proxy.set("reset")
+        time.sleep(0.1)
+        try:
+            self.assertEqual(self.caller.recv(10), b"")
+        except ConnectionResetError:
+            pass
+
+
+class SeededRun(unittest.TestCase):
+    def test_a_short_run_keeps_every_promise(self):
+        broken, folder = soak.play(seed=1, seconds=6, nodes=3, replicas=3, callers=6)
+        self.assertEqual(broken, [], f"logs in {folder}")
+        shutil.rmtree(folder)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,108 @@
+"""What callers and replicas saw in a soak, and the promises that it is checked against."""
+import collections
+import dataclasses
+import threading
+
+NOT_RUN = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass
+class Sent:
+    """One request of a caller."""
+    id: str
+    kind: str
+    node: str
+    key: str
+    account: str
+    began: float
+    ended: float = 0.0
+    status: int = 0
+    """0: no whole answer came."""
+    said: str = ""
+    """Why there is none, or what `ran` said."""
+    keeps_connection: bool = False
+    fault: str = ""
+    """What is wrong with the answer itself."""
+
+
+@dataclasses.dataclass
+class Run:
+    """One run at a replica."""
+    id: str
+    replica: str
+    account: str
+    at: float
+
+
+class Ledger:
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.sent = {}
+        self.runs = []
+        self.revoked = {}
+        self.left = {}
+        self.disturbed = collections.defaultdict(list)
+        self.thawed = {}
+
+    def note_sent(self, request):
+        with self.lock:
+            self.sent[request.id] = request
+
+    def note_run(self, run):
+        with self.lock:
+            self.runs.append(run)
+
+    def disturb(self, node, began, ended):
+        with self.lock:
+            self.disturbed[node].append((began, ended))
+
+    def is_calm(self, node, began, ended, contact):
+        """Whether nothing was done to a node from some time before until the end."""
+        return all(until + contact < began or since > ended for since, until in self.disturbed[node])
+
+    def breaches(self, limits):
+        """Lists the promises that were broken, a line each. `limits`: see soak.LIMITS."""
+        runs = collections.defaultdict(list)
+        for run in self.runs:
+            runs[run.id].append(run)
+        found = [f"runs without a request: {id}" for id in runs if id not in self.sent]
+        for request in self.sent.values():
+            found += self.of_request(request, runs[request.id], limits)
+        return found
+
+    def of_request(self, request, runs, limits):
+        most = 2 if request.kind in ("again", "resumed-stream") else 1
+        if len(runs) > most:
+            yield f"{request.id} ({request.kind}) ran {len(runs)} times"
+        if request.status in NOT_RUN and runs and request.kind not in ("again", "resumed-stream"):
+            yield f"{request.id} ({request.kind}) was told {request.status}, and ran at {runs[0].replica}"
+        if request.fault:
+            yield f"{request.id} ({request.kind}): {request.fault}"
+        for run in runs:
+            if run.account != request.account:
+                yield f"{request.id} of {request.account} ran for {run.account}"
+            revoked = self.revoked.get(request.key)
+            if revoked is not None and request.began > revoked + limits["revoke"]:
+                yield f"{request.id} ran {request.began - revoked:.1f} s after its key was revoked"
+            left = self.left.get(run.replica)
+            calm = self.is_calm(request.node, request.began, run.at, limits["contact"])
+            if left is not None and calm and request.began > left + limits["drain"]:
+                yield f"{request.id} ran at {run.replica} {request.began - left:.1f} s after it was leaving"
+        if self.is_calm(request.node, request.began, request.ended, limits["contact"]):
+            if request.ended - request.began > limits["answer"]:
+                yield f"{request.id} ({request.kind}) was held {request.ended - request.began:.1f} s"
+
+
+def duty_breaches(calls, thawed, thaw):
+    """Lists usage windows with two counts and fences that went back. `calls`: (time, path, holder, fence, body)"""
+    counts, highest, found = {}, 0, []
+    for at, path, holder, fence, body in calls:
+        if at - thawed.get(holder, -thaw) > thaw:
+            if fence < highest:
+                found.append(f"{holder} acted with fence {fence} after {highest}")
+            highest = max(highest, fence)
+        if path == "/usage":
+            before = counts.setdefault(body["window_id"], body["counts"])
+            if before != body["counts"]:
+                found.append(f"window {body['window_id']}: {before}, then {body['counts']}")
+    return found
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,214 @@
+"""A randomised soak on real processes: faults from outside, promises checked from what callers and replicas saw.
+
+    python3 tests/soak/soak.py --seed 7 --seconds 20
+    python3 tests/soak/soak.py --seed 100 --count 50       fifty seeds, one after the other
+    python3 tests/soak/soak.py --regressions               the seeds that ever failed, from regressions.txt
+
+A seed draws the same faults at the same times; what processes do between them is theirs. The folder of a failed run, with
+the nodes' logs, is kept and named.
+"""
+import argparse
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+from ledger import duty_breaches
+from world import World
+
+# Seconds. The settings of the nodes say 2.5 for revoked keys; the rest are the platform's figures for a small site, each with
+# a margin for a machine that is busy.
+LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.5, "answer": 7.0}
+THAW = 0.3
+
+REPLICA_TROUBLES = ("cut", "fail", "shed", "surplus", "break", "slow")
+
+
+class Faults:
+    """Draws faults and carries them out; several overlap."""
+
+    def __init__(self, world, draw):
+        self.world, self.draw = world, draw
+        self.under_way = []
+        self.busy_nodes = set()
+        self.kinds = [self.store_cut, self.store_cut, self.store_outage, self.lapse, self.node_killed, self.node_stopped,
+                      self.node_frozen, self.herd_killed, self.reload, self.replica_cut, self.replica_trouble, self.replica_trouble,
+                      self.replica_leaves, self.revoke, self.revoke, self.lost_answers]
+
+    def strike(self):
+        kind = self.draw.choice(self.kinds)
+        seconds = self.draw.uniform(0.5, 4)
+        thread = threading.Thread(target=kind, args=(seconds, random.Random(self.draw.random())), daemon=True)
+        thread.start()
+        self.under_way.append(thread)
+        return f"{kind.__name__} {seconds:.1f}"
+
+    def wait(self):
+        for thread in self.under_way:
+            thread.join(30)
+
+    def disturbed(self, nodes, began):
+        for node in nodes:
+            self.world.ledger.disturb(node.name, began, time.monotonic())
+
+    def take_node(self, draw):
+        """A node that no other fault has now."""
+        free = [node for node in self.world.nodes if node not in self.busy_nodes]
+        if len(free) <= 1:
+            return None
+        node = draw.choice(free)
+        self.busy_nodes.add(node)
+        return node
+
+    def of_node(self, draw, act):
+        node = self.take_node(draw)
+        if node is None:
+            return
+        began = time.monotonic()
+        # Noted before too: a request that ends meanwhile must not look undisturbed.
+        self.world.ledger.disturb(node.name, began, began + 60)
+        act(node)
+        self.world.ledger.disturbed[node.name].remove((began, began + 60))
+        self.disturbed([node], began)
+        self.busy_nodes.discard(node)
+
+    def node_killed(self, seconds, draw):
+        self.of_node(draw, lambda node: self.world.stop_process(node, signal.SIGKILL))
+
+    def node_stopped(self, seconds, draw):
+        self.of_node(draw, lambda node: self.world.stop_process(node, signal.SIGTERM))
+
+    def node_frozen(self, seconds, draw):
+        def act(node):
+            node.process.send_signal(signal.SIGSTOP)
+            time.sleep(seconds)
+            node.process.send_signal(signal.SIGCONT)
+            self.world.ledger.thawed[node.name] = time.monotonic()
+        self.of_node(draw, act)
+
+    def herd_killed(self, seconds, draw):
+        threads = [threading.Thread(target=self.node_killed, args=(seconds, draw)) for _ in self.world.nodes[1:]]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def reload(self, seconds, draw):
+        node = draw.choice(self.world.nodes)
+        if node not in self.busy_nodes and node.process.poll() is None:
+            node.process.send_signal(signal.SIGHUP)
+
+    def store_cut(self, seconds, draw):
+        door = draw.choice(self.world.store_doors)
+        node = self.world.nodes[self.world.store_doors.index(door)]
+        began = time.monotonic()
+        self.world.ledger.disturb(node.name, began, began + seconds + 1)
+        door.set(draw.choice(("delay", "silent", "answers_lost", "reset")), 0.3)
+        time.sleep(seconds)
+        door.set("pass")
+
+    def store_outage(self, seconds, draw, lapse=False):
+        began = time.monotonic()
+        for node in self.world.nodes:
+            self.world.ledger.disturb(node.name, began, began + seconds + 1)
+        how = draw.choice(("silent", "busy"))
+        setattr(self.world.store, how, True)
+        kept = list(self.world.replicas.values()) if lapse else []
+        for replica in kept:
+            self.world.store.remove(f"servers/{replica.name}")
+        time.sleep(seconds)
+        setattr(self.world.store, how, False)
+        for replica in kept:
+            if replica.name in self.world.replicas:
+                self.world.enter(replica)
+
+    def lapse(self, seconds, draw):
+        self.store_outage(seconds, draw, lapse=True)
+
+    def lost_answers(self, seconds, draw):
+        began = time.monotonic()
+        for node in self.world.nodes:
+            self.world.ledger.disturb(node.name, began, began + seconds + 1)
+        self.world.store.lose_answers = True
+        time.sleep(seconds)
+        self.world.store.lose_answers = False
+
+    def replica_cut(self, seconds, draw):
+        door = self.world.doors[draw.choice(list(self.world.replicas))]
+        door.set(draw.choice(("delay", "silent", "answers_lost", "reset")), 0.2)
+        time.sleep(seconds)
+        door.set("pass")
+
+    def replica_trouble(self, seconds, draw):
+        replica = draw.choice(list(self.world.replicas.values()))
+        replica.behave += [draw.choice(REPLICA_TROUBLES) for _ in range(draw.randint(1, 8))]
+
+    def replica_leaves(self, seconds, draw):
+        if len(self.world.replicas) > 2:
+            self.world.let_leave(draw.choice(list(self.world.replicas)))
+
+    def revoke(self, seconds, draw):
+        self.world.revoke(draw.choice(list(self.world.keys)))
+
+
+def play(seed, seconds, nodes, replicas, callers):
+    """Plays one seed; returns what was broken, and the folder of its logs."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"snowrudder-soak-{seed}-"))
+    world = World(seed, folder, nodes, replicas, callers)
+    draw = random.Random(seed)
+    faults = Faults(world, draw)
+    struck = []
+    try:
+        world.start()
+        began = time.monotonic()
+        while time.monotonic() - began < seconds:
+            time.sleep(draw.uniform(0.3, 1.5))
+            struck.append(f"{time.monotonic() - began:6.1f} {faults.strike()}")
+        faults.wait()
+        world.heal()
+        time.sleep(LIMITS["contact"])
+        broken = world.recover()
+    finally:
+        world.close()
+    broken += world.ledger.breaches(LIMITS)
+    broken += duty_breaches(list(world.cloud.calls), world.ledger.thawed, THAW)
+    served = sum(request.status == 200 for request in world.ledger.sent.values())
+    (folder / "faults.txt").write_text("\n".join([*struck, *broken]) + "\n")
+    print(f"seed {seed}: {len(struck)} faults, {len(world.ledger.sent)} requests, {served} served, {len(broken)} broken", flush=True)
+    return broken, folder
+
+
+def main():
+    options = argparse.ArgumentParser(description="A randomised soak on real processes.")
+    options.add_argument("--seed", type=int, default=1)
+    options.add_argument("--count", type=int, default=1)
+    options.add_argument("--seconds", type=float, default=20.0, help="of faults, for each seed")
+    options.add_argument("--nodes", type=int, default=4)
+    options.add_argument("--replicas", type=int, default=4)
+    options.add_argument("--callers", type=int, default=12)
+    options.add_argument("--regressions", action="store_true", help="plays the seeds of regressions.txt")
+    given = options.parse_args()
+    seeds = range(given.seed, given.seed + given.count)
+    if given.regressions:
+        lines = (pathlib.Path(__file__).parent / "regressions.txt").read_text().splitlines()
+        seeds = [int(line.split("|")[0]) for line in lines if line and not line.startswith("#")]
+    failed = 0
+    for seed in seeds:
+        broken, folder = play(seed, given.seconds, given.nodes, given.replicas, given.callers)
+        failed += bool(broken)
+        for line in broken[:10]:
+            print(f"  {line}")
+        if broken:
+            print(f"  logs in {folder}", flush=True)
+        else:
+            shutil.rmtree(folder)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
