--- /dev/null
+++ b/tests/unit/CapacityTests.cpp
@@ -0,0 +1,212 @@
+#include "ServingFixtures.h"
+
+#include "snowrudder_serving/capacity/CapacityMemory.h"
+#include "snowrudder_serving/capacity/CapacityPlan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowrudder;
+using namespace snowrudder::tests;
+
+namespace
+{
+
+auto scalingBounds() -> ScalingBounds
+{
+    ScalingBounds bounds;
+    bounds.least = 1;
+    bounds.most = 6;
+    bounds.reclaimablePrice = 0.2;
+    bounds.domainPrices = { { "a", 1.0 }, { "b", 0.8 }, { "c", 1.2 }, { "d", 0.9 } };
+    return bounds;
+}
+
+auto totalOf (const std::map<std::string, DomainCapacity>& plan) -> DomainCapacity
+{
+    DomainCapacity total;
+
+    for (const auto& [domain, capacity] : plan)
+    {
+        total.onDemand += capacity.onDemand;
+        total.reclaimable += capacity.reclaimable;
+    }
+
+    return total;
+}
+
+auto orderFor (std::uint32_t replicas, bool isReclaimable = true) -> CapacityOrder
+{
+    return { "model", "a", isReclaimable, replicas };
+}
+
+} // namespace
+
+TEST_CASE ("reclaimable replicas cover what is needed though one failure domain loses its own")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 6.0;
+
+    for (const auto* domain : { "a", "b", "c", "d" })
+        input.serving[domain] = { 0, 2 };
+
+    const auto plan = planCapacity (input);
+    CHECK (totalOf (plan).onDemand == 0);
+    CHECK (totalOf (plan).reclaimable == 8);
+
+    for (const auto& [domain, capacity] : plan)
+        CHECK (capacity.reclaimable == 2);
+}
+
+TEST_CASE ("on-demand replicas go only as reclaimable ones come up, the dearest first")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 4.0;
+
+    for (const auto* domain : { "a", "b", "c", "d" })
+        input.serving[domain] = { 2, 0 };
+
+    auto plan = planCapacity (input);
+    CHECK (totalOf (plan).onDemand == 4);
+    CHECK (plan["b"].onDemand == 2);
+    CHECK (plan["d"].onDemand == 2);
+
+    input.serving["a"].reclaimable = 1;
+    input.serving["b"].reclaimable = 1;
+    CHECK (totalOf (planCapacity (input)).onDemand == 2);
+}
+
+TEST_CASE ("on-demand replicas come back where too few reclaimable ones are left")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 5.0;
+    input.serving["a"] = { 0, 2 };
+    input.serving["b"] = { 0, 1 };
+
+    auto plan = planCapacity (input);
+    CHECK (totalOf (plan).onDemand == 2);
+    CHECK (plan["b"].onDemand == 2);
+}
+
+TEST_CASE ("while reclaims go on, on-demand replicas make up for the failure domains that may go next")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.bounds.most = 46;
+    input.needed = 40.0;
+    input.onDemandShare = 0.6;
+
+    for (const auto* domain : { "a", "b", "c", "d" })
+        input.serving[domain] = { 0, 14 };
+
+    CHECK (totalOf (planCapacity (input)).onDemand == 0);
+
+    // Two domains may lose 28 of the 41 that are planned and left; 24 are wanted.
+    input.serving["a"].reclaimable = 0;
+    input.dry = { "a" };
+    input.domainsAtRisk = 2;
+    CHECK (totalOf (planCapacity (input)).onDemand == 11);
+
+    // With one domain left nothing can be counted on.
+    input.serving["b"].reclaimable = 0;
+    input.serving["c"].reclaimable = 0;
+    input.dry = { "a", "b", "c" };
+    CHECK (totalOf (planCapacity (input)).onDemand == 24);
+}
+
+TEST_CASE ("an order that stands takes room though its replicas don't serve")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 12.0;
+    input.dry = { "a", "b", "c", "d" };
+    input.standing["b"] = 4;
+
+    auto plan = planCapacity (input);
+    CHECK (plan["b"].onDemand == 2);
+    CHECK (totalOf (plan).onDemand == 12);
+}
+
+TEST_CASE ("orders for reclaimable replicas that are not to be had leave room for on-demand ones")
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = 16.0;
+    input.dry = { "a", "b", "c", "d" };
+    input.serving["a"] = { 0, 1 };
+
+    const auto plan = planCapacity (input);
+    CHECK (totalOf (plan).reclaimable == 1);
+    CHECK (totalOf (plan).onDemand == 15);
+}
+
+TEST_CASE ("what is needed rises at once and falls slowly")
+{
+    CapacityMemory memory;
+    CHECK (noteNeeded (memory, "model", 10.0, 500ms) == Approx (10.0));
+    CHECK (noteNeeded (memory, "model", 20.0, 500ms) == Approx (20.0));
+    const auto fallen = noteNeeded (memory, "model", 5.0, 500ms);
+    CHECK (fallen < 20.0);
+    CHECK (fallen > 19.0);
+}
+
+TEST_CASE ("a failure domain that loses most of its reclaimable replicas against its order was reclaimed")
+{
+    CapacityMemory memory;
+    noteOrder (memory, orderFor (20), StoreOutcome::done, start);
+    CHECK_FALSE (noteServing (memory, "model", "a", 0, start));
+    CHECK_FALSE (noteServing (memory, "model", "a", 20, start + 5s));
+    CHECK_FALSE (noteServing (memory, "model", "a", 15, start + 6s));
+    CHECK_FALSE (isReclaimWave (memory, "model", start + 6s));
+    CHECK (noteServing (memory, "model", "a", 3, start + 7s));
+    CHECK (isReclaimWave (memory, "model", start + 7s));
+    CHECK_FALSE (isReclaimWave (memory, "other", start + 7s));
+    CHECK_FALSE (isReclaimWave (memory, "model", start + 20s));
+}
+
+TEST_CASE ("replicas that were given up are not taken for reclaimed")
+{
+    CapacityMemory memory;
+    noteOrder (memory, orderFor (20), StoreOutcome::done, start);
+    noteServing (memory, "model", "a", 20, start);
+    noteOrder (memory, orderFor (2), StoreOutcome::done, start + 1s);
+    CHECK_FALSE (noteServing (memory, "model", "a", 2, start + 2s));
+    CHECK_FALSE (isReclaimWave (memory, "model", start + 2s));
+}
+
+TEST_CASE ("a refused order is a sign of a wave, stands as it was, and is not tried again at once")
+{
+    CapacityMemory memory;
+    noteOrder (memory, orderFor (20), StoreOutcome::done, start);
+    noteOrder (memory, orderFor (25), StoreOutcome::refused, start + 1s);
+    CHECK (isReclaimWave (memory, "model", start + 1s));
+    CHECK (dryDomains (memory, "model", start + 1s).contains ("a"));
+    CHECK (dryDomains (memory, "model", start + 10s).empty());
+    CHECK (orderedReplicas (memory, "model", "a", true) == 20);
+    CHECK (orderedReplicas (memory, "model", "a", false) == 0);
+
+    // On-demand ones are to be had as a rule; a refusal of theirs tells nothing of the others.
+    CapacityMemory other;
+    noteOrder (other, orderFor (5, false), StoreOutcome::refused, start);
+    CHECK_FALSE (isReclaimWave (other, "model", start));
+}
+
+TEST_CASE ("an order is given for more at once, for fewer in steps, and again when what serves still differs")
+{
+    CapacityMemory memory;
+    constexpr auto boot = Duration (4s);
+    CHECK (isDue (memory, orderFor (18), 18, boot, start));
+    noteOrder (memory, orderFor (18), StoreOutcome::done, start);
+    CHECK_FALSE (isDue (memory, orderFor (18), 18, boot, start + 20s));
+    CHECK (isDue (memory, orderFor (19), 18, boot, start));
+    CHECK_FALSE (isDue (memory, orderFor (16), 18, boot, start + 20s));
+    CHECK (isDue (memory, orderFor (15), 18, boot, start));
+    CHECK_FALSE (isDue (memory, orderFor (18), 10, boot, start + 6s));
+    CHECK (isDue (memory, orderFor (18), 10, boot, start + 8s));
+
+    // A small order falls by one.
+    noteOrder (memory, orderFor (2), StoreOutcome::done, start);
+    CHECK (isDue (memory, orderFor (1), 2, boot, start));
+}
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -1,6 +1,5 @@
 #include "ServingFixtures.h"
 
-#include "snowrudder_serving/capacity/CapacityPlan.h"
 #include "snowrudder_serving/configuration/ConfigurationState.h"
 #include "snowrudder_serving/duties/Leadership.h"
 #include "snowrudder_serving/limits/SharedQuota.h"
@@ -50,29 +49,6 @@
     return admitted;
 }
 
-auto scalingBounds() -> ScalingBounds
-{
-    ScalingBounds bounds;
-    bounds.least = 1;
-    bounds.most = 6;
-    bounds.reclaimablePrice = 0.2;
-    bounds.domainPrices = { { "a", 1.0 }, { "b", 0.8 }, { "c", 1.2 }, { "d", 0.9 } };
-    return bounds;
-}
-
-auto totalOf (const std::map<std::string, DomainCapacity>& plan) -> DomainCapacity
-{
-    DomainCapacity total;
-
-    for (const auto& [domain, capacity] : plan)
-    {
-        total.onDemand += capacity.onDemand;
-        total.reclaimable += capacity.reclaimable;
-    }
-
-    return total;
-}
-
 } // namespace
 
 TEST_CASE ("the longest path prefix of the host decides the route")
@@ -393,104 +369,3 @@
     CHECK_FALSE (events.hasPartial());
     CHECK (events.add ("id: 4\ndata: c\n\n") == "id: 4\ndata: c\n\n");
 }
-
-TEST_CASE ("reclaimable replicas cover what is needed though one failure domain loses its own")
-{
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 6.0;
-
-    for (const auto* domain : { "a", "b", "c", "d" })
-        input.serving[domain] = { 0, 2 };
-
-    const auto plan = planCapacity (input);
-    CHECK (totalOf (plan).onDemand == 0);
-    CHECK (totalOf (plan).reclaimable == 8);
-
-    for (const auto& [domain, capacity] : plan)
-        CHECK (capacity.reclaimable == 2);
-}
-
-TEST_CASE ("on-demand replicas go only as reclaimable ones come up, the dearest first")
-{
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 4.0;
-
-    for (const auto* domain : { "a", "b", "c", "d" })
-        input.serving[domain] = { 2, 0 };
-
-    auto plan = planCapacity (input);
-    CHECK (totalOf (plan).onDemand == 4);
-    CHECK (plan["b"].onDemand == 2);
-    CHECK (plan["d"].onDemand == 2);
-
-    input.serving["a"].reclaimable = 1;
-    input.serving["b"].reclaimable = 1;
-    CHECK (totalOf (planCapacity (input)).onDemand == 2);
-}
-
-TEST_CASE ("on-demand replicas come back where too few reclaimable ones are left")
-{
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 5.0;
-    input.serving["a"] = { 0, 2 };
-    input.serving["b"] = { 0, 1 };
-
-    auto plan = planCapacity (input);
-    CHECK (totalOf (plan).onDemand == 2);
-    CHECK (plan["b"].onDemand == 2);
-}
-
-TEST_CASE ("while reclaims go on, on-demand replicas make up for the failure domains that may go next")
-{
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.bounds.most = 46;
-    input.needed = 40.0;
-    input.onDemandShare = 0.6;
-
-    for (const auto* domain : { "a", "b", "c", "d" })
-        input.serving[domain] = { 0, 14 };
-
-    CHECK (totalOf (planCapacity (input)).onDemand == 0);
-
-    // Two domains may lose 28 of the 41 that are planned and left; 24 are wanted.
-    input.serving["a"].reclaimable = 0;
-    input.dry = { "a" };
-    input.domainsAtRisk = 2;
-    CHECK (totalOf (planCapacity (input)).onDemand == 11);
-
-    // With one domain left nothing can be counted on.
-    input.serving["b"].reclaimable = 0;
-    input.serving["c"].reclaimable = 0;
-    input.dry = { "a", "b", "c" };
-    CHECK (totalOf (planCapacity (input)).onDemand == 24);
-}
-
-TEST_CASE ("an order that stands takes room though its replicas don't serve")
-{
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 12.0;
-    input.dry = { "a", "b", "c", "d" };
-    input.standing["b"] = 4;
-
-    auto plan = planCapacity (input);
-    CHECK (plan["b"].onDemand == 2);
-    CHECK (totalOf (plan).onDemand == 12);
-}
-
-TEST_CASE ("orders for reclaimable replicas that are not to be had leave room for on-demand ones")
-{
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 16.0;
-    input.dry = { "a", "b", "c", "d" };
-    input.serving["a"] = { 0, 1 };
-
-    const auto plan = planCapacity (input);
-    CHECK (totalOf (plan).reclaimable == 1);
-    CHECK (totalOf (plan).onDemand == 15);
-}
