--- /dev/null
+++ b/modules/snowrudder_serving/relay/RoutedChoice.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "../request/RoutedRequest.h"
+
+#include "snowrudder_routing/snowrudder_routing.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace snowrudder
+{
+
+/** A request's prompt as the choice of a replica looks at it. */
+struct RoutedPrompt
+{
+    /** Hash of each part and all before it, and the tokens up to its end. */
+    std::vector<std::uint64_t> blocks;
+    std::vector<double> blockTokens;
+    double tokens = 0.0;
+};
+
+auto promptOf (const CallerRequest& caller) -> RoutedPrompt;
+
+/** @returns what the choice needs to know of a request; it refers to the prompt and to the replicas tried.
+
+    @param routers  that send to the same replicas
+*/
+auto choiceInput (const RoutedPrompt& prompt, std::span<const ReplicaNumber> tried, std::size_t routers)
+    -> ChoiceInput;
+
+/** @returns the weights of the choice for requests that are routed by host and path. */
+auto routedWeights() -> ChoiceWeights;
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -29,44 +29,17 @@
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
-/** Prompts are read in pieces of 4,096 tokens, some 64 ms each and twice that deep in a long one; an event of a stream waits
-    for five to eight of them, and may pause for 500 to 600 ms on the sites known.
-*/
-constexpr auto longPromptTokens = 16000.0;
-
 /** A prompt that takes a replica 100 ms to read holds up what else runs there; the other nodes are told at once. On the grown
     sites some 30 a second are, each node's part of it one in three seconds.
 */
 constexpr auto announcedTokens = 6000.0;
 
-/** Of the replicas, those for long prompts: enough that one of them is idle as a rule. A long prompt begins 7 to 10 times a
-    second on the grown sites, and runs for 2 s.
-*/
-constexpr auto longPromptShare = 0.25;
-
-/** A stream that runs beside a long prompt comes late: worth more than the tokens that its replica may have cached. */
-constexpr auto besideLongPrompt = 8000.0;
-
-auto routedWeights() -> ChoiceWeights
-{
-    ChoiceWeights weights;
-    weights.longPrompt = longPromptTokens;
-    weights.longPromptShare = longPromptShare;
-    weights.besideLongPrompt = besideLongPrompt;
-    return weights;
-}
-
 } // namespace
 
 RoutedRun::RoutedRun (ServingState& servingState, Exchange& callerExchange, RoutedRequest routedRequest)
-    : state (servingState), exchange (callerExchange), request (std::move (routedRequest))
+    : state (servingState), exchange (callerExchange), request (std::move (routedRequest)),
+      prompt (promptOf (request.caller))
 {
-    for (const auto& part : request.caller.parts)
-    {
-        blocks.push_back (part.chain);
-        blockTokens.push_back (part.tokensSoFar);
-    }
-
     ++state.openRequests;
 }
 
@@ -148,7 +121,9 @@
 
 auto RoutedRun::attempt() -> Task<Failure>
 {
-    auto taken = state.replicas.take (request.service, choiceInput(), routedWeights(), SteadyClock::now());
+    const auto began = SteadyClock::now();
+    auto taken = state.replicas.take (request.service, choiceInput (prompt, tried, state.nodeCount (began)),
+                                      routedWeights(), began);
     ++sends;
 
     if (! taken)
@@ -256,7 +231,7 @@
     noteBegun();
     firstByte = now - request.accepted;
     state.counts.firstByte.add (*firstByte);
-    state.replicas.noteAnswering (ticket, blocks, request.caller.promptTokens);
+    state.replicas.noteAnswering (ticket, prompt.blocks, prompt.tokens);
     return {};
 }
 
@@ -413,27 +388,6 @@
         .info();
 }
 
-auto RoutedRun::choiceInput() const -> ChoiceInput
-{
-    ChoiceInput input;
-    input.blocks = blocks;
-    input.blockTokens = blockTokens;
-    input.promptTokens = request.caller.promptTokens;
-    input.tried = tried;
-    input.routers = state.nodeCount (SteadyClock::now());
-
-    // The last part belongs to one session; the ranking is made for what several requests share.
-    constexpr auto ownParts = std::size_t { 2 };
-
-    if (blocks.size() >= ownParts)
-    {
-        input.anchorBlock = blocks.size() - ownParts;
-        input.ownTokens = request.caller.promptTokens - blockTokens[*input.anchorBlock];
-    }
-
-    return input;
-}
-
 auto RoutedRun::attemptFields (const ReplicaTicket& ticket) const -> AttemptFields
 {
     const auto left = std::chrono::floor<milliseconds> (request.end - SteadyClock::now());
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -2,6 +2,7 @@
 
 #include "../node/ServingState.h"
 #include "EventAssembler.h"
+#include "RoutedChoice.h"
 
 #include <optional>
 #include <string>
@@ -46,7 +47,6 @@
 
     /** @returns attempts that may have run, the present one included. */
     [[nodiscard]] auto runs() const -> std::uint32_t { return sends - unrun; }
-    [[nodiscard]] auto choiceInput() const -> ChoiceInput;
     [[nodiscard]] auto attemptFields (const ReplicaTicket& ticket) const -> AttemptFields;
     [[nodiscard]] auto timeouts() const -> CallTimeouts;
     [[nodiscard]] auto mayRunAgain() const -> bool;
@@ -56,8 +56,7 @@
     Exchange& exchange;
     RoutedRequest request;
 
-    std::vector<std::uint64_t> blocks;
-    std::vector<double> blockTokens;
+    RoutedPrompt prompt;
     std::vector<ReplicaNumber> tried;
     /** Attempts, the present one included, and those of them that surely did not run. */
     std::uint32_t sends = 0;
