Replicas are told how urgent a request is

Cause: AttemptFields carried the route's priority, and nothing sent it: in the seconds when replicas are full they let requests in by their order only. An account's priority was read and not used.

--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -26,7 +26,7 @@
     /** A random number from 0 to 1. */
     double draw = 0.5;
     /** From when on this node knows what the others admit; until its first request an account's bucket fills from then. */
-    std::optional<TimePoint> knownSince;
+    std::optional<TimePoint> knownSince {};
 };
 
 /** The limits of client accounts, in tokens a second over all nodes, without a call for each request.
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -395,7 +395,7 @@
     fields.replica = ticket.info.name;
     fields.account = request.accountName();
     fields.timeLeft = std::max (milliseconds (1), left);
-    fields.priority = request.route->priority;
+    fields.urgency = urgencyOf (request);
     fields.lastEvent = events.lastEvent();
     return fields;
 }
--- a/modules/snowrudder_serving/request/RoutedRequest.h
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -5,6 +5,7 @@
 #include "snowrudder_net/snowrudder_net.h"
 #include "snowrudder_routing/snowrudder_routing.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -57,4 +58,13 @@
     [[nodiscard]] auto accountName() const -> std::string { return account ? account->name : std::string(); }
 };
 
+/** @returns how urgent a request is to a replica, from 0 to 9 with 0 first: its account's priority goes before its route's. */
+inline auto urgencyOf (const RoutedRequest& request) -> std::uint32_t
+{
+    constexpr auto routeLevels = 3U;
+    constexpr auto least = 9U;
+    const auto ofAccount = request.account ? request.account->priority : 0U;
+    return std::min (least, ofAccount * routeLevels + std::min (request.route->priority, routeLevels - 1));
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/request/UpstreamProtocol.h
+++ b/modules/snowrudder_serving/request/UpstreamProtocol.h
@@ -18,8 +18,8 @@
     std::string account;
     /** How long the answer is of use. */
     std::chrono::milliseconds timeLeft {};
-    /** 0 is the most urgent. */
-    std::uint32_t priority = 0;
+    /** 0 is the most urgent, 9 the least. */
+    std::uint32_t urgency = 0;
     /** The last event that the caller has, where a stream goes on. */
     std::string lastEvent;
 };
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -116,6 +116,36 @@
         CHECK (request.message.count (name) == 0);
 }
 
+TEST_CASE ("a replica is told which of its incarnations is meant, how long the answer is of use, and how "
+           "urgent it is")
+{
+    auto message = std::get<CallerRequest> (read (callerMessage())).message;
+    const auto protocol = platform::upstreamProtocol();
+    protocol.setFields (message, { "i-1", "alpha", 700ms, 4, "" });
+    CHECK (message["X-Target-Instance"] == "i-1");
+    CHECK (message["X-Tenant"] == "alpha");
+    CHECK (message["X-Deadline-Ms"] == "700");
+    CHECK (message["X-Request-Priority"] == "4");
+    CHECK (message.count ("Last-Event-Id") == 0);
+}
+
+TEST_CASE ("an account's priority goes before its route's")
+{
+    Route route;
+    route.priority = 2;
+    auto account = std::make_shared<RoutedAccount>();
+    RoutedRequest request;
+    request.route = &route;
+    CHECK (urgencyOf (request) == 2);
+    request.account = account;
+    account->priority = 1;
+    CHECK (urgencyOf (request) == 5);
+    route.priority = 0;
+    CHECK (urgencyOf (request) == 3);
+    account->priority = 7;
+    CHECK (urgencyOf (request) == 9);
+}
+
 TEST_CASE ("a prompt's parts share a chain as far as they are the same")
 {
     auto first = callerMessage();
