A reclaimed domain's order is taken back at once, so that on-demand replicas have room; those that boot stay

Change: a domain that was reclaimed counts as dry from its notice on and is ordered down to what serves; on-demand replicas that were ordered count as there when domains are tried again (which is what had moved them); a fifth of a domain's room is never filled with on-demand ones. A wave is over 5 s after its last sign.

--- a/modules/snowrudder_serving/capacity/CapacityMemory.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityMemory.cpp
@@ -27,7 +27,7 @@
 /** Reclaims come in waves: on the sites known two to four failure domains lose theirs within 13 s, and no new ones are to be
     had for 12 to 15 s. For so long after the last sign of one, others are expected.
 */
-constexpr auto waveTime = Duration (8s);
+constexpr auto waveTime = Duration (5s);
 
 /** A failure domain that keeps no more than one in so many of its reclaimable replicas was reclaimed. */
 constexpr auto mostLost = 4U;
@@ -55,10 +55,13 @@
     const auto isReclaimed = before > 0 && serving * mostLost <= before && isOrdered;
     before = serving;
 
-    if (isReclaimed)
-        memory.reclaimSeen[service] = now;
+    if (! isReclaimed)
+        return false;
 
-    return isReclaimed;
+    // No more are to be had there for a while, and an order that stands would take the room of on-demand ones.
+    memory.reclaimSeen[service] = now;
+    memory.dryUntil[{ service, domain }] = now + dryPause;
+    return true;
 }
 
 auto noteOrder (CapacityMemory& memory, const CapacityOrder& order, StoreOutcome outcome, TimePoint now)
--- a/modules/snowrudder_serving/capacity/CapacityPlan.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/** One in so many of a domain's replicas is never filled up with on-demand ones. */
+constexpr auto roomForReclaimable = 5U;
+
 using Plan = std::map<std::string, DomainCapacity>;
 
 auto cheapestFirst (const ScalingBounds& bounds) -> std::vector<std::string>
@@ -75,21 +78,26 @@
     const auto wanted = static_cast<std::uint32_t> (std::ceil (input.needed * input.onDemandShare));
     auto served = reliablyServing (plan, input);
 
-    // Those that serve already are kept before others are ordered: a new one takes its boot time.
+    // Those that serve or boot already are kept before others are ordered: a new one takes its boot time.
     for (const auto& domain : domains)
     {
-        const auto kept = std::min (servingIn (input, domain).onDemand, wanted - std::min (wanted, served));
+        const auto ordered = input.orderedOnDemand.find (domain);
+        const auto there = std::max (servingIn (input, domain).onDemand,
+                                     ordered == input.orderedOnDemand.end() ? 0U : ordered->second);
+        const auto kept = std::min (there, wanted - std::min (wanted, served));
         plan[domain].onDemand += kept;
         served += kept;
     }
 
+    // Some room is left for reclaimable ones, or they could not come back.
+    const auto mostOnDemand = input.bounds.most - input.bounds.most / roomForReclaimable;
+
     for (const auto& domain : domains)
     {
-        const auto standing = input.standing.find (domain);
-        const auto reclaimable = std::max (servingIn (input, domain).reclaimable,
-                                           standing == input.standing.end() ? 0U : standing->second);
+        // What is ordered and does not serve takes no room from what makes up for it.
+        const auto reclaimable = servingIn (input, domain).reclaimable;
 
-        for (; served < wanted && plan[domain].onDemand + reclaimable < input.bounds.most; ++served)
+        for (; served < wanted && plan[domain].onDemand + reclaimable < mostOnDemand; ++served)
             ++plan[domain].onDemand;
     }
 }
--- a/modules/snowrudder_serving/capacity/CapacityPlan.h
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.h
@@ -32,8 +32,8 @@
     double onDemandShare = 1.0;
     /** Failure domains where no more reclaimable replicas are to be had now. */
     std::set<std::string> dry;
-    /** Reclaimable replicas that orders stand for there: they take room though they don't serve. */
-    std::map<std::string, std::uint32_t> standing;
+    /** On-demand replicas that are ordered there; some may still boot. */
+    std::map<std::string, std::uint32_t> orderedOnDemand;
     /** Failure domains, those with the most reclaimable replicas, that may lose them before on-demand ones could boot. */
     std::size_t domainsAtRisk = 0;
 };
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -129,7 +129,6 @@
     input.bounds = *service.scaling;
     input.serving = servingOf (state.directory, service.name);
     input.onDemandShare = onDemandShare;
-    input.dry = dryDomains (memory, service.name, now);
     auto found = 0.0;
 
     for (const auto& [domain, capacity] : input.serving)
@@ -145,11 +144,11 @@
         input.needed =
             measured ? noteNeeded (memory, service.name, *measured, tick) : memory.needed[service.name];
 
-    // Also where reclaimable replicas are asked for again: on-demand ones that boot must not be moved meanwhile.
     for (const auto& [domain, price] : input.bounds.domainPrices)
-        input.standing[domain] = orderedReplicas (memory, service.name, domain, true);
+        input.orderedOnDemand[domain] = orderedReplicas (memory, service.name, domain, false);
 
     noteReclaims (memory, service.name, input, now);
+    input.dry = dryDomains (memory, service.name, now);
     return input;
 }
 
@@ -170,8 +169,7 @@
         CapacityOrder reclaimable { service.name, domain, true, wanted.reclaimable };
         CapacityOrder onDemand { service.name, domain, false, wanted.onDemand };
 
-        // An order that was refused stands: a smaller one would give up what may come back.
-        if (! input.dry.contains (domain) && isDue (memory, reclaimable, serving.reclaimable, bootTime, now))
+        if (isDue (memory, reclaimable, serving.reclaimable, bootTime, now))
             co_await give (state, calls, memory, std::move (reclaimable));
 
         if (isDue (memory, onDemand, serving.onDemand, bootTime, now))
