--- a/modules/snowrudder_serving/capacity/CapacityPlan.h
+++ b/modules/snowrudder_serving/capacity/CapacityPlan.h
@@ -30,10 +30,12 @@
     double needed = 0.0;
     /** Of what is needed, the part for which on-demand replicas are paid while reclaimable ones are not to be had. */
     double onDemandShare = 1.0;
+    /** Replicas that have slots for what runs; for these, too, on-demand ones are paid. */
+    double neededForSlots = 0.0;
     /** Failure domains where no more reclaimable replicas are to be had now. */
     std::set<std::string> dry;
-    /** Reclaimable replicas that orders stand for there: they take room though they don't serve. */
-    std::map<std::string, std::uint32_t> standing;
+    /** On-demand replicas that are ordered there; some may still boot. */
+    std::map<std::string, std::uint32_t> orderedOnDemand;
     /** Failure domains, those with the most reclaimable replicas, that may lose them before on-demand ones could boot. */
     std::size_t domainsAtRisk = 0;
 };
