A starting node adopts what is left only from nodes that had requests of the account

Cause, found on the last reading: a node that never had a request of an account counts others' use without knowing the limit, so that its bucket only falls; a node that started beside it adopted that as a debt, and would refuse the account for seconds. Change: what is left is told only where the bucket has begun. Measured: a test (the old code would adopt 50,000 below zero, by reading; not run against it).

--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -153,9 +153,12 @@
 {
     for (const auto& [account, use] : others)
     {
+        if (! use.level)
+            continue;
+
         auto& state = accounts[account];
         state.isBegun = true;
-        state.bucket.level = use.level;
+        state.bucket.level = *use.level;
         state.bucket.filled = now;
     }
 }
@@ -186,10 +189,15 @@
 
     for (const auto& [account, state] : accounts)
     {
+        auto& use = all[account];
+        use = { state.total, state.admitted.perSecond (now), state.asked.perSecond (now), std::nullopt };
+
+        if (! state.isBegun)
+            continue;
+
         auto bucket = state.bucket;
         refill (bucket, now);
-        all[account] = { state.total, state.admitted.perSecond (now), state.asked.perSecond (now),
-                         bucket.level };
+        use.level = bucket.level;
     }
 
     return all;
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -45,7 +45,9 @@
         entry->set_admitted (use.tokens);
         entry->set_rate (static_cast<float> (use.tokensPerSecond));
         entry->set_asked (static_cast<float> (use.askedPerSecond));
-        entry->set_level (static_cast<float> (use.level));
+
+        if (use.level)
+            entry->set_level (static_cast<float> (*use.level));
     }
 
     for (const auto& [service, work] : report.work)
@@ -149,10 +151,16 @@
     report.isSettled = message.settled();
 
     for (const auto& entry : message.use())
-        if (isAmount (entry.admitted()) && isAmount (entry.rate()) && isAmount (entry.asked()) &&
-            std::isfinite (entry.level()))
-            report.admitted[entry.account()] = { entry.admitted(), entry.rate(), entry.asked(),
-                                                 entry.level() };
+    {
+        if (! isAmount (entry.admitted()) || ! isAmount (entry.rate()) || ! isAmount (entry.asked()))
+            continue;
+
+        auto& use = report.admitted[entry.account()];
+        use = { entry.admitted(), entry.rate(), entry.asked(), std::nullopt };
+
+        if (entry.has_level() && std::isfinite (entry.level()))
+            use.level = entry.level();
+    }
 
     for (const auto& entry : message.work())
         if (isAmount (entry.tokens_per_second()) && isAmount (entry.in_flight()))
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,10 @@
     double tokensPerSecond = 0.0;
     /** What callers lately asked for, admitted or not. */
     double askedPerSecond = 0.0;
-    /** What the node believes to be left of the account's burst; below zero after an overshoot. */
-    double level = 0.0;
+    /** What the node believes to be left of the account's burst, below zero after an overshoot. Nothing where it has had no
+        request of the account yet: it does not know the limit then, and counts only what others took.
+    */
+    std::optional<double> level {};
 };
 
 /** Amounts by client account. */
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -191,6 +191,24 @@
     CHECK (drainQuota (quota, account (1000.0, 10'000.0), 100.0, start) <= 1600.0);
 }
 
+TEST_CASE ("a node that starts adopts what is left from one that knows, not from one that had no request of "
+           "the account")
+{
+    const auto limits = account (1000.0, 5000.0);
+    const QuotaBounds bounds;
+    SharedQuota unaware;
+    unaware.charge ({ { "alpha", 50'000.0 } }, start);
+    SharedQuota starting;
+    starting.adopt (unaware.admitted (start + 10s), start + 10s);
+    CHECK (starting.admit (limits, 100.0, bounds, start + 10s).admitted);
+
+    SharedQuota aware;
+    aware.admit (limits, 3000.0, bounds, start + 10s);
+    SharedQuota second;
+    second.adopt (aware.admitted (start + 10s), start + 10s);
+    CHECK_FALSE (second.admit (limits, 100.0, bounds, start + 10s).admitted);
+}
+
 TEST_CASE ("a refused request is told when the bucket is not empty any more")
 {
     SharedQuota quota;
@@ -287,6 +305,7 @@
     report.sequence = 9;
     report.proofAge = 250ms;
     report.admitted["alpha"] = { 10.0, 2.5, 40.0, -7.0 };
+    report.admitted["beta"] = { 10.0, 2.5, 40.0, std::nullopt };
     report.isSettled = true;
     report.work["model"] = { 64.0, 3.0 };
     report.usage[77]["alpha"] = 12;
@@ -302,7 +321,8 @@
     CHECK (read->admitted.at ("alpha").tokens == Approx (10.0));
     CHECK (read->admitted.at ("alpha").tokensPerSecond == Approx (2.5));
     CHECK (read->admitted.at ("alpha").askedPerSecond == Approx (40.0));
-    CHECK (read->admitted.at ("alpha").level == Approx (-7.0));
+    CHECK (read->admitted.at ("alpha").level.value_or (0.0) == Approx (-7.0));
+    CHECK_FALSE (read->admitted.at ("beta").level);
     CHECK (read->isSettled);
     CHECK (read->work.at ("model").tokensPerSecond == Approx (64.0));
     CHECK (read->usage.at (77).at ("alpha") == 12);
