What was announced costs the choice nothing where nothing was

Change: both are left out early where nothing is announced; useOf() is inline, it is asked for each replica twice.

--- a/modules/snowrudder_routing/replicas/ReplicaState.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaState.cpp
@@ -5,17 +5,6 @@
 namespace snowrudder
 {
 
-auto useOf (const ReplicaState& replica, TimePoint now) -> ReplicaUse
-{
-    if (replica.leavingSince)
-        return ReplicaUse::leaving;
-
-    if (replica.openUntil && (now < *replica.openUntil || replica.probing))
-        return ReplicaUse::suspended;
-
-    return ReplicaUse::usable;
-}
-
 auto noteHealth (ReplicaState& replica, AttemptHealth health, const BreakerLimits& limits, TimePoint now)
     -> void
 {
--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -92,8 +92,17 @@
     bool probing = false;
 };
 
-/** @returns whether a replica may get new work. */
-auto useOf (const ReplicaState& replica, TimePoint now) -> ReplicaUse;
+/** @returns whether a replica may get new work. Asked of each replica for each request. */
+inline auto useOf (const ReplicaState& replica, TimePoint now) -> ReplicaUse
+{
+    if (replica.leavingSince)
+        return ReplicaUse::leaving;
+
+    if (replica.openUntil && (now < *replica.openUntil || replica.probing))
+        return ReplicaUse::suspended;
+
+    return ReplicaUse::usable;
+}
 
 /** How one attempt on a replica ended, as far as the replica's health is concerned. */
 enum class AttemptHealth
@@ -144,10 +153,16 @@
     const auto reported = static_cast<double> (replica.report.running + replica.report.waiting);
     const auto own = static_cast<double> (replica.inFlight);
     const auto change = own - static_cast<double> (replica.inFlightAtReport);
+    const auto known = std::max (own, reported + change);
     const auto guessed = others * std::max (0.0, change);
+
+    // Asked of each replica for each request: most have nothing announced.
+    if (replica.announced.empty())
+        return known + guessed;
+
     const auto announced = static_cast<double> (std::ranges::count_if (
         replica.announced, [now] (TimePoint time) { return now - time <= announcedTime; }));
-    return std::max (own, reported + change) + std::max (guessed, announced);
+    return known + std::max (guessed, announced);
 }
 
 /** Prompt tokens that a replica reads a millisecond, until measured otherwise: the engines of the sites known read 64 and
@@ -160,10 +175,14 @@
 */
 inline auto believedPendingTokens (const ReplicaState& replica, TimePoint now) -> double
 {
-    using Milliseconds = std::chrono::duration<double, std::milli>;
     const auto change = replica.ownPendingTokens - replica.ownPendingAtReport;
     const auto own = std::max (replica.ownPendingTokens, replica.report.pendingPromptTokens + change);
-    return own + std::max (0.0, Milliseconds (replica.othersPromptsUntil - now).count() * usualPromptSpeed);
+
+    if (replica.othersPromptsUntil <= now)
+        return own;
+
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    return own + Milliseconds (replica.othersPromptsUntil - now).count() * usualPromptSpeed;
 }
 
 } // namespace snowrudder
