--- a/tests/unit/RoutingTests.cpp
+++ b/tests/unit/RoutingTests.cpp
@@ -218,6 +218,7 @@
 TEST_CASE ("a long prompt goes where nothing runs, though others' prompts are known from announcements only")
 {
     std::vector<ListedReplica> replicas;
+    replicas.reserve (8);
 
     for (auto number = 0; number < 8; ++number)
         replicas.push_back (listed ("r-" + std::to_string (number)));
