--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -1,5 +1,6 @@
 """The router on the users' platform: real router processes against a stand-in of the platform."""
 import pathlib
+import re
 import signal
 import subprocess
 import tempfile
@@ -115,11 +116,15 @@
     def test_figures_are_served(self):
         with Platform() as platform:
             platform.first.call("GET", "/again/x")
-            text = request(platform.first.metrics, "GET", "/metrics").body.decode()
+            def figures():
+                return request(platform.first.metrics, "GET", "/metrics").body.decode()
+            text = figures()
             self.assertIn("snowrudder_routed_requests_total 1", text)
             self.assertIn("snowrudder_whole_answer_seconds_count 1", text)
-            self.assertRegex(text, r"snowrudder_store_watches_total [1-9]")
+            self.assertRegex(text, r"snowrudder_store_lists_total [1-9]")
             self.assertRegex(text, r"snowrudder_store_call_seconds_count [1-9]")
+            # A watch is counted when it ends, after 2 s without a change.
+            wait_until(lambda: re.search(r"snowrudder_store_watches_total [1-9]", figures()), "a watch is counted")
 
     def test_a_failure_of_a_replica_is_tried_again_or_passed_on_as_it_is(self):
         with Platform() as platform:
