The members' count, a bucket's later level, replicas of a hash and counted store calls stand once each

Cause, from reading the whole change: the number of members was kept twice in a node's state; two functions copied a bucket to fill it up to a time; two walked all replicas for a hash; counted and timed store calls were two coroutines of one shape; the delay of reports was worked out twice for each request that is admitted; a node that knows no other looked for them every 20 ms for good. Change: ServingState::memberCount() derives it; levelAt() beside refill(); ReplicaTable::forEachOfHash(); one counted(); isNewNode() says for members' lists and for the greeting alike what a new node is: after 3 s a node that knows no other looks at the reports' pace. Nothing else that is served or sent changes.

--- a/modules/snowrudder_limits/rate/TokenBucket.h
+++ b/modules/snowrudder_limits/rate/TokenBucket.h
@@ -30,6 +30,13 @@
     bucket.filled = now;
 }
 
+/** @returns what a bucket holds, or will hold, at a time. */
+inline auto levelAt (TokenBucket bucket, TimePoint time) -> double
+{
+    refill (bucket, time);
+    return bucket.level;
+}
+
 /** Takes an amount if it is there.
 
     @returns whether it was
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -175,17 +175,17 @@
 {
     const std::lock_guard lock (mutex);
 
-    for (auto& [service, replicas] : services)
-        for (auto& replica : replicas)
-        {
-            if (replica.hash != hash || (replica.reportTime && *replica.reportTime >= heard))
-                continue;
-
-            // What this router sent after the replica spoke is not in its word.
-            const auto sentSince = static_cast<std::uint32_t> (
-                std::ranges::count_if (replica.takes, [heard] (TimePoint taken) { return taken > heard; }));
-            takeReport (replica, report, heard, sentSince);
-        }
+    forEachOfHash (hash,
+                   [&] (ReplicaState& replica)
+                   {
+                       if (replica.reportTime && *replica.reportTime >= heard)
+                           return;
+
+                       // What this router sent after the replica spoke is not in its word.
+                       const auto sentSince = static_cast<std::uint32_t> (std::ranges::count_if (
+                           replica.takes, [heard] (TimePoint taken) { return taken > heard; }));
+                       takeReport (replica, report, heard, sentSince);
+                   });
 }
 
 auto ReplicaTable::notePromptHeard (std::uint32_t hash, double tokens, TimePoint now) -> void
@@ -194,15 +194,14 @@
     const auto reading = std::chrono::duration_cast<Duration> (
         std::chrono::duration<double, std::milli> (tokens / usualPromptSpeed));
 
-    for (auto& [service, replicas] : services)
-        for (auto& replica : replicas)
-            if (replica.hash == hash)
-            {
-                replica.othersPromptsUntil = std::max (replica.othersPromptsUntil, now) + reading;
-                std::erase_if (replica.announced,
-                               [now] (TimePoint time) { return now - time > announcedTime; });
-                replica.announced.push_back (now);
-            }
+    forEachOfHash (hash,
+                   [&] (ReplicaState& replica)
+                   {
+                       replica.othersPromptsUntil = std::max (replica.othersPromptsUntil, now) + reading;
+                       std::erase_if (replica.announced,
+                                      [now] (TimePoint time) { return now - time > announcedTime; });
+                       replica.announced.push_back (now);
+                   });
 }
 
 auto ReplicaTable::noteLeaving (ReplicaNumber number, TimePoint now) -> void
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -136,6 +136,16 @@
 private:
     auto find (ReplicaNumber number) -> ReplicaState*;
 
+    /** Calls a function with each replica whose name has a hash; the lock is held. */
+    template <typename Visitor>
+    auto forEachOfHash (std::uint32_t hash, Visitor&& visit) -> void
+    {
+        for (auto& [service, replicas] : services)
+            for (auto& replica : replicas)
+                if (replica.hash == hash)
+                    visit (replica);
+    }
+
     mutable std::mutex mutex;
     std::map<std::string, std::vector<ReplicaState>, std::less<>> services;
     PrefixIndex prefixes;
--- a/modules/snowrudder_serving/capacity/CapacityMemory.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityMemory.cpp
@@ -39,8 +39,7 @@
                  double measured,
                  Duration passed) -> double
 {
-    const auto [place, isNew] = needed.emplace (service, measured);
-    auto& mean = place->second;
+    auto& mean = needed.emplace (service, measured).first->second;
     const auto fall = std::chrono::duration<double> (passed) / std::chrono::duration<double> (fallTime);
     mean = std::max (measured, mean + (measured - mean) * std::min (1.0, fall));
     return mean;
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -134,7 +134,7 @@
         for (auto window = std::max (oldest, firstWindow); window < current; ++window)
         {
             if (reported.contains (window) ||
-                now < state.usage.endOf (window) + settleTime (state.memberCount))
+                now < state.usage.endOf (window) + settleTime (state.memberCount()))
                 continue;
 
             if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
--- a/modules/snowrudder_serving/limits/QuotaSharing.cpp
+++ b/modules/snowrudder_serving/limits/QuotaSharing.cpp
@@ -11,6 +11,9 @@
 /** Until the store has listed the members, a node may be any of a large fleet that all start now. */
 constexpr auto membersUnlisted = std::size_t { 100 };
 
+/** Nodes that start together have listed each other after two lists, 2 s apart at most, and a stale one. */
+constexpr auto newNodeTime = Duration (3s);
+
 auto countMembers (const QuotaSharing& sharing) -> std::size_t
 {
     return std::max<std::size_t> (sharing.members.value_or (membersUnlisted), 1);
@@ -18,6 +21,11 @@
 
 } // namespace
 
+auto isNewNode (const QuotaSharing& sharing, TimePoint now) -> bool
+{
+    return now - sharing.startTime < newNodeTime;
+}
+
 auto quotaShare (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> double
 {
     const auto members = countMembers (sharing);
@@ -39,12 +47,9 @@
                   double draw,
                   TimePoint now) -> QuotaBounds
 {
-    return { slack,
-             quotaShare (sharing, peers, now),
-             reportDelay (countMembers (sharing)),
-             unsettledTime (sharing, now),
-             draw,
-             sharing.startTime + reportDelay (countMembers (sharing)) };
+    const auto delay = reportDelay (countMembers (sharing));
+    return { slack, quotaShare (sharing, peers, now), delay, unsettledTime (sharing, now),
+             draw,  sharing.startTime + delay };
 }
 
 auto askedOfOthers (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> AccountAmounts
--- a/modules/snowrudder_serving/limits/QuotaSharing.h
+++ b/modules/snowrudder_serving/limits/QuotaSharing.h
@@ -18,6 +18,9 @@
     bool isAdopted = false;
 };
 
+/** @returns whether a node started so lately that others may not know it yet, nor it them. */
+auto isNewNode (const QuotaSharing& sharing, TimePoint now) -> bool;
+
 /** @returns the part of the limits that a node may use: all while it hears most of the others, whose use it then counts;
     else an even part.
 */
--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -177,9 +177,9 @@
     return std::ranges::any_of (accounts,
                                 [now] (const auto& entry)
                                 {
-                                    auto bucket = entry.second.bucket;
-                                    refill (bucket, now);
-                                    return bucket.rate > 0.0 && bucket.level < tightShare * bucket.burst;
+                                    const auto& bucket = entry.second.bucket;
+                                    return bucket.rate > 0.0 &&
+                                           levelAt (bucket, now) < tightShare * bucket.burst;
                                 });
 }
 
@@ -192,12 +192,8 @@
         auto& use = all[account];
         use = { state.total, state.admitted.perSecond (now), state.asked.perSecond (now), std::nullopt };
 
-        if (! state.isBegun)
-            continue;
-
-        auto bucket = state.bucket;
-        refill (bucket, now);
-        use.level = bucket.level;
+        if (state.isBegun)
+            use.level = levelAt (state.bucket, now);
     }
 
     return all;
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -19,7 +19,6 @@
     second itself, and nodes that start together find each other late.
 */
 constexpr auto firstListInterval = 400ms;
-constexpr auto firstLists = Duration (3s);
 constexpr auto failurePause = 1s;
 
 } // namespace
@@ -70,7 +69,7 @@
         co_return false;
 
     takeMembers (listed);
-    const auto isNew = SteadyClock::now() - state.sharing.startTime < firstLists;
+    const auto isNew = isNewNode (state.sharing, SteadyClock::now());
     co_await pauseFor (state.loop, jittered (isNew ? Duration (firstListInterval) : Duration (listInterval)));
     co_return true;
 }
@@ -152,15 +151,14 @@
         members.emplace (name, std::move (member));
     }
 
-    if (members.size() != state.memberCount)
-        LogLine ("members_changed").with ("before", state.memberCount).with ("now", members.size()).info();
+    if (members.size() != state.memberCount())
+        LogLine ("members_changed").with ("before", state.memberCount()).with ("now", members.size()).info();
 
     endpointsOfOthers.clear();
 
     for (const auto& [name, endpoint] : endpoints)
         endpointsOfOthers.push_back (endpoint);
 
-    state.memberCount = members.size();
     state.sharing.members = members.size();
     state.retryBudgets.setMostSaved (state.savedRetries());
     noteReaders (members, endpoints);
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -11,7 +11,9 @@
 namespace
 {
 
-/** How often a node that has just started looks whether it knows the others. */
+/** How often a node that has just started looks whether it knows the others; one that knows none by then has none, or can't
+    reach the store.
+*/
 constexpr auto greetingInterval = 20ms;
 
 /** How often loads of replicas are told and news are asked for: a replica of a model begins four requests a second. */
@@ -147,10 +149,11 @@
 {
     for (;;)
     {
-        const auto isTight = state.quota.isTight (SteadyClock::now());
-        co_await pauseFor (state.loop, ! hasGreeted ? greetingInterval
-                                       : isTight    ? reportIntervalWhenTight
-                                                    : reportInterval);
+        const auto now = SteadyClock::now();
+        const auto greetsSoon = ! hasGreeted && isNewNode (state.sharing, now);
+        co_await pauseFor (state.loop, greetsSoon                  ? greetingInterval
+                                       : state.quota.isTight (now) ? reportIntervalWhenTight
+                                                                   : reportInterval);
         state.quota.noteOthersAsked (askedOfOthers (state.sharing, state.peers, SteadyClock::now()));
 
         if (membership.secret().empty() || membership.others().empty())
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -48,6 +48,9 @@
     /** Nodes that share limits and replicas, this one included. */
     [[nodiscard]] auto nodeCount (TimePoint now) const -> std::size_t { return peers.countHeard (now) + 1; }
 
+    /** @returns nodes that the store last listed, this one included; 1 before it listed them once. */
+    [[nodiscard]] auto memberCount() const -> std::size_t { return sharing.members.value_or (1); }
+
     /** @returns retries that this node may save up: its part of half of the fleet's fixed number. The other half is kept back
         for nodes that know each other late. A node without any could not even replace an attempt that was refused.
     */
@@ -55,7 +58,7 @@
     {
         constexpr auto partGivenOut = 0.5;
         constexpr auto least = 1.0;
-        return std::max (least, settings.retrySlack * partGivenOut / static_cast<double> (memberCount));
+        return std::max (least, settings.retrySlack * partGivenOut / static_cast<double> (memberCount()));
     }
 
     asio::io_context& loop;
@@ -85,8 +88,6 @@
     SharedLoads loads;
     /** Ends the pause before the next look at the configuration. */
     const std::shared_ptr<Signal> configurationWake;
-    /** Nodes that the store last listed, this one included. */
-    std::size_t memberCount = 1;
     bool hasReplicas = false;
     bool isStoreReached = true;
     bool leaving = false;
--- a/modules/snowrudder_serving/store/CountedStore.cpp
+++ b/modules/snowrudder_serving/store/CountedStore.cpp
@@ -1,38 +1,19 @@
 #include "CountedStore.h"
 
-#include <memory>
-
 namespace snowrudder
 {
 
 namespace
 {
 
-/** Figures of one kind of call. */
+/** Figures of one kind of call. A watch waits for changes, so that its time tells nothing of the store. */
 struct CallFigures
 {
-    CallFigures (Metrics& metrics, const std::string& kind)
-        : calls (metrics.counter ("snowrudder_store_" + kind + "_total")),
-          failures (metrics.counter ("snowrudder_store_calls_failed_total")),
-          times (metrics.histogram ("snowrudder_store_call_seconds"))
-    {
-    }
-
-    auto note (StoreOutcome outcome) -> void
-    {
-        calls.add();
-
-        if (outcome == StoreOutcome::unavailable || outcome == StoreOutcome::unknown)
-            failures.add();
-    }
-
     Counter& calls;
     Counter& failures;
-    TimeHistogram& times;
+    TimeHistogram* times = nullptr;
 };
 
-using Figures = std::shared_ptr<CallFigures>;
-
 auto outcomeOf (StoreOutcome outcome) -> StoreOutcome
 {
     return outcome;
@@ -46,20 +27,19 @@
 
 // The arguments live in the coroutine's own frame: the function object that made the call may be gone meanwhile.
 template <typename Result>
-auto timed (Figures figures, Task<Result> call) -> Task<Result>
+auto counted (CallFigures figures, Task<Result> call) -> Task<Result>
 {
     const auto began = SteadyClock::now();
     auto result = co_await std::move (call);
-    figures->note (outcomeOf (result));
-    figures->times.add (SteadyClock::now() - began);
-    co_return result;
-}
+    const auto outcome = outcomeOf (result);
+    figures.calls.add();
+
+    if (outcome == StoreOutcome::unavailable || outcome == StoreOutcome::unknown)
+        figures.failures.add();
+
+    if (figures.times != nullptr)
+        figures.times->add (SteadyClock::now() - began);
 
-template <typename Result>
-auto counted (Figures figures, Task<Result> call) -> Task<Result>
-{
-    auto result = co_await std::move (call);
-    figures->note (outcomeOf (result));
     co_return result;
 }
 
@@ -67,26 +47,36 @@
 
 auto countCalls (StateStore store, Metrics& metrics) -> StateStore
 {
-    const auto figures = [&metrics] (const std::string& kind)
-    { return std::make_shared<CallFigures> (metrics, kind); };
+    const auto waiting = [&metrics] (const std::string& kind)
+    {
+        return CallFigures { metrics.counter ("snowrudder_store_" + kind + "_total"),
+                             metrics.counter ("snowrudder_store_calls_failed_total") };
+    };
+
+    const auto figures = [&] (const std::string& kind)
+    {
+        auto made = waiting (kind);
+        made.times = &metrics.histogram ("snowrudder_store_call_seconds");
+        return made;
+    };
 
     StateStore made;
     made.read = [call = std::move (store.read), of = figures ("reads")] (std::string key)
-    { return timed (of, call (std::move (key))); };
+    { return counted (of, call (std::move (key))); };
     made.list = [call = std::move (store.list), newest = figures ("lists"),
                  old = figures ("old_lists")] (std::string prefix, ListAge age)
-    { return timed (age == ListAge::newest ? newest : old, call (std::move (prefix), age)); };
+    { return counted (age == ListAge::newest ? newest : old, call (std::move (prefix), age)); };
     made.watch = [call = std::move (store.watch),
-                  of = figures ("watches")] (std::string prefix, std::uint64_t after, Duration wait)
+                  of = waiting ("watches")] (std::string prefix, std::uint64_t after, Duration wait)
     { return counted (of, call (std::move (prefix), after, wait)); };
     made.commit = [call = std::move (store.commit), of = figures ("transactions")] (
-                      StoreTransaction transaction) { return timed (of, call (std::move (transaction))); };
+                      StoreTransaction transaction) { return counted (of, call (std::move (transaction))); };
     made.grantLease = [call = std::move (store.grantLease), of = figures ("leases_granted")] (Duration length)
-    { return timed (of, call (length)); };
+    { return counted (of, call (length)); };
     made.renewLease = [call = std::move (store.renewLease), of = figures ("leases_renewed")] (
-                          std::uint64_t lease) { return timed (of, call (lease)); };
+                          std::uint64_t lease) { return counted (of, call (lease)); };
     made.endLease = [call = std::move (store.endLease), of = figures ("leases_ended")] (std::uint64_t lease)
-    { return timed (of, call (lease)); };
+    { return counted (of, call (lease)); };
     return made;
 }
 
