Tests of limits, capacity and choice, and the soak's faults, share what they do alike

Cause: loops over cases and seeds, plans' inputs and lists of replicas stood two to five times in the tests of this change; the soak noted a disturbed node in three ways, and two troubles of the store and two of a proxy were written out apart. Change: forEachFleet(), shareOfCentral(), inputFor(), listedNumbered(); Ledger.disturbance() as a context, store_trouble(), behind(). Each assertion and bound is kept; seeds draw the same faults as before.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -64,7 +64,7 @@
         self.send()
         self.run_at()
         self.assert_breach("after it was leaving")
-        self.ledger.disturb("front-0", 9.0, 9.5)
+        self.ledger.disturbed["front-0"].append([9.0, 9.5])
         self.assertEqual(self.ledger.breaches(LIMITS), [])
 
     def test_an_answer_held_back_or_wrong(self):
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,7 +1,9 @@
 """What callers and replicas saw in a soak, and the promises that it is checked against."""
 import collections
+import contextlib
 import dataclasses
 import threading
+import time
 
 NOT_RUN = (408, 421, 429, 503)
 
@@ -52,9 +54,17 @@
         with self.lock:
             self.runs.append(run)
 
-    def disturb(self, node, began, ended):
+    @contextlib.contextmanager
+    def disturbance(self, nodes, after=0.0):
+        """Something is done to nodes: they count as disturbed from now until its end, and for `after` seconds more."""
+        span = [time.monotonic(), float("inf")]
         with self.lock:
-            self.disturbed[node].append((began, ended))
+            for node in nodes:
+                self.disturbed[node].append(span)
+        try:
+            yield
+        finally:
+            span[1] = time.monotonic() + after
 
     def is_calm(self, node, began, ended, contact):
         """Whether nothing was done to a node from some time before until the end."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,7 @@
 import time
 
 PIECE = 65536
+# The first lets everything through.
 MODES = ("pass", "delay", "silent", "answers_lost", "reset")
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 import time
 
 from ledger import duty_breaches
+from proxy import MODES
 from world import World
 
 # Seconds. The settings of the nodes say 2.5 for revoked keys; the rest are the platform's figures for a small site, each with
@@ -25,6 +26,7 @@
 LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.5, "answer": 7.0}
 THAW = 0.3
 
+OUTAGES = ("silent", "busy")
 REPLICA_TROUBLES = ("cut", "fail", "shed", "surplus", "break", "slow")
 
 
@@ -51,10 +53,6 @@
         for thread in self.under_way:
             thread.join(30)
 
-    def disturbed(self, nodes, began):
-        for node in nodes:
-            self.world.ledger.disturb(node.name, began, time.monotonic())
-
     def take_node(self, draw):
         """A node that no other fault has now."""
         free = [node for node in self.world.nodes if node not in self.busy_nodes]
@@ -68,12 +66,8 @@
         node = self.take_node(draw)
         if node is None:
             return
-        began = time.monotonic()
-        # Noted before too: a request that ends meanwhile must not look undisturbed.
-        self.world.ledger.disturb(node.name, began, began + 60)
-        act(node)
-        self.world.ledger.disturbed[node.name].remove((began, began + 60))
-        self.disturbed([node], began)
+        with self.world.ledger.disturbance([node.name]):
+            act(node)
         self.busy_nodes.discard(node)
 
     def node_killed(self, seconds, draw):
@@ -105,44 +99,41 @@
     def store_cut(self, seconds, draw):
         door = draw.choice(self.world.store_doors)
         node = self.world.nodes[self.world.store_doors.index(door)]
-        began = time.monotonic()
-        self.world.ledger.disturb(node.name, began, began + seconds + 1)
-        door.set(draw.choice(("delay", "silent", "answers_lost", "reset")), 0.3)
-        time.sleep(seconds)
-        door.set("pass")
+        with self.world.ledger.disturbance([node.name], after=1):
+            self.behind(door, seconds, draw, 0.3)
+
+    def store_trouble(self, seconds, switch, lapsing=()):
+        """The store misbehaves towards all; the entries of replicas in `lapsing` go."""
+        with self.world.ledger.disturbance([node.name for node in self.world.nodes], after=1):
+            setattr(self.world.store, switch, True)
+            for name in lapsing:
+                self.world.store.remove(f"servers/{name}")
+            time.sleep(seconds)
+            setattr(self.world.store, switch, False)
 
-    def store_outage(self, seconds, draw, lapse=False):
-        began = time.monotonic()
-        for node in self.world.nodes:
-            self.world.ledger.disturb(node.name, began, began + seconds + 1)
-        how = draw.choice(("silent", "busy"))
-        setattr(self.world.store, how, True)
-        kept = list(self.world.replicas.values()) if lapse else []
-        for replica in kept:
-            self.world.store.remove(f"servers/{replica.name}")
-        time.sleep(seconds)
-        setattr(self.world.store, how, False)
+    def store_outage(self, seconds, draw):
+        self.store_trouble(seconds, draw.choice(OUTAGES))
+
+    def lapse(self, seconds, draw):
+        """Entries lapse while the store is away, and come back behind it."""
+        kept = list(self.world.replicas.values())
+        self.store_trouble(seconds, draw.choice(OUTAGES), [replica.name for replica in kept])
         for replica in kept:
             if replica.name in self.world.replicas:
                 self.world.enter(replica)
 
-    def lapse(self, seconds, draw):
-        self.store_outage(seconds, draw, lapse=True)
-
     def lost_answers(self, seconds, draw):
-        began = time.monotonic()
-        for node in self.world.nodes:
-            self.world.ledger.disturb(node.name, began, began + seconds + 1)
-        self.world.store.lose_answers = True
-        time.sleep(seconds)
-        self.world.store.lose_answers = False
+        self.store_trouble(seconds, "lose_answers")
 
-    def replica_cut(self, seconds, draw):
-        door = self.world.doors[draw.choice(list(self.world.replicas))]
-        door.set(draw.choice(("delay", "silent", "answers_lost", "reset")), 0.2)
+    @staticmethod
+    def behind(door, seconds, draw, delay):
+        door.set(draw.choice(MODES[1:]), delay)
         time.sleep(seconds)
         door.set("pass")
 
+    def replica_cut(self, seconds, draw):
+        self.behind(self.world.doors[draw.choice(list(self.world.replicas))], seconds, draw, 0.2)
+
     def replica_trouble(self, seconds, draw):
         replica = draw.choice(list(self.world.replicas.values()))
         replica.behave += [draw.choice(REPLICA_TROUBLES) for _ in range(draw.randint(1, 8))]
--- a/tests/unit/CapacityTests.cpp
+++ b/tests/unit/CapacityTests.cpp
@@ -34,6 +34,20 @@
     return total;
 }
 
+/** @param each  serves in each of the four failure domains */
+auto inputFor (double needed, DomainCapacity each = {}) -> CapacityInput
+{
+    CapacityInput input;
+    input.bounds = scalingBounds();
+    input.needed = needed;
+
+    if (each != DomainCapacity())
+        for (const auto& [domain, price] : input.bounds.domainPrices)
+            input.serving[domain] = each;
+
+    return input;
+}
+
 auto orderFor (std::uint32_t replicas, bool isReclaimable = true) -> CapacityOrder
 {
     return { "model", "a", isReclaimable, replicas };
@@ -43,13 +57,7 @@
 
 TEST_CASE ("reclaimable replicas cover what is needed though one failure domain loses its own")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 6.0;
-
-    for (const auto* domain : { "a", "b", "c", "d" })
-        input.serving[domain] = { 0, 2 };
-
+    const auto input = inputFor (6.0, { 0, 2 });
     const auto plan = planCapacity (input);
     CHECK (totalOf (plan).onDemand == 0);
     CHECK (totalOf (plan).reclaimable == 8);
@@ -60,13 +68,7 @@
 
 TEST_CASE ("on-demand replicas go only as reclaimable ones come up, the dearest first")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 4.0;
-
-    for (const auto* domain : { "a", "b", "c", "d" })
-        input.serving[domain] = { 2, 0 };
-
+    auto input = inputFor (4.0, { 2, 0 });
     auto plan = planCapacity (input);
     CHECK (totalOf (plan).onDemand == 4);
     CHECK (plan["b"].onDemand == 2);
@@ -79,9 +81,7 @@
 
 TEST_CASE ("on-demand replicas come back where too few reclaimable ones are left")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 5.0;
+    auto input = inputFor (5.0);
     input.serving["a"] = { 0, 2 };
     input.serving["b"] = { 0, 1 };
 
@@ -92,15 +92,9 @@
 
 TEST_CASE ("while reclaims go on, on-demand replicas make up for the failure domains that may go next")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
+    auto input = inputFor (40.0, { 0, 14 });
     input.bounds.most = 46;
-    input.needed = 40.0;
     input.onDemandShare = 0.6;
-
-    for (const auto* domain : { "a", "b", "c", "d" })
-        input.serving[domain] = { 0, 14 };
-
     CHECK (totalOf (planCapacity (input)).onDemand == 0);
 
     // Two domains may lose 28 of the 41 that are planned and left; 24 are wanted.
@@ -119,10 +113,8 @@
 TEST_CASE ("on-demand replicas that boot stay where they were ordered, while a domain is tried again for "
            "reclaimable ones")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
+    auto input = inputFor (16.0);
     input.bounds.most = 20;
-    input.needed = 16.0;
     input.dry = { "a", "b", "c", "d" };
     auto plan = planCapacity (input);
     CHECK (plan["b"].onDemand == 16);
@@ -136,9 +128,7 @@
 
 TEST_CASE ("on-demand replicas are paid for what runs, also where the headroom's part would be less")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 10.0;
+    auto input = inputFor (10.0);
     input.onDemandShare = 0.5;
     input.dry = { "a", "b", "c", "d" };
     CHECK (totalOf (planCapacity (input)).onDemand == 5);
@@ -148,10 +138,8 @@
 
 TEST_CASE ("on-demand replicas leave room in each domain for reclaimable ones to come back")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
+    auto input = inputFor (60.0);
     input.bounds.most = 10;
-    input.needed = 60.0;
     input.dry = { "a", "b", "c", "d" };
 
     for (const auto& [domain, capacity] : planCapacity (input))
@@ -160,9 +148,7 @@
 
 TEST_CASE ("orders for reclaimable replicas that are not to be had leave room for on-demand ones")
 {
-    CapacityInput input;
-    input.bounds = scalingBounds();
-    input.needed = 16.0;
+    auto input = inputFor (16.0);
     input.dry = { "a", "b", "c", "d" };
     input.serving["a"] = { 0, 1 };
 
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -228,63 +228,73 @@
 constexpr auto quotaCases = std::array { QuotaCase { 9, 80'000.0 }, QuotaCase { 83, 40'000.0 },
                                          QuotaCase { 83, 200'000.0 }, QuotaCase { 83, 850'000.0 } };
 
-} // namespace
-
-TEST_CASE ("a flood of one account stays within its limit at nodes that are all killed in it")
+/** Calls check (fleet, rate) for each case with five seeds. */
+template <typename Check>
+auto forEachFleet (const Check& check) -> void
 {
     for (const auto& [nodes, rate] : quotaCases)
         for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
         {
+            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
             QuotaFleet fleet (nodes, limitOf (rate), seed);
+            check (fleet, rate);
+        }
+}
+
+/** Lets a fleet run.
+
+    @returns the tokens that it admits in that time, as a part of what one bucket for all nodes would
+*/
+auto shareOfCentral (QuotaFleet& fleet, Duration time, double tokensPerSecond) -> double
+{
+    const auto before = fleet.admittedTokens();
+    const auto centralBefore = fleet.admittedByCentral();
+    fleet.run (time, tokensPerSecond);
+    return (fleet.admittedTokens() - before) / (fleet.admittedByCentral() - centralBefore);
+}
+
+} // namespace
+
+TEST_CASE ("a flood of one account stays within its limit at nodes that are all killed in it")
+{
+    forEachFleet (
+        [] (QuotaFleet& fleet, double rate)
+        {
             fleet.run (3s, 0.5 * rate);
             fleet.run (1s, 2.8 * rate);
             fleet.restartAll();
             fleet.run (4s, 2.8 * rate);
             fleet.restartAll();
             fleet.run (6s, 2.8 * rate);
-
-            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
             CHECK (fleet.mostOverLimit() <= 0.0);
-        }
+        });
 }
 
 TEST_CASE ("an account that asks for more than its limit gets nearly all of it")
 {
-    for (const auto& [nodes, rate] : quotaCases)
-        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+    forEachFleet (
+        [] (QuotaFleet& fleet, double rate)
         {
-            QuotaFleet fleet (nodes, limitOf (rate), seed);
             fleet.run (10s, 2.0 * rate);
-            const auto before = fleet.admittedTokens();
-            const auto centralBefore = fleet.admittedByCentral();
-            fleet.run (20s, 2.0 * rate);
-
-            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
+            CHECK (shareOfCentral (fleet, 20s, 2.0 * rate) >= 0.9);
             CHECK (fleet.mostOverLimit() <= 0.0);
-            CHECK (fleet.admittedTokens() - before >= 0.9 * (fleet.admittedByCentral() - centralBefore));
-        }
+        });
 }
 
 TEST_CASE ("an account that nobody used before its first requests has its whole burst")
 {
-    QuotaFleet fleet (83, limitOf (200'000.0), 1);
+    constexpr auto rate = 200'000.0;
+    QuotaFleet fleet (83, limitOf (rate), 1);
     fleet.run (5s, 0.0);
-    fleet.run (1s, 1.0 * 200'000.0);
-    CHECK (fleet.admittedTokens() >= 0.9 * fleet.admittedByCentral());
+    CHECK (shareOfCentral (fleet, 1s, rate) >= 0.9);
 }
 
 TEST_CASE ("an account that keeps to its limit is not refused")
 {
-    for (const auto& [nodes, rate] : quotaCases)
-        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+    forEachFleet (
+        [] (QuotaFleet& fleet, double rate)
         {
-            QuotaFleet fleet (nodes, limitOf (rate), seed);
             fleet.run (5s, 0.6 * rate);
-            const auto before = fleet.admittedTokens();
-            const auto centralBefore = fleet.admittedByCentral();
-            fleet.run (20s, 0.6 * rate);
-
-            INFO ("nodes " << nodes << ", tokens a second " << rate << ", seed " << seed);
-            CHECK (fleet.admittedTokens() - before >= 0.95 * (fleet.admittedByCentral() - centralBefore));
-        }
+            CHECK (shareOfCentral (fleet, 20s, 0.6 * rate) >= 0.95);
+        });
 }
--- a/tests/unit/RoutingTests.cpp
+++ b/tests/unit/RoutingTests.cpp
@@ -24,6 +24,17 @@
     return { info, leaving };
 }
 
+auto listedNumbered (std::size_t count) -> std::vector<ListedReplica>
+{
+    std::vector<ListedReplica> replicas;
+    replicas.reserve (count);
+
+    for (auto number = std::size_t { 0 }; number < count; ++number)
+        replicas.push_back (listed ("r-" + std::to_string (number)));
+
+    return replicas;
+}
+
 auto inputFor (const std::vector<std::uint64_t>& blocks) -> ChoiceInput
 {
     ChoiceInput input;
@@ -132,12 +143,7 @@
 
 TEST_CASE ("long prompts and short ones go to different replicas, on all routers alike")
 {
-    std::vector<ListedReplica> replicas;
-    replicas.reserve (20);
-
-    for (auto number = 0; number < 20; ++number)
-        replicas.push_back (listed ("r-" + std::to_string (number)));
-
+    const auto replicas = listedNumbered (20);
     ChoiceWeights weights;
     weights.longPrompt = 1000.0;
     std::set<std::string> forLong;
@@ -217,12 +223,7 @@
 
 TEST_CASE ("a long prompt goes where nothing runs, though others' prompts are known from announcements only")
 {
-    std::vector<ListedReplica> replicas;
-    replicas.reserve (8);
-
-    for (auto number = 0; number < 8; ++number)
-        replicas.push_back (listed ("r-" + std::to_string (number)));
-
+    const auto replicas = listedNumbered (8);
     ChoiceWeights weights;
     weights.longPrompt = 1000.0;
     weights.longPromptShare = 0.5;
