Test files that run side by side take their ports from blocks of their own

Cause: with three copies of test_stops side by side and four busy processes, one of 24 tests failed with 'no such path' from a stand-in: 127.0.0.1:40157 was router-2 of one deployment and the platform's stand-in of another (their settings files, kept). Ports came from the system, freed before their process listened, and a stopped router's was given out anew. Change: each test process holds a block of 1,000 below the range of outgoing connections, and goes round in it.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -1,6 +1,7 @@
 """Real processes over loopback for the tests beside this file: starts a small deployment, and speaks to it."""
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -29,15 +30,47 @@
     return f"{text[:8]}-{text[8:12]}-{text[12:16]}-{text[16:20]}-{text[20:]}"
 
 
+class Ports:
+    """Ports of this process alone: test files run side by side, and a port that the system gives out anew when a process has
+    ended would lead its callers to another test's. A block is held by listening on its first port. Blocks lie below the range
+    that outgoing connections take their ports from (32,768 and up on Linux).
+    """
+
+    BLOCKS = range(10_000, 32_000, 1000)
+
+    def __init__(self):
+        for first in self.BLOCKS:
+            self.guard = socket.socket()
+            try:
+                self.guard.bind(("127.0.0.1", first))
+                self.guard.listen(1)
+                break
+            except OSError:
+                self.guard.close()
+        else:
+            raise OSError("no block of ports is free")
+        self.next = itertools.cycle(range(first + 1, first + self.BLOCKS.step))
+
+    @staticmethod
+    def is_free(port):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+        return True
+
+    def take(self, count):
+        tried = itertools.islice(self.next, self.BLOCKS.step)
+        return list(itertools.islice(filter(self.is_free, tried), count))
+
+
+PORTS = Ports()
+
+
 def free_ports(count):
-    """Ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+    """Ports that nobody listens on now, and that no other test process gives out."""
+    return PORTS.take(count)
 
 
 def wait_until(condition, what):
