An answer that ended unread is handed over when its router leaves

What had ended was not handed over, its door was closed, and the caller, which came by another router that was leaving too, found nobody who knew the request. Change: at a reclaim and at a planned stop whole answers go to an heir too, where no caller has read them to the end; the heir keeps them as it keeps its own.

--- a/modules/snowrudder_requests/record/RequestRecord.cpp
+++ b/modules/snowrudder_requests/record/RequestRecord.cpp
@@ -179,6 +179,12 @@
         runSignal->notify();
 }
 
+auto RequestRecord::noteWholeRead() -> void
+{
+    const std::lock_guard lock (mutex);
+    furthestRead = std::max (furthestRead, lastOfWhole());
+}
+
 auto RequestRecord::isAhead() const -> bool
 {
     const std::lock_guard lock (mutex);
@@ -235,17 +241,34 @@
 auto RequestRecord::takeForHandover() -> std::optional<HandedState>
 {
     const std::lock_guard lock (mutex);
+    const auto isUnread = reached == RecordState::finished && furthestRead < lastOfWhole();
 
-    if (reached != RecordState::open || ! request)
+    if (! request || (reached != RecordState::open && ! isUnread))
         return {};
 
+    HandedState handed { about, boost::json::serialize (request->body), answer, counts, tokensSoFar };
+
+    // A whole answer can still be read here; its caller may come when this router is gone.
+    if (isUnread)
+    {
+        handed.finishReason = finishReason;
+        handed.answerTokens = counts.completionTokens;
+        return handed;
+    }
+
     reached = RecordState::handedOver;
     notifyReaders();
 
     if (interruptFunction)
         interruptFunction (FailureCause::abandoned);
 
-    return HandedState { about, boost::json::serialize (request->body), answer, counts, tokensSoFar };
+    return handed;
+}
+
+auto RequestRecord::lastOfWhole() const -> std::size_t
+{
+    // Behind the last piece come the reason, and the usage figures where asked for.
+    return answer.eventCount() + (about.includeUsage ? 2 : 1);
 }
 
 auto RequestRecord::mayEnd() const -> bool
--- a/modules/snowrudder_requests/record/RequestRecord.h
+++ b/modules/snowrudder_requests/record/RequestRecord.h
@@ -60,9 +60,11 @@
     /** As the caller sent it. */
     std::string body;
     StreamedAnswer answer;
-    /** Counts of the first attempt, and the answer's tokens so far. */
+    /** Counts of the first attempt, and the answer's tokens so far; of a whole answer, its counts. */
     Usage usage;
     std::uint32_t answerTokens = 0;
+    /** Why the answer ended, as the engine states it; set where it is whole and its caller may lack a part of it. */
+    std::optional<std::string> finishReason {};
 };
 
 /** One accepted request: who asked, and its answer as far as it is made. One run writes it; the caller's connection
@@ -83,9 +85,9 @@
     /** Notes the counts so far, to hand them over. */
     auto noteUsage (const Usage& first, std::uint32_t answerTokens) -> void;
 
-    /** Ends the record here and gives out what another router needs to go on.
+    /** Gives out what another router needs to go on, and ends the record here where it is open.
 
-        @returns nothing when the request has ended, or is no model request
+        @returns nothing where no caller can lack anything, or where it is no model request
     */
     auto takeForHandover() -> std::optional<HandedState>;
 
@@ -153,6 +155,9 @@
     /** Notes how far the readers are: lets a run that waits for room go on. */
     auto noteRead (std::size_t lastEvent) -> void;
 
+    /** Notes that a caller has the whole answer. */
+    auto noteWholeRead() -> void;
+
     /** @returns whether the run is far ahead of its readers and should wait. */
     [[nodiscard]] auto isAhead() const -> bool;
 
@@ -179,6 +184,9 @@
 
     auto notifyReaders() -> void;
 
+    /** @returns the number of the last event of a stream that is whole. */
+    [[nodiscard]] auto lastOfWhole() const -> std::size_t;
+
     /** @returns whether the record can be ended here, and checks that it has not ended before. */
     [[nodiscard]] auto mayEnd() const -> bool;
 
--- a/modules/snowrudder_requests/record/RequestTable.cpp
+++ b/modules/snowrudder_requests/record/RequestTable.cpp
@@ -60,6 +60,18 @@
         dropFront();
 }
 
+auto RequestTable::all() const -> std::vector<RecordPointer>
+{
+    const std::lock_guard lock (mutex);
+    std::vector<RecordPointer> list;
+    list.reserve (records.size());
+
+    for (const auto& [id, entry] : records)
+        list.push_back (entry.record);
+
+    return list;
+}
+
 auto RequestTable::open() const -> std::vector<RecordPointer>
 {
     const std::lock_guard lock (mutex);
--- a/modules/snowrudder_requests/record/RequestTable.h
+++ b/modules/snowrudder_requests/record/RequestTable.h
@@ -45,6 +45,9 @@
     /** Drops what was kept long enough, and the oldest beyond the byte limit. */
     auto dropOld (TimePoint now) -> void;
 
+    /** @returns all records, those that have ended and are kept included. */
+    [[nodiscard]] auto all() const -> std::vector<RecordPointer>;
+
     /** @returns the records that have not ended. */
     [[nodiscard]] auto open() const -> std::vector<RecordPointer>;
 
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -106,8 +106,7 @@
 
     const auto isIdle = co_await waitUntilIdle (drainEnd);
 
-    if (! isIdle)
-        co_await handOverRequests (state, worker);
+    co_await handOverRequests (state, worker);
 
     // Callers whose requests were handed over are told so before the process ends.
     timer.expires_after (isIdle ? 0ms : 200ms);
--- a/modules/snowrudder_router/model/RecordRelay.cpp
+++ b/modules/snowrudder_router/model/RecordRelay.cpp
@@ -127,7 +127,11 @@
     response.set (http::field::content_type, kept ? kept->contentType : "application/json");
     response.set ("Snowrudder-Request-Id", id);
     response.body() = kept ? kept->body : record.wholeAnswer();
-    co_await exchange.respond (std::move (response));
+
+    const auto error = co_await exchange.respond (std::move (response));
+
+    if (! error)
+        record.noteWholeRead();
 }
 
 } // namespace
--- a/modules/snowrudder_router/model/RequestHandover.cpp
+++ b/modules/snowrudder_router/model/RequestHandover.cpp
@@ -31,6 +31,9 @@
     message.set_prompt_tokens (handed.usage.promptTokens);
     message.set_cached_tokens (handed.usage.cachedTokens);
 
+    if (handed.finishReason)
+        message.set_finish_reason (*handed.finishReason);
+
     for (const auto event : handed.answer.eventCodes())
         message.add_events (event);
 
@@ -73,6 +76,7 @@
         .with ("request", toString (record->identity().id))
         .with ("to", heir.empty() ? "nobody" : heir)
         .with ("events", handed->answer.eventCount())
+        .with ("whole", handed->finishReason ? "yes" : "no")
         .write (heir.empty() ? LogLevel::warning : LogLevel::info);
 }
 
@@ -80,8 +84,8 @@
 
 auto handOverRequests (RouterState& state, Worker& worker) -> Task<void>
 {
-    // All at once: a notice leaves seconds.
-    const auto records = state.requests.open();
+    // All at once: a notice leaves seconds. Answers that are whole go too where their callers have not read them to the end.
+    const auto records = state.requests.all();
     const auto handOne = [&] (std::size_t index) { return handOver (state, worker, records[index]); };
     co_await runAll (worker.loop, records.size(), handOne);
 }
@@ -130,6 +134,20 @@
     record->restore (*answer);
     const std::string noKey;
     state.requests.add (record, noKey);
+    LogLine ("request_taken_over")
+        .with ("request", message.request_id())
+        .with ("events", answer->eventCount())
+        .with ("whole", message.has_finish_reason() ? "yes" : "no")
+        .info();
+
+    if (message.has_finish_reason())
+    {
+        record->keepRequest (std::make_shared<const ChatRequest> (std::move (request)));
+        record->finish (message.finish_reason(),
+                        { message.prompt_tokens(), message.cached_tokens(), message.answer_tokens() });
+        state.requests.noteEnded (record, SteadyClock::now());
+        return true;
+    }
 
     const auto run =
         std::make_shared<ModelRun> (state, worker, record, std::move (request), account, service);
@@ -138,10 +156,6 @@
         run->goOnFrom ({ message.prompt_tokens(), message.cached_tokens(), 0 }, message.answer_tokens());
 
     run->start (nullptr);
-    LogLine ("request_taken_over")
-        .with ("request", message.request_id())
-        .with ("events", answer->eventCount())
-        .info();
     return true;
 }
 
--- a/tests/process/test_stops.py
+++ b/tests/process/test_stops.py
@@ -155,6 +155,30 @@
         callers = run_callers(deployment, 18, reclaim, 1000)
         self.assert_whole(deployment, callers, deployment.routers["router-1"])
 
+    def test_an_answer_that_ended_unread_outlives_its_router(self):
+        # The caller is cut off in the middle, the answer ends without it, and then its router goes.
+        for stop in ("reclaim", "planned"):
+            deployment = self.deployment()
+            caller = Caller([deployment.router], 1, 60)
+            stream = Stream(deployment.router, "POST", "/v1/chat/completions", caller.body, bearer())
+            for number, _ in stream.events():
+                caller.last = number
+                if number == 5:
+                    break
+            stream.close()
+            wait_until(lambda: sum(request(port, "GET", "/load").json()["running"] for port in deployment.engines.values()) == 0,
+                       "the answer has ended")
+            if stop == "reclaim":
+                request(deployment.platform, "POST", "/cloud/reclaim", {"vm": "vm-router-1", "notice_milliseconds": 2000})
+            else:
+                deployment.processes["router-1"].send_signal(signal.SIGTERM)
+            self.assertEqual(deployment.processes["router-1"].wait(20), 0)
+            rest = Stream(deployment.routers["router-2"], "GET", f"/v1/requests/{stream.id}", None,
+                          bearer(Last_Event_ID=str(caller.last)))
+            self.assertEqual(rest.response.status, 200, stop)
+            caller.take(rest)
+            self.assertTrue(caller.done, stop)
+
     def one_left(self, deployment):
         return next(port for name, port in deployment.routers.items() if deployment.processes[name].poll() is None)
 
--- a/tests/unit/RequestTests.cpp
+++ b/tests/unit/RequestTests.cpp
@@ -36,6 +36,44 @@
 
 } // namespace
 
+TEST_CASE ("an answer that is whole is handed over until a caller has read it to the end")
+{
+    RequestIdentity identity;
+    identity.stream = true;
+    identity.includeUsage = true;
+    RequestRecord record (std::move (identity));
+    CHECK_FALSE (record.takeForHandover());
+    record.keepRequest (std::make_shared<const ChatRequest>());
+    ChatChunk chunk;
+    chunk.content = "one";
+    record.append (chunk);
+    record.finish ("stop", { 7, 2, 3 });
+
+    std::string events;
+    CHECK (record.readStream (0, events).lastEvent == 3);
+    record.noteRead (2);
+    const auto handed = record.takeForHandover();
+    REQUIRE (handed);
+    CHECK (handed->finishReason == "stop");
+    CHECK (handed->answer.text() == "one");
+    CHECK (handed->answerTokens == 3);
+    CHECK (record.state() == RecordState::finished);
+
+    record.noteRead (3);
+    CHECK_FALSE (record.takeForHandover());
+}
+
+TEST_CASE ("an answer that goes on is handed over once, and ends here")
+{
+    RequestRecord record ({});
+    record.keepRequest (std::make_shared<const ChatRequest>());
+    const auto handed = record.takeForHandover();
+    REQUIRE (handed);
+    CHECK_FALSE (handed->finishReason);
+    CHECK (record.state() == RecordState::handedOver);
+    CHECK_FALSE (record.takeForHandover());
+}
+
 TEST_CASE ("only what was not sent or was refused is proved not to have run")
 {
     CHECK (ranAfter ({ CallStage::planned, FailureCause::connectFailed }) == Ran::no);
