Nodes that start admit their even part of the limits, and let requests wait for the configuration

Change: a node that is not settled admits its even part of the rate and of a small first level, within what all nodes may go over a limit; the fleet's rate asked is not taken for a third of itself just after the start; requests wait up to 200 ms for the configuration, the replicas and the members.

--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -11,6 +11,12 @@
 /** A node without a configuration, or without a proof of its freshness, looks for one several times a second. */
 constexpr auto freshnessRetry = 500ms;
 
+/** A node that starts has its configuration, the replicas and the list of nodes 15 to 110 ms later (seven nodes started
+    together). Until then it lets requests wait rather than send them away for longer; beyond this it tells them to come back.
+*/
+constexpr auto startPatience = 200ms;
+constexpr auto startLook = 5ms;
+
 /** Another node takes the request as soon as the caller asks it. */
 constexpr auto leavingRetry = 10ms;
 
@@ -46,7 +52,7 @@
                  TimePoint now) -> std::optional<Problem>
 {
     const auto bounds =
-        quotaBounds (state.sharing, state.peers, state.settings.quotaSlack, drawJitter(), now);
+        quotaBounds (state.sharing, state.peers, state.settings.quotaTolerance, drawJitter(), now);
     const auto admission = state.quota.admit (account, tokensOf (caller, account), bounds, now);
 
     if (admission.admitted)
@@ -114,6 +120,20 @@
     return request;
 }
 
+namespace
+{
+
+auto waitForStart (ServingState& state) -> Task<void>
+{
+    const auto isOpen = [&state]
+    { return state.configuration.current && state.hasReplicas && state.sharing.members; };
+
+    while (! isOpen() && SteadyClock::now() - state.sharing.startTime < startPatience)
+        co_await pauseFor (state.loop, startLook);
+}
+
+} // namespace
+
 auto handleRouted (ServingState& state, Exchange& exchange, std::variant<CallerRequest, Problem> read)
     -> Task<void>
 {
@@ -129,6 +149,8 @@
         co_return;
     }
 
+    co_await waitForStart (state);
+
     auto& caller = std::get<CallerRequest> (read);
     const auto id = caller.id;
     const auto now = SteadyClock::now();
--- a/modules/snowrudder_serving/limits/QuotaSharing.cpp
+++ b/modules/snowrudder_serving/limits/QuotaSharing.cpp
@@ -43,13 +43,21 @@
 
 auto quotaBounds (const QuotaSharing& sharing,
                   const PeerTable& peers,
-                  double slack,
+                  const QuotaTolerance& tolerance,
                   double draw,
                   TimePoint now) -> QuotaBounds
 {
-    const auto delay = reportDelay (countMembers (sharing));
-    return { slack, quotaShare (sharing, peers, now), delay, unsettledTime (sharing, now),
-             draw,  sharing.startTime + delay };
+    const auto members = countMembers (sharing);
+    const auto delay = reportDelay (members);
+    QuotaBounds bounds;
+    bounds.tolerance = tolerance;
+    bounds.share = quotaShare (sharing, peers, now);
+    bounds.evenShare = 1.0 / static_cast<double> (members);
+    bounds.reportDelay = delay;
+    bounds.unsettled = unsettledTime (sharing, now);
+    bounds.draw = draw;
+    bounds.knownSince = sharing.startTime + delay;
+    return bounds;
 }
 
 auto askedOfOthers (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> AccountAmounts
--- a/modules/snowrudder_serving/limits/QuotaSharing.h
+++ b/modules/snowrudder_serving/limits/QuotaSharing.h
@@ -31,12 +31,10 @@
 */
 auto unsettledTime (const QuotaSharing& sharing, TimePoint now) -> Duration;
 
-/** @param slack  tokens by which all nodes together may go over a limit in a window
-    @param draw   a random number from 0 to 1
-*/
+/** @param draw  a random number from 0 to 1 */
 auto quotaBounds (const QuotaSharing& sharing,
                   const PeerTable& peers,
-                  double slack,
+                  const QuotaTolerance& tolerance,
                   double draw,
                   TimePoint now) -> QuotaBounds;
 
--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -21,6 +21,16 @@
 */
 constexpr auto startShare = 0.1;
 
+/** Of what all nodes may go over a limit in a window, the part that is handed out when they start anew: two starts within one
+    window stay within it.
+*/
+constexpr auto startShareOfTolerance = 0.4;
+
+/** So much of an account's rate is handed out at most while nodes that start don't know each other: the more nodes there are,
+    the later each learns what the others admitted in that time.
+*/
+constexpr auto unsettledPart = 300ms;
+
 /** A bucket is nearly full above this part of its burst. */
 constexpr auto tightShare = 0.7;
 
@@ -39,17 +49,42 @@
 /** A ration that was not needed for so long begins anew. */
 constexpr auto rationMemory = 2s;
 
+/** @returns what all nodes together may hold of an account's burst. */
+auto burstOf (const RoutedAccount& account, const QuotaBounds& bounds) -> double
+{
+    return account.burstTokens + slackGivenOut * bounds.tolerance.slack;
+}
+
+/** @returns what is taken for left in an account's bucket when nobody knows. */
+auto startLevelOf (const RoutedAccount& account, const QuotaBounds& bounds) -> double
+{
+    const auto inWindow =
+        account.tokensPerSecond * Seconds (bounds.tolerance.window).count() + account.burstTokens;
+    const auto level = startShare * burstOf (account, bounds) +
+                       startShareOfTolerance * bounds.tolerance.overshoot * inWindow;
+    return std::min (level, burstOf (account, bounds));
+}
+
 } // namespace
 
 auto SharedQuota::FadingSum::add (double more, TimePoint now) -> void
 {
-    tokens = perSecond (now) * Seconds (rateTime).count() + more;
+    tokens = left (now) + more;
     at = now;
 }
 
-auto SharedQuota::FadingSum::perSecond (TimePoint now) const -> double
+auto SharedQuota::FadingSum::left (TimePoint now) const -> double
+{
+    return tokens * std::exp (-Seconds (now - at) / Seconds (rateTime));
+}
+
+auto SharedQuota::FadingSum::perSecond (TimePoint begun, TimePoint now) const -> double
 {
-    return tokens * std::exp (-Seconds (now - at) / Seconds (rateTime)) / Seconds (rateTime).count();
+    // A sum that began lately holds less than it will: what a node is asked for just after its start would look like a third
+    // of it, and nodes that were all killed would take their buckets for full enough.
+    const auto age = std::max<Duration> (now - begun, leastAge);
+    const auto held = 1.0 - std::exp (-Seconds (age) / Seconds (rateTime));
+    return left (now) / (Seconds (rateTime).count() * held);
 }
 
 auto SharedQuota::admit (const RoutedAccount& account,
@@ -60,18 +95,20 @@
     auto& state = accounts[account.name];
     state.asked.add (tokens, now);
 
-    if (account.tokensPerSecond > 0.0)
+    if (account.tokensPerSecond > 0.0 && bounds.unsettled > Duration::zero())
+    {
+        if (const auto admission = admitUnsettled (state, account, tokens, bounds, now); ! admission.admitted)
+            return admission;
+    }
+    else if (account.tokensPerSecond > 0.0)
     {
-        if (bounds.unsettled > Duration::zero())
-            return { false, bounds.unsettled };
-
         refillBucket (state, account, bounds, now);
 
         // The last request may be larger than what is left; the bucket makes up for it.
         if (state.bucket.level < leastLevel)
             return { false, timeUntil (state.bucket, leastLevel) };
 
-        const auto allAsked = state.asked.perSecond (now) + state.othersAskedPerSecond;
+        const auto allAsked = state.asked.perSecond (startTime, now) + state.othersAskedPerSecond;
         const auto reserve = allAsked * Seconds (bounds.reportDelay).count();
 
         if (state.bucket.level < reserve)
@@ -92,20 +129,53 @@
     return { true, {} };
 }
 
+auto SharedQuota::admitUnsettled (State& state,
+                                  const RoutedAccount& account,
+                                  double tokens,
+                                  const QuotaBounds& bounds,
+                                  TimePoint now) -> Admission
+{
+    // The ration that it keeps to once it is settled goes on from here.
+    auto& opening = state.ration;
+
+    if (opening.filled == TimePoint())
+    {
+        // Where an even part is less than one request, only some nodes admit their first. A debt that has come to rest is
+        // larger than half of a usual request, since large ones are owed for longer.
+        constexpr auto debtOfRequest = 2.0;
+        opening.burst = burstOf (account, bounds) * bounds.evenShare;
+        opening.level =
+            startLevelOf (account, bounds) * bounds.evenShare - debtOfRequest * bounds.draw * tokens;
+        opening.filled = now;
+    }
+
+    const auto part = std::min (1.0, Seconds (unsettledPart) /
+                                         std::max (Seconds (bounds.reportDelay), Seconds (unsettledPart)));
+    opening.rate = account.tokensPerSecond * bounds.evenShare * part;
+    refill (opening, now);
+
+    if (opening.level < leastLevel)
+        return { false, std::min (bounds.unsettled, timeUntil (opening, leastLevel)) };
+
+    opening.level -= tokens;
+    charge ({ { account.name, tokens } }, now);
+    return { true, {} };
+}
+
 auto SharedQuota::refillBucket (State& state,
                                 const RoutedAccount& account,
                                 const QuotaBounds& bounds,
                                 TimePoint now) -> void
 {
     auto& bucket = state.bucket;
-    const auto burst = (account.burstTokens + slackGivenOut * bounds.slack) * bounds.share;
+    const auto burst = burstOf (account, bounds) * bounds.share;
 
     if (bucket.filled == TimePoint())
         bucket.filled = bounds.knownSince.value_or (now);
 
     // What was charged before the first request here left a debt, which has been filled up since.
     if (! state.isBegun)
-        bucket.level += startShare * burst;
+        bucket.level += startLevelOf (account, bounds) * bounds.share;
 
     state.isBegun = true;
     bucket.burst = burst;
@@ -118,7 +188,7 @@
     State& state, const QuotaBounds& bounds, double tokens, double reserve, TimePoint now) -> void
 {
     auto& ration = state.ration;
-    const auto asked = state.asked.perSecond (now);
+    const auto asked = state.asked.perSecond (startTime, now);
 
     // A node that can't hear the others has its even part of the rate already.
     const auto part = bounds.share < 1.0 ? 1.0 : asked / (asked + state.othersAskedPerSecond);
@@ -158,7 +228,8 @@
 
         auto& state = accounts[account];
         state.isBegun = true;
-        state.bucket.level = *use.level;
+        // The other node has not heard yet what this one admitted since its start.
+        state.bucket.level = *use.level - state.total;
         state.bucket.filled = now;
     }
 }
@@ -190,7 +261,8 @@
     for (const auto& [account, state] : accounts)
     {
         auto& use = all[account];
-        use = { state.total, state.admitted.perSecond (now), state.asked.perSecond (now), std::nullopt };
+        use = { state.total, state.admitted.perSecond (startTime, now),
+                state.asked.perSecond (startTime, now), std::nullopt };
 
         if (state.isBegun)
             use.level = levelAt (state.bucket, now);
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -2,6 +2,7 @@
 
 #include "../configuration/RoutingConfiguration.h"
 #include "../members/PeerTable.h"
+#include "QuotaTolerance.h"
 
 #include "snowrudder_limits/snowrudder_limits.h"
 
@@ -15,13 +16,14 @@
 /** What bounds a limit over all nodes beside its own rate and burst. */
 struct QuotaBounds
 {
-    /** Tokens by which all nodes together may go over the limit in a window. */
-    double slack = 0.0;
+    QuotaTolerance tolerance;
     /** Part of the limit that this node may take: all of it, or an even part while it can't hear the others. */
     double share = 1.0;
+    /** One node's even part of the limit. */
+    double evenShare = 1.0;
     /** Until every other node has heard what this one admitted. */
     Duration reportDelay {};
-    /** For how long this node, which has just started, can't know yet what the others admit; nothing is admitted. */
+    /** For how long this node, which has just started, can't know yet what the others admit; it keeps to its even part. */
     Duration unsettled {};
     /** A random number from 0 to 1. */
     double draw = 0.5;
@@ -35,12 +37,19 @@
     as soon as they tell. The copies differ by what was admitted within the time between two reports; a bucket that went
     below zero by it is filled up first, so that the rate holds over any longer time.
 
+    Nodes that were all killed together know nothing of what they had admitted. Each admits its even part of the rate and of a
+    small first level from its first request on, rather than refuse all that waits for their return until they have told each
+    other.
+
     While a bucket holds less than all nodes together are asked for within that time, they can't tell early enough that it
     is empty. Each node then keeps to a ration of the account's rate, by its part of what is asked.
 */
 class SharedQuota
 {
 public:
+    /** @param started  when this node began to admit requests */
+    explicit SharedQuota (TimePoint started = {}) : startTime (started) {}
+
     /** Counts a request in when its account's bucket is not empty.
 
         @param tokens  of prompt and answer together
@@ -69,6 +78,9 @@
     /** Rates are averaged over this time: long against a request's size, short against a day's swing. */
     static constexpr auto rateTime = Duration (2s);
 
+    /** A rate is taken over this time at least: a first request alone tells of none. */
+    static constexpr auto leastAge = Duration (1s);
+
     /** A sum of tokens that fades over `rateTime`. */
     struct FadingSum
     {
@@ -76,7 +88,9 @@
         TimePoint at {};
 
         auto add (double more, TimePoint now) -> void;
-        [[nodiscard]] auto perSecond (TimePoint now) const -> double;
+        [[nodiscard]] auto left (TimePoint now) const -> double;
+        /** @param begun  since when tokens were added */
+        [[nodiscard]] auto perSecond (TimePoint begun, TimePoint now) const -> double;
     };
 
     struct State
@@ -84,7 +98,7 @@
         TokenBucket bucket;
         /** Whether the bucket has its first level. */
         bool isBegun = false;
-        /** This node's part of the rate while the bucket is nearly empty. */
+        /** This node's part of the rate while the bucket is nearly empty; its even part of it while the node is not settled. */
         TokenBucket ration;
         double total = 0.0;
         FadingSum admitted;
@@ -92,13 +106,17 @@
         double othersAskedPerSecond = 0.0;
     };
 
-    static auto refillBucket (State& state,
-                              const RoutedAccount& account,
-                              const QuotaBounds& bounds,
-                              TimePoint now) -> void;
-    static auto refillRation (
-        State& state, const QuotaBounds& bounds, double tokens, double reserve, TimePoint now) -> void;
-
+    auto admitUnsettled (State& state,
+                         const RoutedAccount& account,
+                         double tokens,
+                         const QuotaBounds& bounds,
+                         TimePoint now) -> Admission;
+    auto refillBucket (State& state, const RoutedAccount& account, const QuotaBounds& bounds, TimePoint now)
+        -> void;
+    auto refillRation (State& state, const QuotaBounds& bounds, double tokens, double reserve, TimePoint now)
+        -> void;
+
+    TimePoint startTime;
     std::map<std::string, State, std::less<>> accounts;
 };
 
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -31,7 +31,8 @@
     const auto sinceStart = std::chrono::duration<double> (std::min (now - startTime, rateTime)).count();
 
     for (const auto& [account, use] : report.admitted)
-        if (isKnown)
+        // A node that is not settled has admitted all that it tells of since about the time at which this one started.
+        if (isKnown || ! report.isSettled)
             charged[account] = use.tokens - (isSameStart ? peer.latest.admitted[account].tokens : 0.0);
         else if (const auto likely = std::min (use.tokens, use.tokensPerSecond * sinceStart); likely > 0.0)
             charged[account] = likely;
--- a/modules/snowrudder_serving/node/ServingSettings.h
+++ b/modules/snowrudder_serving/node/ServingSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../limits/QuotaTolerance.h"
+
 #include "snowrudder_core/snowrudder_core.h"
 
 #include <cstdint>
@@ -37,8 +39,8 @@
     /** Retries over all nodes within `retryWindow`: a share of the requests, and a fixed number. */
     double retryShare = 0.1;
     double retrySlack = 10.0;
-    /** Tokens by which all nodes together may go over a limit. */
-    double quotaSlack = 0.0;
+    /** By how much all nodes together may go over a limit. */
+    QuotaTolerance quotaTolerance;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -27,7 +27,7 @@
     ServingState (asio::io_context& eventLoop, const ServingSettings& servingSettings)
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
-          usage (servingSettings.usageWindow), peers (sharing.startTime),
+          usage (servingSettings.usageWindow), quota (sharing.startTime), peers (sharing.startTime),
           configurationWake (std::make_shared<Signal> (eventLoop.get_executor()))
     {
     }
@@ -76,12 +76,12 @@
     ReplicaTable replicas;
     ServiceQueues queues;
     RetryBudgets retryBudgets;
-    SharedQuota quota;
     UsageWindows usage;
     WorkMeter work;
     Leadership leadership;
     const LeadershipTimes leadershipTimes;
     QuotaSharing sharing { SteadyClock::now(), std::nullopt, false };
+    SharedQuota quota;
     PeerTable peers;
     TrueTime trueTime;
     NewsState news;
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -73,14 +73,14 @@
     return PORTS.take(count)
 
 
-def wait_until(condition, what):
+def wait_until(condition, what, pause=0.02):
     """Waits for something that must come to pass; its time is bounded only to end a broken test."""
     end = time.monotonic() + LONGEST_WAIT
     while time.monotonic() < end:
         value = condition()
         if value:
             return value
-        time.sleep(0.02)
+        time.sleep(pause)
     raise AssertionError(f"did not come to pass: {what}")
 
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -113,6 +113,22 @@
             platform.store.put("op/config", configuration())
             wait_until(platform.first.is_ready, "ready with a configuration")
 
+    def test_a_request_at_a_node_that_has_just_started_waits_for_its_configuration(self):
+        with Platform() as platform:
+            platform.first.process.kill()
+            platform.first.process.wait()
+            platform.first.start()
+            statuses = []
+
+            def is_answered():
+                try:
+                    statuses.append(platform.first.call("GET", "/again/x").status)
+                except ConnectionRefusedError:
+                    pass
+                return statuses
+            wait_until(is_answered, "the node takes requests", pause=0.002)
+            self.assertEqual(statuses, [200])
+
     def test_figures_are_served(self):
         with Platform() as platform:
             platform.first.call("GET", "/again/x")
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -18,8 +18,9 @@
 
 /** The window over which a limit is checked, and by how much it may be passed. */
 constexpr auto window = Duration (8s);
-constexpr auto overshootFactor = 1.1;
+constexpr auto overshoot = 0.1;
 constexpr auto slackTokens = 140'000.0;
+constexpr auto tolerance = QuotaTolerance { slackTokens, overshoot, window };
 
 /** Requests of one account at all nodes of a fleet that tell each other what they admit, in virtual time. */
 class QuotaFleet
@@ -63,7 +64,7 @@
     {
         const auto seconds = std::chrono::duration<double> (window).count();
         const auto allowed =
-            (limits.tokensPerSecond * seconds + limits.burstTokens) * overshootFactor + slackTokens;
+            (limits.tokensPerSecond * seconds + limits.burstTokens) * (1.0 + overshoot) + slackTokens;
         auto sum = 0.0;
         auto most = 0.0;
         auto first = admitted.begin();
@@ -107,6 +108,7 @@
         node = Node();
         node.incarnation = incarnation;
         node.sharing = { now, nodes.size(), false };
+        node.quota = SharedQuota (now);
         node.peers = PeerTable (now);
         node.nextReport = now + std::uniform_int_distribution<int> (1, 20) (random) * tick;
     }
@@ -174,7 +176,7 @@
             auto& node = nodes[std::uniform_int_distribution<std::size_t> (0, nodes.size() - 1) (random)];
             const auto size = std::min (sizes (random), largestSize);
             const auto draw = std::uniform_real_distribution<double> (0.0, 1.0) (random);
-            const auto bounds = quotaBounds (node.sharing, node.peers, slackTokens, draw, now);
+            const auto bounds = quotaBounds (node.sharing, node.peers, tolerance, draw, now);
             askCentral (size);
 
             if (! node.quota.admit (limits, size, bounds, now).admitted)
@@ -270,6 +272,32 @@
         });
 }
 
+TEST_CASE ("nodes that were all killed together admit from their first request on")
+{
+    // Callers that kept within their limit come back all at once, to nodes that know nothing of what they had admitted.
+    constexpr auto downTime = Duration (1500ms);
+    constexpr auto returnTime = Duration (500ms);
+
+    for (const auto rate : { 170'000.0, 350'000.0, 600'000.0 })
+    {
+        auto admittedOfAsked = 0.0;
+
+        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+        {
+            QuotaFleet fleet (7, limitOf (rate), seed);
+            fleet.run (6s, 0.55 * rate);
+            fleet.run (downTime, 0.0);
+            fleet.restartAll();
+            admittedOfAsked += shareOfCentral (fleet, returnTime, 1.1 * rate) / 5.0;
+            fleet.run (6s, 0.55 * rate);
+            CHECK (fleet.mostOverLimit() <= 0.0);
+        }
+
+        INFO ("tokens a second " << rate << ", admitted " << admittedOfAsked);
+        CHECK (admittedOfAsked >= 0.6);
+    }
+}
+
 TEST_CASE ("an account that asks for more than its limit gets nearly all of it")
 {
     forEachFleet (
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -227,7 +227,7 @@
 {
     SharedQuota quota;
     const auto limits = account (1000.0, 0.0);
-    const QuotaBounds alone { 0.0, 0.25 };
+    const QuotaBounds alone { {}, 0.25 };
     auto admitted = 0.0;
 
     for (auto step = 0; step < 100; ++step)
