--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -14,6 +14,7 @@
 #include "client/SignedRequest.h"
 #include "client/SimpleCall.h"
 #include "client/UpstreamCall.h"
+#include "concurrency/EventLoop.h"
 #include "concurrency/Pause.h"
 #include "concurrency/RunAll.h"
 #include "concurrency/Signal.h"
--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -35,6 +35,7 @@
                                  f"cloud.address=127.0.0.1:{platform.cloud_port}\ncloud.duties=metered,autoscale\n"
                                  "bounds.revoke_ms=2500\nbounds.report_window_s=1\nbounds.grace_s=6\nbounds.lease_ms=3000\n")
         self.log = platform.folder / f"{name}.log"
+        self.environment = platform.environment
         self.start()
 
     def start(self):
@@ -43,7 +44,7 @@
             self.process = subprocess.Popen([BUILD / "snowrudder-router", "--face", "platform", "--metrics-port", str(self.metrics)],
                                             stdin=subprocess.DEVNULL,
                                             stdout=log, stderr=log,
-                                            env={**os.environ, "SNOWRUDDER_BOOT": str(self.settings)})
+                                            env={**os.environ, "SNOWRUDDER_BOOT": str(self.settings), **self.environment})
 
     def is_ready(self):
         try:
@@ -68,7 +69,8 @@
 class Platform:
     """The stand-ins and some nodes."""
 
-    def __init__(self, nodes=1, replicas=2, first=configuration()):
+    def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None):
+        self.environment = environment or {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-platform-"))
         self.store_port, self.cloud_port, *ports = free_ports(2 + replicas)
         self.store, self.cloud = Store(self.store_port), Cloud(self.cloud_port)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -350,6 +350,24 @@
                     received += piece
             self.assertEqual(platform.first.process.wait(10), 0)
 
+    def test_a_node_with_streams_beyond_its_grace_time_still_ends_cleanly(self):
+        # Memory that was freed is overwritten, so that its use shows in each run.
+        overwriting = {"MALLOC_PERTURB_": "165", "GLIBC_TUNABLES": "glibc.malloc.tcache_count=0"}
+        patient = configuration()
+        for route in patient["routes"]:
+            route["timeout_ms"] = 30000
+        with Platform(first=patient, environment=overwriting) as platform:
+            for replica in platform.replicas:
+                replica.behave, replica.events = ["slow"], 100
+            callers = [platform.first.open_stream() for _ in range(4)]
+            for caller in callers:
+                self.assertTrue(caller.recv(1000))
+            platform.first.process.send_signal(signal.SIGTERM)
+            self.assertEqual(platform.first.process.wait(10), 0)
+            self.assertIn(" stopped", platform.first.log.read_text())
+            for caller in callers:
+                caller.close()
+
     def test_a_reload_changes_nothing_that_is_served(self):
         with Platform() as platform:
             platform.first.process.send_signal(signal.SIGHUP)
