What engines read a millisecond is learnt from their answers, and told between nodes

Change: PromptSpeed takes the better fifth of what the longest prompts lately show; nodes tell each other; orders and announced prompts go by it; 0.3 of a replica's time may go to prompts (0.15), one spare replica (2); the order's log line tells the speed. Test: within 12% at 20, 64, 157, 400 tokens a millisecond through queues, missing caches and slow replicas.

--- /dev/null
+++ b/modules/snowrudder_routing/replicas/PromptSpeed.cpp
@@ -0,0 +1,63 @@
+#include "PromptSpeed.h"
+
+#include <algorithm>
+#include <span>
+#include <vector>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** Of the prompts kept, the longest ones tell of reading: so many parts of them. */
+constexpr auto longestPart = std::size_t { 4 };
+
+/** Of the speeds that these show, the one taken: a third of them were held up by nothing in a busy service. */
+constexpr auto quantile = 0.8;
+
+/** Fewer prompts tell nothing. */
+constexpr auto leastSamples = std::size_t { 24 };
+
+} // namespace
+
+auto PromptSpeed::note (double ownTokens, Duration wait) -> void
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+
+    if (ownTokens <= 0.0 || wait <= Duration::zero())
+        return;
+
+    samples[count % keptSamples] = { ownTokens, Milliseconds (wait).count() };
+    ++count;
+    update();
+}
+
+auto PromptSpeed::update() -> void
+{
+    if (count < leastSamples)
+        return;
+
+    std::vector<Sample> kept (samples.begin(),
+                              samples.begin() + static_cast<std::ptrdiff_t> (std::min (count, keptSamples)));
+    const auto longest = kept.begin() + static_cast<std::ptrdiff_t> (kept.size() / longestPart);
+    std::ranges::nth_element (kept, longest, std::ranges::greater(), &Sample::tokens);
+
+    // What is not reading is the same for all; the answer that began first shows it best.
+    const auto first = std::ranges::min (kept, {}, &Sample::milliseconds);
+    std::vector<double> speeds;
+
+    for (const auto& sample : std::span (kept.begin(), longest))
+        if (sample.milliseconds > first.milliseconds && sample.tokens > first.tokens)
+            speeds.push_back ((sample.tokens - first.tokens) / (sample.milliseconds - first.milliseconds));
+
+    if (speeds.size() < leastSamples / longestPart)
+        return;
+
+    const auto place =
+        speeds.begin() + static_cast<std::ptrdiff_t> (quantile * static_cast<double> (speeds.size()));
+    std::ranges::nth_element (speeds, place);
+    estimate = *place;
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../prefix/PrefixIndex.h"
+#include "PromptSpeed.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
@@ -79,6 +80,8 @@
     double ownPendingAtReport = 0.0;
     /** When it will have read the prompts that other routers announced, as far as is known. */
     TimePoint othersPromptsUntil {};
+    /** Prompt tokens that it reads a millisecond, as taken for `othersPromptsUntil`. */
+    double promptSpeed = startPromptSpeed;
     /** When others' prompts were announced that its last word of its load can't hold yet. */
     std::vector<TimePoint> announced;
     /** When this router's last requests were sent to it, the oldest first; the last `takesKept`. */
@@ -165,11 +168,6 @@
     return known + std::max (guessed, announced);
 }
 
-/** Prompt tokens that a replica reads a millisecond, until measured otherwise: the engines of the sites known read 64 and
-    68.
-*/
-inline constexpr auto usualPromptSpeed = 64.0;
-
 /** @returns prompt tokens believed to wait for computing on a replica: its own word, what this router sent since, and what
     other routers announced.
 */
@@ -182,7 +180,7 @@
         return own;
 
     using Milliseconds = std::chrono::duration<double, std::milli>;
-    return own + Milliseconds (replica.othersPromptsUntil - now).count() * usualPromptSpeed;
+    return own + Milliseconds (replica.othersPromptsUntil - now).count() * replica.promptSpeed;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -142,6 +142,19 @@
         prefixes.note (blocks, ticket.number);
 }
 
+auto ReplicaTable::noteWait (const std::string& service, double ownTokens, Duration wait) -> void
+{
+    const std::lock_guard lock (mutex);
+    promptSpeeds[service].note (ownTokens, wait);
+}
+
+auto ReplicaTable::promptSpeed (const std::string& service) const -> std::optional<double>
+{
+    const std::lock_guard lock (mutex);
+    const auto found = promptSpeeds.find (service);
+    return found == promptSpeeds.end() ? std::nullopt : found->second.tokensPerMillisecond();
+}
+
 auto ReplicaTable::release (const ReplicaTicket& ticket, AttemptHealth health, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
@@ -191,17 +204,19 @@
 auto ReplicaTable::notePromptHeard (std::uint32_t hash, double tokens, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
-    const auto reading = std::chrono::duration_cast<Duration> (
-        std::chrono::duration<double, std::milli> (tokens / usualPromptSpeed));
 
-    forEachOfHash (hash,
-                   [&] (ReplicaState& replica)
-                   {
-                       replica.othersPromptsUntil = std::max (replica.othersPromptsUntil, now) + reading;
-                       std::erase_if (replica.announced,
-                                      [now] (TimePoint time) { return now - time > announcedTime; });
-                       replica.announced.push_back (now);
-                   });
+    forEachOfHash (
+        hash,
+        [&] (ReplicaState& replica)
+        {
+            replica.promptSpeed =
+                promptSpeeds[replica.info.service].tokensPerMillisecond().value_or (startPromptSpeed);
+            const auto reading = std::chrono::duration_cast<Duration> (
+                std::chrono::duration<double, std::milli> (tokens / replica.promptSpeed));
+            replica.othersPromptsUntil = std::max (replica.othersPromptsUntil, now) + reading;
+            std::erase_if (replica.announced, [now] (TimePoint time) { return now - time > announcedTime; });
+            replica.announced.push_back (now);
+        });
 }
 
 auto ReplicaTable::noteLeaving (ReplicaNumber number, TimePoint now) -> void
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -2,6 +2,7 @@
 
 #include "../choice/ChooseReplica.h"
 #include "../prefix/PrefixIndex.h"
+#include "PromptSpeed.h"
 #include "ReplicaState.h"
 
 #include <functional>
@@ -74,6 +75,15 @@
                         std::span<const std::uint64_t> blocks,
                         std::optional<double> cachedTokens) -> void;
 
+    /** Notes how long after it was sent a request that was not held up here began to be answered.
+
+        @param ownTokens  of its prompt that no replica can have cached
+    */
+    auto noteWait (const std::string& service, double ownTokens, Duration wait) -> void;
+
+    /** @returns prompt tokens that a service's replicas read a millisecond; nothing while too little was seen. */
+    [[nodiscard]] auto promptSpeed (const std::string& service) const -> std::optional<double>;
+
     /** Ends a request's count against its replica and moves the replica's breaker. */
     auto release (const ReplicaTicket& ticket, AttemptHealth health, TimePoint now) -> void;
 
@@ -148,6 +158,7 @@
 
     mutable std::mutex mutex;
     std::map<std::string, std::vector<ReplicaState>, std::less<>> services;
+    std::map<std::string, PromptSpeed, std::less<>> promptSpeeds;
     PrefixIndex prefixes;
     BreakerLimits breaker;
     ReplicaNumber nextNumber = 1;
--- a/modules/snowrudder_routing/snowrudder_routing.h
+++ b/modules/snowrudder_routing/snowrudder_routing.h
@@ -1,7 +1,7 @@
 /** @file
     snowrudder_routing: which replica gets a request.
 
-    - replicas/  what a router knows of each replica, and the table that all workers share
+    - replicas/  what a router knows of each replica and of how fast they read, and the table that all workers share
     - prefix/    block hashes of prompts, and which replicas are believed to hold which blocks
     - choice/    the choice itself: a free function over plain structs
 
@@ -12,5 +12,6 @@
 #include "choice/ChooseReplica.h"
 #include "prefix/PrefixIndex.h"
 #include "prefix/PromptBlocks.h"
+#include "replicas/PromptSpeed.h"
 #include "replicas/ReplicaState.h"
 #include "replicas/ReplicaTable.h"
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -12,7 +12,7 @@
 constexpr auto tick = 500ms;
 
 /** The part of a replica's time that may go to prompts when first tokens are to come in time. */
-constexpr auto busyShare = 0.15;
+constexpr auto busyShare = 0.3;
 
 /** Of the replicas' slots, the part that may be taken on average: beyond it requests of a replica that many sessions share
     wait for a slot. Measured on the grown sites, see docs/design/capacity.md.
@@ -20,7 +20,7 @@
 constexpr auto takenShare = 0.5;
 
 /** Replicas on top, so that a small service's long prompts don't all meet its short ones. */
-constexpr auto leastSpare = 2.0;
+constexpr auto leastSpare = 1.0;
 
 /** While reclaims go on, so many failure domains more may lose their reclaimable replicas before on-demand ones boot. */
 constexpr auto domainsAtRisk = std::size_t { 2 };
@@ -61,6 +61,14 @@
     double forSlots = 0.0;
 };
 
+/** @returns prompt tokens that a service's replicas read a millisecond, as this node and the others learnt it. */
+auto learntSpeed (const ServingState& state, const std::string& service, TimePoint now)
+    -> std::optional<double>
+{
+    const auto ofOthers = state.peers.work (service, now).promptSpeed;
+    return ofOthers ? ofOthers : state.replicas.promptSpeed (service);
+}
+
 /** @returns nothing before the first traffic. */
 auto measureNeeded (const ServingState& state, const std::string& service, TimePoint now)
     -> std::optional<MeasuredNeed>
@@ -74,7 +82,13 @@
         return {};
 
     constexpr auto thousand = 1000.0;
-    const auto forPrompts = work.tokensPerSecond / (usualPromptSpeed * thousand * busyShare);
+    const auto speed = learntSpeed (state, service, now);
+    auto forPrompts = work.tokensPerSecond / (speed.value_or (startPromptSpeed) * thousand * busyShare);
+
+    // Until the speed is known, what was found there is taken as set up for it.
+    if (! speed)
+        forPrompts = std::min (forPrompts, replicas.replicas);
+
     const auto slots = replicas.slots / std::max (1.0, replicas.replicas);
     const auto forSlots =
         replicas.replicas > 0.0 ? work.inFlight / (std::max (1.0, slots) * takenShare) : 0.0;
@@ -97,6 +111,7 @@
         .with ("reclaimable", order.isReclaimable ? "yes" : "no")
         .with ("replicas", order.replicas)
         .with ("needed", memory.needed[order.service])
+        .with ("prompt_speed", learntSpeed (state, order.service, now).value_or (0.0))
         .with ("fence", holder.fence)
         .with ("outcome", toString (outcome))
         .info();
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -56,6 +56,9 @@
         entry->set_service (service);
         entry->set_tokens_per_second (work.tokensPerSecond);
         entry->set_in_flight (work.inFlight);
+
+        if (work.promptSpeed)
+            entry->set_prompt_speed (static_cast<float> (*work.promptSpeed));
     }
 
     for (const auto& [window, counts] : report.usage)
@@ -164,7 +167,13 @@
 
     for (const auto& entry : message.work())
         if (isAmount (entry.tokens_per_second()) && isAmount (entry.in_flight()))
-            report.work[entry.service()] = { entry.tokens_per_second(), entry.in_flight() };
+        {
+            auto& work = report.work[entry.service()];
+            work = { entry.tokens_per_second(), entry.in_flight(), std::nullopt };
+
+            if (entry.has_prompt_speed() && isAmount (entry.prompt_speed()) && entry.prompt_speed() > 0.0F)
+                work.promptSpeed = entry.prompt_speed();
+        }
 
     for (const auto& entry : message.usage())
         for (const auto& figure : entry.counts())
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -274,8 +274,10 @@
 
     report.admitted = state.quota.admitted (now);
     state.work.forEach (now,
-                        [&] (const std::string& service, double tokens) {
-                            report.work[service] = { tokens, state.replicas.totals (service).inFlight };
+                        [&] (const std::string& service, double tokens)
+                        {
+                            report.work[service] = { tokens, state.replicas.totals (service).inFlight,
+                                                     state.replicas.promptSpeed (service) };
                         });
 
     // Windows that ended before have been reported, or are late.
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -96,6 +96,7 @@
 auto PeerTable::work (const std::string& service, TimePoint now) const -> ServiceWork
 {
     ServiceWork sum;
+    std::vector<double> speeds;
 
     for (const auto& [name, peer] : peers)
         if (const auto found = peer.latest.work.find (service);
@@ -103,8 +104,17 @@
         {
             sum.tokensPerSecond += found->second.tokensPerSecond;
             sum.inFlight += found->second.inFlight;
+
+            if (found->second.promptSpeed)
+                speeds.push_back (*found->second.promptSpeed);
         }
 
+    if (speeds.empty())
+        return sum;
+
+    const auto middle = speeds.begin() + static_cast<std::ptrdiff_t> (speeds.size() / 2);
+    std::ranges::nth_element (speeds, middle);
+    sum.promptSpeed = *middle;
     return sum;
 }
 
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -36,6 +36,8 @@
     double tokensPerSecond = 0.0;
     /** Requests that replicas have now. */
     double inFlight = 0.0;
+    /** Prompt tokens that replicas read a millisecond, as the node learnt it. */
+    std::optional<double> promptSpeed {};
 };
 
 using AdmittedByAccount = std::map<std::string, AdmittedTokens, std::less<>>;
@@ -91,7 +93,7 @@
     /** @returns nodes heard of within `heardTime`. */
     [[nodiscard]] auto countHeard (TimePoint now) const -> std::size_t;
 
-    /** @returns what the other nodes gave to a service's replicas. */
+    /** @returns what the other nodes gave to a service's replicas, and the median of the speeds that they learnt. */
     [[nodiscard]] auto work (const std::string& service, TimePoint now) const -> ServiceWork;
 
     /** Adds the other nodes' counts of a window. Those of nodes that died count too. */
--- a/modules/snowrudder_serving/relay/RoutedChoice.cpp
+++ b/modules/snowrudder_serving/relay/RoutedChoice.cpp
@@ -44,16 +44,8 @@
     input.promptTokens = prompt.tokens;
     input.tried = tried;
     input.routers = routers;
-
-    // The last part belongs to one session; the ranking is made for what several requests share.
-    constexpr auto ownParts = std::size_t { 2 };
-
-    if (prompt.blocks.size() >= ownParts)
-    {
-        input.anchorBlock = prompt.blocks.size() - ownParts;
-        input.ownTokens = prompt.tokens - prompt.blockTokens[*input.anchorBlock];
-    }
-
+    input.anchorBlock = prompt.sharedBlock();
+    input.ownTokens = prompt.ownTokens();
     return input;
 }
 
--- a/modules/snowrudder_serving/relay/RoutedChoice.h
+++ b/modules/snowrudder_serving/relay/RoutedChoice.h
@@ -5,6 +5,7 @@
 #include "snowrudder_routing/snowrudder_routing.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -18,6 +19,22 @@
     std::vector<std::uint64_t> blocks;
     std::vector<double> blockTokens;
     double tokens = 0.0;
+
+    /** @returns the block whose hash the ranking of replicas is made for: the last that several requests share. The last part
+        belongs to one session. Nothing where no part is shared.
+    */
+    [[nodiscard]] auto sharedBlock() const -> std::optional<std::size_t>
+    {
+        constexpr auto ownParts = std::size_t { 2 };
+        return blocks.size() >= ownParts ? std::optional (blocks.size() - ownParts) : std::nullopt;
+    }
+
+    /** @returns tokens of the last part. */
+    [[nodiscard]] auto ownTokens() const -> double
+    {
+        const auto shared = sharedBlock();
+        return shared ? tokens - blockTokens[*shared] : 0.0;
+    }
 };
 
 auto promptOf (const CallerRequest& caller) -> RoutedPrompt;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -178,6 +178,7 @@
 
     auto& message = request.caller.message;
     state.protocol.setFields (message, attemptFields (ticket));
+    sent = SteadyClock::now();
 
     if (message.method() == http::verb::head)
         call.expectNoBody();
@@ -229,6 +230,10 @@
         return failed (call, FailureCause::failed);
 
     noteBegun();
+
+    if (answer.isSuccess)
+        state.replicas.noteWait (request.service, prompt.ownTokens(), now - sent);
+
     firstByte = now - request.accepted;
     state.counts.firstByte.add (*firstByte);
     state.replicas.noteAnswering (ticket, prompt.blocks, prompt.tokens);
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -62,6 +62,8 @@
     std::uint32_t sends = 0;
     std::uint32_t unrun = 0;
     std::string lastReplica;
+    /** When the present attempt was sent. */
+    TimePoint sent {};
     /** From the request's arrival to the head of the answer. */
     std::optional<Duration> firstByte;
     /** When events were last passed on, and the longest time between two of them: users see both in a slow stream. */
--- /dev/null
+++ b/tests/unit/PromptSpeedTests.cpp
@@ -0,0 +1,93 @@
+#include "snowrudder_routing/snowrudder_routing.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace snowrudder;
+
+namespace
+{
+
+/** Answers of engines that read a prompt with what is cached of it left out, behind other prompts half of the time. */
+auto learn (double tokensPerMillisecond, std::uint64_t seed, int answers) -> PromptSpeed
+{
+    constexpr auto beginMilliseconds = 30.0;
+    constexpr auto meanTokens = 4'000.0;
+    constexpr auto sharedTokens = 3'000.0;
+    PromptSpeed learnt;
+    std::mt19937_64 random (seed);
+    std::lognormal_distribution<double> sizes (std::log (meanTokens) - 0.5, 1.0);
+    std::uniform_real_distribution<double> draw (0.0, 1.0);
+    std::exponential_distribution<double> queued (1.0 / 8'000.0);
+
+    for (; answers > 0; --answers)
+    {
+        const auto own = sizes (random);
+        const auto isCached = draw (random) < 0.75;
+        const auto before = draw (random) < 0.5 ? queued (random) : 0.0;
+        const auto isSlow = draw (random) < 0.1;
+        const auto read = (own + (isCached ? 0.0 : sharedTokens) + before) / tokensPerMillisecond;
+        const auto milliseconds = (beginMilliseconds + read) * (isSlow ? 4.0 : 1.0);
+        learnt.note (own, std::chrono::duration_cast<Duration> (
+                              std::chrono::duration<double, std::milli> (milliseconds)));
+    }
+
+    return learnt;
+}
+
+} // namespace
+
+TEST_CASE ("what engines read a millisecond is learnt from their answers, through queues and missing caches")
+{
+    constexpr auto tolerance = 0.12;
+
+    for (const auto truth : { 20.0, 64.0, 157.0, 400.0 })
+        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+        {
+            const auto learnt = learn (truth, seed, 200).tokensPerMillisecond();
+            INFO ("truth " << truth << ", seed " << seed << ", learnt " << learnt.value_or (0.0));
+            REQUIRE (learnt);
+            CHECK (*learnt == Approx (truth).epsilon (tolerance));
+        }
+}
+
+TEST_CASE ("a few answers tell nothing of an engine's speed, nor do prompts without tokens of their own")
+{
+    CHECK_FALSE (learn (157.0, 1, 5).tokensPerMillisecond());
+
+    PromptSpeed learnt;
+
+    for (auto count = 0; count < 100; ++count)
+        learnt.note (0.0, std::chrono::milliseconds (50 + count));
+
+    CHECK_FALSE (learnt.tokensPerMillisecond());
+}
+
+TEST_CASE ("prompts that others announced wait for as long as the replicas' learnt speed makes them")
+{
+    const auto start = TimePoint (1h);
+    ReplicaTable table;
+    ReplicaInfo info;
+    info.name = "replica-1";
+    info.service = "model";
+    table.update ({ { info, false } }, start);
+    constexpr auto own = 16'000.0;
+
+    for (auto count = 0; count < 20; ++count)
+    {
+        table.noteWait ("model", 100.0, 30ms);
+        table.noteWait ("model", own, 30ms + 100ms);
+    }
+
+    REQUIRE (table.promptSpeed ("model"));
+    CHECK (*table.promptSpeed ("model") == Approx (160.0).epsilon (0.01));
+
+    table.notePromptHeard (replicaHash ("replica-1"), own, start);
+    table.forEach (
+        [&] (const ReplicaState& replica)
+        {
+            CHECK (believedPendingTokens (replica, start + 50ms) == Approx (own / 2.0).epsilon (0.01));
+            CHECK (believedPendingTokens (replica, start + 101ms) == 0.0);
+        });
+}
