Test of peers' reports tells whether a peer is settled

Cause: the change that counts all that a peer admitted when it is heard just after its start failed this test: its peer is one of long standing, which the report did not say. Change: the peer says that it is settled, as a node of long standing does; every assertion stays. A second test holds the new case: all tokens of a peer that is not settled count, once.

--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -243,6 +243,7 @@
     report.node = "one";
     report.incarnation = 5;
     report.sequence = 1;
+    report.isSettled = true;
     report.admitted["alpha"].tokens = 300.0;
     CHECK (peers.note (report, start).empty());
 
@@ -258,6 +259,20 @@
     CHECK (peers.note (report, start)["alpha"] == Approx (20.0));
 }
 
+TEST_CASE ("all that a peer admitted counts when it is first heard just after its start")
+{
+    PeerTable peers;
+    PeerReport report;
+    report.node = "one";
+    report.sequence = 1;
+    report.admitted["alpha"].tokens = 300.0;
+    CHECK (peers.note (report, start)["alpha"] == Approx (300.0));
+
+    report.sequence = 2;
+    report.isSettled = true;
+    CHECK (peers.note (report, start)["alpha"] == Approx (0.0));
+}
+
 TEST_CASE ("a peer that falls silent is charged for, and set off when it is heard again")
 {
     PeerTable peers;
