--- a/modules/snowrudder_serving/capacity/CapacityMemory.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityMemory.cpp
@@ -24,7 +24,7 @@
 */
 constexpr auto leastFall = 6U;
 
-/** Reclaims come in waves: on the sites known two to four failure domains lose theirs within 13 s, and no new ones are to be
+/** Reclaims come in waves: as seen so far two to four failure domains lose theirs within 13 s, and no new ones are to be
     had for 12 to 15 s. For so long after the last sign of one, others are expected.
 */
 constexpr auto waveTime = Duration (5s);
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -11,11 +11,13 @@
 /** A reclaimed replica leaves 2 s after its notice, and an on-demand one serves 4 s after its order. */
 constexpr auto tick = 500ms;
 
-/** The part of a replica's time that may go to prompts when first tokens are to come in time. */
+/** The part of a replica's time that may go to prompts when first tokens are to come in time. Flat from 0.3 to 0.45 with targets
+    of 250 to 500 ms (mean worth of six days, two seeds each: 0.527, 0.524; 0.517 at 0.55).
+*/
 constexpr auto busyShare = 0.3;
 
 /** Of the replicas' slots, the part that may be taken on average: beyond it requests of a replica that many sessions share
-    wait for a slot. Measured on the grown sites, see docs/design/capacity.md.
+    wait for a slot. Measured with 40 replicas of 16 slots, see docs/design/capacity.md.
 */
 constexpr auto takenShare = 0.5;
 
@@ -25,12 +27,12 @@
 /** While reclaims go on, so many failure domains more may lose their reclaimable replicas before on-demand ones boot. */
 constexpr auto domainsAtRisk = std::size_t { 2 };
 
-/** On-demand replicas cost five to seven times as much as reclaimable ones on the sites known, so that headroom is bought
-    with the latter only: in a wave of reclaims on linenwise quiet-1, 13 of 19 that were needed with headroom served nobody late.
+/** On-demand replicas cost five to seven times as much as reclaimable ones, as seen so far, so that headroom is bought with the
+    latter only: in a wave of reclaims, 13 of 19 that were needed with headroom served nobody late.
 */
 constexpr auto onDemandShare = 0.45;
 
-/** Replicas enter themselves in the store within their first two heartbeats (1.2 s on the sites known); what is found before
+/** Replicas enter themselves in the store within their first two heartbeats (1.2 s each); what is found before
     is not all that there is.
 */
 constexpr auto settleTime = Duration (2500ms);
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -28,7 +28,7 @@
 }
 
 /** How far back a new holder looks for windows that its predecessor may have left unreported: twice the time after which
-    a report is late on the sites known.
+    a report is late.
 */
 constexpr auto lookBack = Duration (20s);
 
--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -71,7 +71,7 @@
 };
 
 /** A reader proves its configuration every 0.9 s, and a node asks its two readers in turn every 0.2 s: while one of them
-    lives no news is older than this. A leaving replica must get nothing after 2 s on the sites known.
+    lives no news is older than this. A leaving replica must get nothing after 2 s.
 */
 inline constexpr auto newsLimit = Duration (1800ms);
 
--- a/modules/snowrudder_serving/relay/RoutedChoice.cpp
+++ b/modules/snowrudder_serving/relay/RoutedChoice.cpp
@@ -7,12 +7,12 @@
 {
 
 /** Prompts are read in pieces of 4,096 tokens, some 64 ms each and twice that deep in a long one; an event of a stream waits
-    for five to eight of them, and may pause for 500 to 600 ms on the sites known.
+    for five to eight of them, and may pause for 500 to 600 ms.
 */
 constexpr auto longPromptTokens = 16000.0;
 
 /** Of the replicas, those for long prompts: enough that one of them is idle as a rule. A long prompt begins 7 to 10 times a
-    second on the grown sites, and runs for 2 s.
+    second before 60 replicas, and runs for 2 s.
 */
 constexpr auto longPromptShare = 0.25;
 
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -29,8 +29,8 @@
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
-/** A prompt that takes a replica 100 ms to read holds up what else runs there; the other nodes are told at once. On the grown
-    sites some 30 a second are, each node's part of it one in three seconds.
+/** A prompt that takes a replica 100 ms to read holds up what else runs there; the other nodes are told at once. With 60
+    replicas some 30 a second are, at 83 nodes one of each in three seconds.
 */
 constexpr auto announcedTokens = 6000.0;
 
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-/** Twice within the bound on applying a configuration (2 s on the sites known). */
+/** Twice within the bound on applying a configuration (2 s, as set so far). */
 constexpr auto checkInterval = 900ms;
 
 /** After a failure the store is asked again soon: freshness runs out meanwhile. */
@@ -19,7 +19,7 @@
 constexpr auto idlePause = 200ms;
 
 /** A watch is asked anew this often. One that was waiting when the node was cut off never answers, and hides changes until
-    then; with the drain time of 2 s on the sites known a leaving replica must be seen within 3 s of the cut's end.
+    then; with the drain time of 2 s a leaving replica must be seen within 3 s of the cut's end.
 */
 constexpr auto watchTime = Duration (2s);
 
@@ -27,7 +27,7 @@
 constexpr auto listTime = Duration (20s);
 
 /** After a change others are likely, as when replicas start or are taken away together: they are taken together, well within
-    the time in which a leaving replica must get nothing new (2 s on the sites known).
+    the time in which a leaving replica must get nothing new (2 s, as set so far).
 */
 constexpr auto gatherTime = 400ms;
 
