A request's time counts from its arrival, also where it waited for the node's start

The wait had no log line. Change: the arrival is handed to admit(); waited_for_start tells request, milliseconds and whether the node could decide then.

--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -82,13 +82,33 @@
         .info();
 }
 
+/** Lets a request wait until a node that has just started can decide, for `startPatience` at most. */
+auto waitForStart (const ServingState& state, const CallerRequest& caller, TimePoint arrived) -> Task<void>
+{
+    const auto canDecide = [&state]
+    { return state.configuration.current && state.hasReplicas && state.sharing.members; };
+
+    if (canDecide() || arrived - state.sharing.startTime >= startPatience)
+        co_return;
+
+    while (! canDecide() && SteadyClock::now() - state.sharing.startTime < startPatience)
+        co_await pauseFor (state.loop, startLook);
+
+    LogLine ("waited_for_start")
+        .with ("request", caller.id)
+        .with ("milliseconds", inMilliseconds (SteadyClock::now() - arrived))
+        .with ("can_decide", canDecide() ? "yes" : "no")
+        .info();
+}
+
 } // namespace
 
-auto admit (ServingState& state, CallerRequest& caller, TimePoint now) -> std::variant<RoutedRequest, Problem>
+auto admit (ServingState& state, CallerRequest& caller, TimePoint arrived, TimePoint now)
+    -> std::variant<RoutedRequest, Problem>
 {
     RoutedRequest request;
     request.configuration = state.configuration.current;
-    request.accepted = now;
+    request.accepted = arrived;
 
     // Too late to be sure of an end within the grace time; another node is asked at once.
     if (state.isDrained)
@@ -114,26 +134,12 @@
             return std::move (*refusal);
 
     const auto patience = caller.patience.value_or (request.route->timeout);
-    request.end = now + std::min (patience, request.route->timeout);
+    request.end = arrived + std::min (patience, request.route->timeout);
     request.service = pickService (*request.route, drawJitter());
     request.caller = std::move (caller);
     return request;
 }
 
-namespace
-{
-
-auto waitForStart (ServingState& state) -> Task<void>
-{
-    const auto isOpen = [&state]
-    { return state.configuration.current && state.hasReplicas && state.sharing.members; };
-
-    while (! isOpen() && SteadyClock::now() - state.sharing.startTime < startPatience)
-        co_await pauseFor (state.loop, startLook);
-}
-
-} // namespace
-
 auto handleRouted (ServingState& state, Exchange& exchange, std::variant<CallerRequest, Problem> read)
     -> Task<void>
 {
@@ -149,12 +155,13 @@
         co_return;
     }
 
-    co_await waitForStart (state);
-
     auto& caller = std::get<CallerRequest> (read);
     const auto id = caller.id;
+    const auto arrived = SteadyClock::now();
+    co_await waitForStart (state, caller, arrived);
+
     const auto now = SteadyClock::now();
-    auto admitted = admit (state, caller, now);
+    auto admitted = admit (state, caller, arrived, now);
 
     if (const auto* refusal = std::get_if<Problem> (&admitted))
     {
