--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -25,7 +25,7 @@
 
 
 class Node:
-    def __init__(self, platform, name, store_port=None, zone="a"):
+    def __init__(self, platform, name, store_port=None, zone="a", environment=None):
         self.name = name
         self.front, self.readiness, self.peers, self.metrics = free_ports(4)
         self.settings = platform.folder / f"{name}.conf"
@@ -35,7 +35,7 @@
                                  f"cloud.address=127.0.0.1:{platform.cloud_port}\ncloud.duties=metered,autoscale\n"
                                  "bounds.revoke_ms=2500\nbounds.report_window_s=1\nbounds.grace_s=6\nbounds.lease_ms=3000\n")
         self.log = platform.folder / f"{name}.log"
-        self.environment = platform.environment
+        self.environment = environment or {}
         self.start()
 
     def start(self):
@@ -70,7 +70,6 @@
     """The stand-ins and some nodes."""
 
     def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None):
-        self.environment = environment or {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-platform-"))
         self.store_port, self.cloud_port, *ports = free_ports(2 + replicas)
         self.store, self.cloud = Store(self.store_port), Cloud(self.cloud_port)
@@ -79,7 +78,7 @@
             self.store.put("op/config", first)
         for replica in self.replicas:
             self.store.put(f"servers/{replica.name}", replica.entry("svc"))
-        self.nodes = [Node(self, f"front-{number}") for number in range(nodes)]
+        self.nodes = [Node(self, f"front-{number}", environment=environment) for number in range(nodes)]
         self.first = self.nodes[0]
         self.doors = []
 
