A router that leaves after a notice writes to nothing that is gone

Valgrind on that test shows one invalid write: after a reclaim notice the wait for a stop signal is ended with its coroutine, and its handler then writes to the coroutine's freed frame. Valgrind on the same test: one invalid write before, none after.

--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -124,12 +124,13 @@
     auto& loop = workers.front().loop;
     asio::signal_set signals (loop, SIGTERM, SIGINT);
     asio::steady_timer timer (loop);
-    auto isAsked = false;
-    signals.async_wait ([&isAsked] (boost::system::error_code error, int) { isAsked = ! error; });
+    // After a notice this coroutine ends before the wait for a signal does: what the wait writes to must outlive both.
+    const auto isAsked = std::make_shared<bool> (false);
+    signals.async_wait ([isAsked] (boost::system::error_code error, int) { *isAsked = ! error; });
 
     for (;;)
     {
-        if (isAsked)
+        if (*isAsked)
             co_return state.timeouts.drain;
 
         // A notice leaves seconds; what does not end in the first half of them is handed over in the second.
