Nodes of larger fleets report to one reader, and readers tell each other sums

Cause: each node told 24 others a round, in turns: at 295 nodes until all had heard 13 rounds passed (5.2 s, 2.7 s near a limit), so that of the others at most 240 of 294 were ever heard within 2 s and usually 120: every node kept to an even 1/295 of each limit and refused the rest, the holder saw two fifths of the work, and counts of a window settled 11.6 s after its end where 10 s are due. A node sent and heard 60 to 120 reports a second of some 4 KB. Change: up to 25 nodes as before. Above, a node reports to one reader, which answers with the sum of all others; readers tell each other sums of their nodes. Usage goes to the readers of the failure domain and from there as sums, at any size; a reader's count is the greater of what two readers of a domain tell.

--- /dev/null
+++ b/modules/snowrudder_serving/duties/UsageGathering.cpp
@@ -0,0 +1,132 @@
+#include "UsageGathering.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+auto dropWindows (CountsByWindow& counts, std::uint64_t before) -> void
+{
+    counts.erase (counts.begin(), counts.lower_bound (before));
+}
+
+auto addWindow (AccountCounts& sum, const CountsByWindow& counts, std::uint64_t window) -> void
+{
+    if (const auto found = counts.find (window); found != counts.end())
+        addCounts (sum, found->second);
+}
+
+} // namespace
+
+auto addCounts (AccountCounts& sum, const AccountCounts& more) -> void
+{
+    for (const auto& [account, count] : more)
+        sum[account] += count;
+}
+
+auto raiseCounts (AccountCounts& counts, const AccountCounts& others) -> void
+{
+    for (const auto& [account, count] : others)
+    {
+        auto& known = counts[account];
+        known = std::max (known, count);
+    }
+}
+
+auto UsageGathering::note (const UsageNotice& notice) -> void
+{
+    if (! notice.domain.empty())
+    {
+        for (const auto& [window, counts] : notice.counts)
+            raiseCounts (domains[notice.domain][window], counts);
+
+        return;
+    }
+
+    auto& node = nodes[notice.node];
+
+    if (notice.incarnation < node.incarnation)
+        return;
+
+    if (notice.incarnation > node.incarnation)
+    {
+        for (const auto& [window, counts] : node.counts)
+            addCounts (node.earlier[window], counts);
+
+        node.counts.clear();
+        node.incarnation = notice.incarnation;
+    }
+
+    for (const auto& [window, counts] : notice.counts)
+        raiseCounts (node.counts[window], counts);
+}
+
+auto UsageGathering::ofDomain (std::uint64_t window, const AccountCounts& own) const -> AccountCounts
+{
+    auto sum = own;
+
+    for (const auto& [name, node] : nodes)
+    {
+        addWindow (sum, node.counts, window);
+        addWindow (sum, node.earlier, window);
+    }
+
+    if (const auto told = domains.find (ownDomain); told != domains.end())
+        if (const auto counts = told->second.find (window); counts != told->second.end())
+            raiseCounts (sum, counts->second);
+
+    return sum;
+}
+
+auto UsageGathering::ofAll (std::uint64_t window, const AccountCounts& own) const -> AccountCounts
+{
+    auto sum = ofDomain (window, own);
+
+    for (const auto& [domain, counts] : domains)
+        if (domain != ownDomain)
+            addWindow (sum, counts, window);
+
+    return sum;
+}
+
+auto UsageGathering::recentOfDomain (const UsageWindows& own, Duration time) const -> CountsByWindow
+{
+    CountsByWindow recent;
+
+    const auto addRecent = [&] (const CountsByWindow& counts)
+    {
+        for (const auto& [window, ofWindow] : counts)
+            if (own.endOf (window) > time)
+                recent.try_emplace (window);
+    };
+
+    addRecent (own.counts());
+
+    for (const auto& [name, node] : nodes)
+    {
+        addRecent (node.counts);
+        addRecent (node.earlier);
+    }
+
+    for (auto& [window, counts] : recent)
+        counts = ofDomain (window, own.countsOf (window));
+
+    return recent;
+}
+
+auto UsageGathering::dropBefore (std::uint64_t window) -> void
+{
+    for (auto& [name, node] : nodes)
+    {
+        dropWindows (node.counts, window);
+        dropWindows (node.earlier, window);
+    }
+
+    for (auto& [domain, counts] : domains)
+        dropWindows (counts, window);
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -15,17 +15,11 @@
 
 constexpr auto tick = 500ms;
 
-/** @returns how long after a window's end every node's last counts of it have come in. Nodes tell 24 others every 400 ms, and
-    one datagram may be lost; the rest is for the way, and for clocks that differ.
+/** How long after a window's end every node's last counts of it have come in: told to the readers and by them to each other
+    within 500 ms each, once more where a datagram was lost; the rest is for the ways, and for clocks that differ. It does not
+    depend on the number of nodes.
 */
-auto settleTime (std::size_t members) -> Duration
-{
-    constexpr auto toldARound = std::size_t { 24 };
-    constexpr auto twoRounds = Duration (800ms);
-    constexpr auto reserve = Duration (1200ms);
-    const auto rounds = static_cast<std::int64_t> ((members + toldARound - 1) / toldARound);
-    return reserve + twoRounds * rounds;
-}
+constexpr auto settleTime = 3 * Duration (usageInterval) + Duration (500ms);
 
 /** How far back a new holder looks for windows that its predecessor may have left unreported: twice the time after which
     a report is late.
@@ -68,13 +62,7 @@
 auto settleCounts (ServingState& state, const StateStore& store, std::uint64_t window)
     -> Task<std::optional<AccountCounts>>
 {
-    AccountCounts counts;
-
-    if (const auto own = state.usage.counts().find (window); own != state.usage.counts().end())
-        counts = own->second;
-
-    state.peers.addUsage (window, counts);
-
+    const auto counts = state.usageOfOthers.ofAll (window, state.usage.countsOf (window));
     auto record = makeCreation (usageKey (window), writeCounts (counts));
     const auto keptWindows = static_cast<std::uint64_t> (keepTime / state.settings.usageWindow);
 
@@ -128,13 +116,12 @@
         const auto oldest = state.usage.windowOf (now - lookBack);
         const auto oldestKept = state.usage.windowOf (now - keepTime);
         state.usage.dropBefore (oldestKept);
-        state.peers.dropUsageBefore (oldestKept);
+        state.usageOfOthers.dropBefore (oldestKept);
         reported.erase (reported.begin(), reported.lower_bound (oldest));
 
         for (auto window = std::max (oldest, firstWindow); window < current; ++window)
         {
-            if (reported.contains (window) ||
-                now < state.usage.endOf (window) + settleTime (state.memberCount()))
+            if (reported.contains (window) || now < state.usage.endOf (window) + settleTime)
                 continue;
 
             if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
--- a/modules/snowrudder_serving/duties/UsageWindows.h
+++ b/modules/snowrudder_serving/duties/UsageWindows.h
@@ -39,6 +39,25 @@
     /** @returns this node's counts of each window that it still keeps. */
     [[nodiscard]] auto counts() const -> const std::map<std::uint64_t, AccountCounts>& { return windows; }
 
+    /** @returns this node's counts of one window; none where it counted nothing in it. */
+    [[nodiscard]] auto countsOf (std::uint64_t window) const -> AccountCounts
+    {
+        const auto found = windows.find (window);
+        return found == windows.end() ? AccountCounts() : found->second;
+    }
+
+    /** @returns this node's counts of the windows that end after a time, since the start of 1970. */
+    [[nodiscard]] auto endedAfter (Duration time) const -> std::map<std::uint64_t, AccountCounts>
+    {
+        std::map<std::uint64_t, AccountCounts> recent;
+
+        for (const auto& [window, counts] : windows)
+            if (endOf (window) > time)
+                recent.emplace (window, counts);
+
+        return recent;
+    }
+
     /** Forgets windows before one. */
     auto dropBefore (std::uint64_t window) -> void
     {
--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -254,12 +254,15 @@
                                 });
 }
 
-auto SharedQuota::admitted (TimePoint now) const -> AdmittedByAccount
+auto SharedQuota::admitted (TimePoint now, Duration idleTime) const -> AdmittedByAccount
 {
     AdmittedByAccount all;
 
     for (const auto& [account, state] : accounts)
     {
+        if (now - state.asked.at > idleTime)
+            continue;
+
         auto& use = all[account];
         use = { state.total, state.admitted.perSecond (startTime, now),
                 state.asked.perSecond (startTime, now), std::nullopt };
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -71,8 +71,12 @@
     */
     [[nodiscard]] auto isTight (TimePoint now) const -> bool;
 
-    /** @returns what this node admitted, by client account. */
-    [[nodiscard]] auto admitted (TimePoint now) const -> AdmittedByAccount;
+    /** @returns what this node admitted, by client account.
+
+        @param idleTime  accounts that were not asked for in this time are left out
+    */
+    [[nodiscard]] auto admitted (TimePoint now, Duration idleTime = Duration::max()) const
+        -> AdmittedByAccount;
 
 private:
     /** Rates are averaged over this time: long against a request's size, short against a day's swing. */
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -37,6 +37,8 @@
     message.set_proof_age_milliseconds (asMilliseconds (report.proofAge));
     message.set_leaving (report.leaving);
     message.set_settled (report.isSettled);
+    message.set_scope (static_cast<std::uint32_t> (report.scope));
+    message.set_nodes (report.nodes);
 
     for (const auto& [account, use] : report.admitted)
     {
@@ -60,8 +62,15 @@
         if (work.promptSpeed)
             entry->set_prompt_speed (static_cast<float> (*work.promptSpeed));
     }
+}
+
+auto write (const UsageNotice& notice, schema::UsageNotice& message) -> void
+{
+    message.set_node (notice.node);
+    message.set_incarnation (notice.incarnation);
+    message.set_failure_domain (notice.domain);
 
-    for (const auto& [window, counts] : report.usage)
+    for (const auto& [window, counts] : notice.counts)
     {
         auto* entry = message.add_usage();
         entry->set_window (window);
@@ -142,6 +151,15 @@
     message.set_tokens (static_cast<std::uint32_t> (std::lround (notice.tokens)));
 }
 
+auto readScope (std::uint32_t number) -> ReportScope
+{
+    if (number == static_cast<std::uint32_t> (ReportScope::nodesOfReader))
+        return ReportScope::nodesOfReader;
+
+    return number == static_cast<std::uint32_t> (ReportScope::allOthers) ? ReportScope::allOthers
+                                                                         : ReportScope::node;
+}
+
 auto read (const schema::NodeReport& message) -> PeerReport
 {
     PeerReport report;
@@ -152,6 +170,8 @@
     report.proofAge = std::chrono::milliseconds (message.proof_age_milliseconds());
     report.leaving = message.leaving();
     report.isSettled = message.settled();
+    report.scope = readScope (message.scope());
+    report.nodes = message.nodes();
 
     for (const auto& entry : message.use())
     {
@@ -175,12 +195,23 @@
                 work.promptSpeed = entry.prompt_speed();
         }
 
+    return report;
+}
+
+auto read (const schema::UsageNotice& message) -> UsageNotice
+{
+    UsageNotice notice;
+    notice.node = message.node();
+    notice.incarnation = message.incarnation();
+    notice.domain = message.failure_domain();
+
     for (const auto& entry : message.usage())
         for (const auto& figure : entry.counts())
             if (isAmount (figure.amount()))
-                report.usage[entry.window()][figure.account()] = static_cast<std::uint64_t> (figure.amount());
+                notice.counts[entry.window()][figure.account()] =
+                    static_cast<std::uint64_t> (figure.amount());
 
-    return report;
+    return notice;
 }
 
 auto read (const schema::ReplicaLoads& message) -> std::vector<SharedLoad>
@@ -256,6 +287,8 @@
         write (*answer, *datagram.mutable_answer());
     else if (const auto* prompt = std::get_if<PromptNotice> (&message))
         write (*prompt, *datagram.mutable_prompt());
+    else if (const auto* usage = std::get_if<UsageNotice> (&message))
+        write (*usage, *datagram.mutable_usage());
     else
         write (std::get<LoadNotice> (message), *datagram.mutable_loads());
 
@@ -285,6 +318,9 @@
         return PromptNotice { message.prompt().node(), message.prompt().replica(),
                               static_cast<double> (message.prompt().tokens()) };
 
+    if (message.has_usage() && ! message.usage().node().empty())
+        return read (message.usage());
+
     if (message.has_question() && ! message.question().node().empty())
         return read (message.question());
 
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "News.h"
-#include "PeerTable.h"
+#include "PeerReport.h"
+#include "UsageNotice.h"
 
 #include <optional>
 #include <string>
@@ -17,7 +18,7 @@
 inline constexpr auto largestDatagram = std::size_t { 8 * 1024 };
 
 /** What nodes tell each other directly. */
-using NodeMessage = std::variant<PeerReport, NewsQuestion, NewsAnswer, LoadNotice, PromptNotice>;
+using NodeMessage = std::variant<PeerReport, NewsQuestion, NewsAnswer, LoadNotice, PromptNotice, UsageNotice>;
 
 /** @returns a message as a datagram: a signature over the rest, then the serialized message.
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -19,6 +19,19 @@
 /** How often loads of replicas are told and news are asked for: a replica of a model begins four requests a second. */
 constexpr auto newsInterval = 200ms;
 
+/** A window's counts are told by the readers to each other for as long as it is open and this much longer: a holder of the
+    duty has them by then, also where a notice was lost.
+*/
+constexpr auto keepTellingUsage = Duration (5s);
+
+/** An account that a node had no request of for so long is left out of its reports: its rate has faded to a tenth. */
+constexpr auto idleAccountTime = Duration (5s);
+
+auto toText (const asio::ip::udp::endpoint& endpoint) -> std::string
+{
+    return endpoint.address().to_string() + ":" + std::to_string (endpoint.port());
+}
+
 } // namespace
 
 PeerExchange::PeerExchange (ServingState& servingState, const Membership& known)
@@ -46,6 +59,7 @@
     asio::co_spawn (state.loop, receiveLoop(), asio::detached);
     asio::co_spawn (state.loop, sendLoop(), asio::detached);
     asio::co_spawn (state.loop, newsLoop(), asio::detached);
+    asio::co_spawn (state.loop, usageLoop(), asio::detached);
     return {};
 }
 
@@ -54,6 +68,9 @@
     if (membership.secret().empty())
         return;
 
+    if (! mayAnnounce (promptBudget, notice.tokens, membership.others().size(), SteadyClock::now()))
+        return;
+
     notice.node = state.settings.node;
     const auto datagram = encodeMessage (notice, membership.secret());
 
@@ -89,6 +106,8 @@
             take (std::move (*told));
         else if (const auto* prompt = std::get_if<PromptNotice> (&*message))
             state.replicas.notePromptHeard (prompt->replica, prompt->tokens, SteadyClock::now());
+        else if (const auto* usage = std::get_if<UsageNotice> (&*message))
+            state.usageOfOthers.note (*usage);
         else
             takeLoads (std::get<LoadNotice> (*message).loads, false);
     }
@@ -96,18 +115,15 @@
 
 auto PeerExchange::take (PeerReport report, const Endpoint& sender) -> void
 {
-    if (report.node == state.settings.node)
+    if (report.node == state.settings.node || ! isWanted (report, sender))
         return;
 
-    // A node that has just started is told at once what is left of the shared limits.
-    if (state.peers.isFirst (report))
-        send (encodeMessage (ownReport(), membership.secret()), sender);
+    const auto now = SteadyClock::now();
+    const auto answer = answerTo (report, now);
 
     if (noteConfigurationHeard (state.news, state.configuration, report.configurationRevision))
         state.configurationWake->notify();
 
-    const auto now = SteadyClock::now();
-
     if (report.isSettled && unsettledTime (state.sharing, now) > Duration::zero())
     {
         state.quota.adopt (report.admitted, now);
@@ -119,6 +135,33 @@
     }
 
     state.quota.charge (state.peers.note (std::move (report), now), now);
+
+    if (answer)
+        send (encodeMessage (*answer, membership.secret()), sender);
+}
+
+auto PeerExchange::isWanted (const PeerReport& report, const Endpoint& sender) const -> bool
+{
+    if (! isReporting())
+        return report.scope == ReportScope::node;
+
+    // What another reader tells of all others would count the same nodes twice.
+    if (! state.news.isReader)
+        return report.scope == ReportScope::allOthers && sender == route.reader;
+
+    return report.scope != ReportScope::allOthers;
+}
+
+auto PeerExchange::answerTo (const PeerReport& report, TimePoint now) -> std::optional<PeerReport>
+{
+    if (isReporting() && report.scope == ReportScope::node)
+        return state.peers.withAllBut (ownReport (now), report.node, now);
+
+    // A node that has just started is told at once what is left of the shared limits.
+    if (! state.peers.isFirst (report))
+        return {};
+
+    return isReporting() ? state.peers.withNodes (ownReport (now), now) : ownReport (now);
 }
 
 auto PeerExchange::answer (const NewsQuestion& question, const Endpoint& sender) -> void
@@ -159,16 +202,56 @@
         if (membership.secret().empty() || membership.others().empty())
             continue;
 
-        const auto report = encodeMessage (ownReport(), membership.secret());
+        const auto sent = SteadyClock::now();
+        const auto targets = chooseTargets (sent);
+        const auto isSum = isReporting() && state.news.isReader;
+        const auto report = isSum ? state.peers.withNodes (ownReport (sent), sent) : ownReport (sent);
+        const auto datagram = encodeMessage (report, membership.secret());
 
-        // The first one goes to all: each answers with what it knows of the shared limits.
-        for (const auto& target : hasGreeted ? chooseTargets() : membership.others())
-            send (report, target);
+        for (const auto& target : targets)
+            send (datagram, target);
 
         hasGreeted = true;
     }
 }
 
+auto PeerExchange::usageLoop() -> Task<void>
+{
+    for (;;)
+    {
+        co_await pauseFor (state.loop, usageInterval);
+
+        if (! membership.secret().empty() && ! membership.others().empty())
+            tellUsage (SteadyClock::now());
+    }
+}
+
+auto PeerExchange::tellUsage (TimePoint now) -> void
+{
+    UsageNotice notice;
+    notice.node = state.settings.node;
+    notice.incarnation = incarnation;
+    notice.counts = state.usage.endedAfter (state.trueTime.now (now) - state.settings.usageDue);
+
+    if (! notice.counts.empty())
+    {
+        const auto datagram = encodeMessage (notice, membership.secret());
+
+        for (const auto& reader : membership.ownReaders())
+            send (datagram, reader);
+    }
+
+    if (! state.news.isReader)
+        return;
+
+    notice.domain = state.settings.failureDomain;
+    notice.counts =
+        state.usageOfOthers.recentOfDomain (state.usage, state.trueTime.now (now) - keepTellingUsage);
+
+    if (! notice.counts.empty())
+        sendToReaders (encodeMessage (notice, membership.secret()));
+}
+
 auto PeerExchange::newsLoop() -> Task<void>
 {
     for (;;)
@@ -204,8 +287,11 @@
     if (notice.loads.empty())
         return;
 
-    const auto datagram = encodeMessage (notice, membership.secret());
+    sendToReaders (encodeMessage (notice, membership.secret()));
+}
 
+auto PeerExchange::sendToReaders (const std::string& datagram) -> void
+{
     for (const auto* readers : { &membership.ownReaders(), &membership.otherReaders() })
         for (const auto& reader : *readers)
             send (datagram, reader);
@@ -241,24 +327,45 @@
         ask (membership.otherReaders(), nextOtherReader);
 }
 
-auto PeerExchange::chooseTargets() -> std::vector<Endpoint>
+auto PeerExchange::isReporting() const -> bool
+{
+    return reportsToReaders (state.memberCount());
+}
+
+auto PeerExchange::chooseTargets (TimePoint now) -> std::vector<Endpoint>
 {
-    const auto& all = membership.others();
+    // What was heard of the same nodes in the other way must not count twice.
+    if (isReporting() != wasReporting)
+        state.quota.charge (state.peers.forgetAll(), now);
 
-    if (all.size() <= mostReportTargets)
-        return all;
+    wasReporting = isReporting();
 
-    std::vector<Endpoint> chosen;
+    if (! isReporting())
+        return membership.others();
 
-    for (auto count = std::size_t { 0 }; count < mostReportTargets; ++count)
-        chosen.push_back (all[nextTarget++ % all.size()]);
+    if (state.news.isReader)
+    {
+        auto readers = membership.ownReaders();
+        readers.insert (readers.end(), membership.otherReaders().begin(), membership.otherReaders().end());
+        return readers;
+    }
 
-    return chosen;
+    if (keepReportRoute (route, membership.ownReaders(), membership.otherReaders(), state.settings.node,
+                         state.peers.lastHeard(), now))
+    {
+        state.quota.charge (state.peers.forgetAll(), now);
+        LogLine ("reports_to_reader")
+            .with ("reader", route.reader ? toText (*route.reader) : "none")
+            .with ("given_up", route.turn)
+            .with ("silent_milliseconds", inMilliseconds (now - state.peers.lastHeard()))
+            .info();
+    }
+
+    return route.reader ? std::vector { *route.reader } : std::vector<Endpoint>();
 }
 
-auto PeerExchange::ownReport() -> PeerReport
+auto PeerExchange::ownReport (TimePoint now) -> PeerReport
 {
-    const auto now = SteadyClock::now();
     PeerReport report;
     report.node = state.settings.node;
     report.incarnation = incarnation;
@@ -272,7 +379,9 @@
         report.proofAge = now - state.configuration.provenAt;
     }
 
-    report.admitted = state.quota.admitted (now);
+    // The levels that a starting node adopts come from readers, where there are any that tell sums.
+    const auto tellsAll = ! isReporting() || state.news.isReader;
+    report.admitted = state.quota.admitted (now, tellsAll ? Duration::max() : idleAccountTime);
     state.work.forEach (now,
                         [&] (const std::string& service, double tokens)
                         {
@@ -280,13 +389,6 @@
                                                      state.replicas.promptSpeed (service) };
                         });
 
-    // Windows that ended before have been reported, or are late.
-    const auto trueNow = state.trueTime.now (now);
-
-    for (const auto& [window, counts] : state.usage.counts())
-        if (state.usage.endOf (window) + state.settings.usageDue > trueNow)
-            report.usage[window] = counts;
-
     return report;
 }
 
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -3,6 +3,8 @@
 #include "../node/ServingState.h"
 #include "DatagramCodec.h"
 #include "Membership.h"
+#include "PromptBudget.h"
+#include "ReportRoute.h"
 
 #include <string>
 #include <vector>
@@ -24,7 +26,7 @@
     */
     auto start() -> std::error_code;
 
-    /** Tells all others of a prompt that a replica has to read. */
+    /** Tells all others of a prompt that a replica has to read, where it is large enough for the datagrams that it costs. */
     auto announce (PromptNotice notice) -> void;
 
 private:
@@ -32,26 +34,35 @@
 
     auto receiveLoop() -> Task<void>;
     auto take (PeerReport report, const Endpoint& sender) -> void;
+    auto isWanted (const PeerReport& report, const Endpoint& sender) const -> bool;
+    auto answerTo (const PeerReport& report, TimePoint now) -> std::optional<PeerReport>;
     auto answer (const NewsQuestion& question, const Endpoint& sender) -> void;
     auto take (NewsAnswer answer) -> void;
     auto sendLoop() -> Task<void>;
     auto newsLoop() -> Task<void>;
+    auto usageLoop() -> Task<void>;
+    auto tellUsage (TimePoint now) -> void;
     auto takeLoads (const std::vector<SharedLoad>& loads, bool isToTell) -> void;
     auto tellLoads (TimePoint now) -> void;
     auto send (const std::string& datagram, const Endpoint& target) -> void;
     auto askForNews (TimePoint now) -> void;
-    auto chooseTargets() -> std::vector<Endpoint>;
-    auto ownReport() -> PeerReport;
+    auto sendToReaders (const std::string& datagram) -> void;
+    auto isReporting() const -> bool;
+    auto chooseTargets (TimePoint now) -> std::vector<Endpoint>;
+    auto ownReport (TimePoint now) -> PeerReport;
 
     ServingState& state;
     const Membership& membership;
     asio::ip::udp::socket socket;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
-    /** Whether all others have been told of this node once. */
+    /** Whether the others have been told of this node once. */
     bool hasGreeted = false;
+    /** Whether this node reported to readers, or was one that is reported to, in the last round. */
+    bool wasReporting = false;
+    ReportRoute route;
+    PromptBudget promptBudget;
     /** Places from which the next round goes on. */
-    std::size_t nextTarget = 0;
     std::size_t nextOwnReader = 0;
     std::size_t nextOtherReader = 0;
 };
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -1,16 +1,70 @@
 #include "PeerTable.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace snowrudder
 {
 
-auto addCounts (AccountCounts& sum, const AccountCounts& more) -> void
+namespace
 {
-    for (const auto& [account, count] : more)
-        sum[account] += count;
+
+/** @returns an amount, zero where there is none. */
+auto amountIn (const AccountAmounts& amounts, const std::string& account) -> double
+{
+    const auto found = amounts.find (account);
+    return found == amounts.end() ? 0.0 : found->second;
+}
+
+/** Adds what was charged for other nodes, and their rates, to what a node tells of itself. */
+auto addTo (AdmittedByAccount& admitted,
+            const AccountAmounts& charged,
+            const AccountAmounts& perSecond,
+            const AccountAmounts& asked) -> void
+{
+    for (const auto& [account, tokens] : charged)
+        admitted[account].tokens += tokens;
+
+    for (const auto& [account, rate] : perSecond)
+        admitted[account].tokensPerSecond += rate;
+
+    for (const auto& [account, rate] : asked)
+        admitted[account].askedPerSecond += rate;
+}
+
+/** A sum less one of its parts may fall below zero by rounding, and by rates of different ages. */
+auto keepAmounts (AdmittedByAccount& admitted) -> void
+{
+    for (auto& [account, use] : admitted)
+    {
+        use.tokens = std::max (0.0, use.tokens);
+        use.tokensPerSecond = std::max (0.0, use.tokensPerSecond);
+        use.askedPerSecond = std::max (0.0, use.askedPerSecond);
+    }
+}
+
+/** Adds one peer's work on a service to a sum; speeds are gathered for their median. */
+auto addWork (ServiceWork& sum, const ServiceWork& more, std::vector<double>& speeds) -> void
+{
+    sum.tokensPerSecond += more.tokensPerSecond;
+    sum.inFlight += more.inFlight;
+
+    if (more.promptSpeed)
+        speeds.push_back (*more.promptSpeed);
+}
+
+auto medianOf (std::vector<double>& values) -> std::optional<double>
+{
+    if (values.empty())
+        return {};
+
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t> (values.size() / 2);
+    std::ranges::nth_element (values, middle);
+    return *middle;
 }
 
+} // namespace
+
 auto PeerTable::note (PeerReport report, TimePoint now) -> AccountAmounts
 {
     AccountAmounts charged;
@@ -24,25 +78,33 @@
     if (isSameStart && report.sequence <= peer.latest.sequence)
         return charged;
 
-    if (isKnown && ! isSameStart)
-        for (const auto& [window, counts] : peer.latest.usage)
-            addCounts (peer.earlierUsage[window], counts);
+    if (! isSameStart)
+        peer.told.clear();
 
-    const auto sinceStart = std::chrono::duration<double> (std::min (now - startTime, rateTime)).count();
+    const auto unknown = std::chrono::duration<double> (std::min (now - knownSince, rateTime)).count();
 
     for (const auto& [account, use] : report.admitted)
+    {
         // A node that is not settled has admitted all that it tells of since about the time at which this one started.
         if (isKnown || ! report.isSettled)
-            charged[account] = use.tokens - (isSameStart ? peer.latest.admitted[account].tokens : 0.0);
-        else if (const auto likely = std::min (use.tokens, use.tokensPerSecond * sinceStart); likely > 0.0)
+            charged[account] = use.tokens - amountIn (peer.told, account);
+        else if (const auto likely = std::min (use.tokens, use.tokensPerSecond * unknown); likely > 0.0)
             charged[account] = likely;
 
+        peer.told[account] = use.tokens;
+    }
+
     for (const auto& [account, tokens] : peer.assumed)
         charged[account] -= tokens;
 
     peer.assumed.clear();
     peer.latest = std::move (report);
     peer.heard = now;
+    latestHeard = std::max (latestHeard, now);
+
+    for (const auto& [account, tokens] : charged)
+        addCharge (peer, account, tokens);
+
     return charged;
 }
 
@@ -68,12 +130,28 @@
             const auto tokens = use.tokensPerSecond * std::chrono::duration<double> (passed).count();
             charged[account] += tokens;
             peer.assumed[account] += tokens;
+            addCharge (peer, account, tokens);
         }
     }
 
     return charged;
 }
 
+auto PeerTable::forgetAll() -> AccountAmounts
+{
+    AccountAmounts returned;
+
+    for (const auto& [name, peer] : peers)
+        for (const auto& [account, tokens] : peer.assumed)
+            returned[account] -= tokens;
+
+    knownSince = std::max (knownSince, latestHeard);
+    peers.clear();
+    all = Sum();
+    nodes = Sum();
+    return returned;
+}
+
 auto PeerTable::asked (TimePoint now) const -> AccountAmounts
 {
     AccountAmounts sum;
@@ -88,9 +166,13 @@
 
 auto PeerTable::countHeard (TimePoint now) const -> std::size_t
 {
-    return static_cast<std::size_t> (std::ranges::count_if (
-        peers, [now] (const auto& entry)
-        { return now - entry.second.heard <= heardTime && ! entry.second.latest.leaving; }));
+    auto count = std::size_t { 0 };
+
+    for (const auto& [name, peer] : peers)
+        if (isHeard (peer, now))
+            count += peer.latest.nodes;
+
+    return count;
 }
 
 auto PeerTable::work (const std::string& service, TimePoint now) const -> ServiceWork
@@ -101,43 +183,110 @@
     for (const auto& [name, peer] : peers)
         if (const auto found = peer.latest.work.find (service);
             now - peer.heard <= heardTime && found != peer.latest.work.end())
-        {
-            sum.tokensPerSecond += found->second.tokensPerSecond;
-            sum.inFlight += found->second.inFlight;
+            addWork (sum, found->second, speeds);
 
-            if (found->second.promptSpeed)
-                speeds.push_back (*found->second.promptSpeed);
-        }
+    sum.promptSpeed = medianOf (speeds);
+    return sum;
+}
 
-    if (speeds.empty())
-        return sum;
+auto PeerTable::refreshRates (TimePoint now) -> void
+{
+    for (auto* sum : { &all, &nodes })
+    {
+        sum->perSecond.clear();
+        sum->asked.clear();
+    }
 
-    const auto middle = speeds.begin() + static_cast<std::ptrdiff_t> (speeds.size() / 2);
-    std::ranges::nth_element (speeds, middle);
-    sum.promptSpeed = *middle;
-    return sum;
+    for (const auto& [name, peer] : peers)
+    {
+        if (now - peer.heard > heardTime)
+            continue;
+
+        addRates (all, peer);
+
+        if (peer.latest.scope == ReportScope::node)
+            addRates (nodes, peer);
+    }
 }
 
-auto PeerTable::addUsage (std::uint64_t window, AccountCounts& counts) const -> void
+auto PeerTable::withNodes (PeerReport own, TimePoint now) const -> PeerReport
 {
+    own.scope = ReportScope::nodesOfReader;
+    addTo (own.admitted, nodes.charged, nodes.perSecond, nodes.asked);
+    keepAmounts (own.admitted);
+    std::map<std::string, std::vector<double>, std::less<>> speeds;
+
+    for (auto& [service, work] : own.work)
+        if (work.promptSpeed)
+            speeds[service].push_back (*work.promptSpeed);
+
     for (const auto& [name, peer] : peers)
     {
-        if (const auto found = peer.latest.usage.find (window); found != peer.latest.usage.end())
-            addCounts (counts, found->second);
+        if (peer.latest.scope != ReportScope::node)
+            continue;
 
-        if (const auto found = peer.earlierUsage.find (window); found != peer.earlierUsage.end())
-            addCounts (counts, found->second);
+        if (isHeard (peer, now))
+            ++own.nodes;
+
+        if (now - peer.heard <= heardTime)
+            for (const auto& [service, work] : peer.latest.work)
+                addWork (own.work[service], work, speeds[service]);
     }
+
+    for (auto& [service, ofService] : speeds)
+        own.work[service].promptSpeed = medianOf (ofService);
+
+    return own;
 }
 
-auto PeerTable::dropUsageBefore (std::uint64_t window) -> void
+auto PeerTable::withAllBut (PeerReport own, std::string_view asker, TimePoint now) const -> PeerReport
 {
-    for (auto& [name, peer] : peers)
+    own.scope = ReportScope::allOthers;
+    own.work.clear();
+    own.nodes = static_cast<std::uint32_t> (countHeard (now) + 1);
+    addTo (own.admitted, all.charged, all.perSecond, all.asked);
+
+    if (const auto found = peers.find (asker); found != peers.end())
+    {
+        const auto& peer = found->second;
+
+        if (isHeard (peer, now))
+            own.nodes -= peer.latest.nodes;
+
+        for (const auto& [account, tokens] : peer.charged)
+            own.admitted[account].tokens -= tokens;
+
+        for (const auto& [account, use] : peer.latest.admitted)
+        {
+            own.admitted[account].tokensPerSecond -= use.tokensPerSecond;
+            own.admitted[account].askedPerSecond -= use.askedPerSecond;
+        }
+    }
+
+    keepAmounts (own.admitted);
+    return own;
+}
+
+auto PeerTable::isHeard (const Peer& peer, TimePoint now) const -> bool
+{
+    return now - peer.heard <= heardTime && ! peer.latest.leaving;
+}
+
+auto PeerTable::addCharge (Peer& peer, const std::string& account, double tokens) -> void
+{
+    peer.charged[account] += tokens;
+    all.charged[account] += tokens;
+
+    if (peer.latest.scope == ReportScope::node)
+        nodes.charged[account] += tokens;
+}
+
+auto PeerTable::addRates (Sum& sum, const Peer& peer) const -> void
+{
+    for (const auto& [account, use] : peer.latest.admitted)
     {
-        auto& latest = peer.latest.usage;
-        latest.erase (latest.begin(), latest.lower_bound (window));
-        auto& earlier = peer.earlierUsage;
-        earlier.erase (earlier.begin(), earlier.lower_bound (window));
+        sum.perSecond[account] += use.tokensPerSecond;
+        sum.asked[account] += use.askedPerSecond;
     }
 }
 
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -1,79 +1,29 @@
 #pragma once
 
-#include "../duties/UsageWindows.h"
+#include "PeerReport.h"
 
-#include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace snowrudder
 {
 
-/** Tokens of one client account that a node admitted. */
-struct AdmittedTokens
-{
-    /** Since the node's start. */
-    double tokens = 0.0;
-    /** Lately. */
-    double tokensPerSecond = 0.0;
-    /** What callers lately asked for, admitted or not. */
-    double askedPerSecond = 0.0;
-    /** What the node believes to be left of the account's burst, below zero after an overshoot. Nothing where it has had no
-        request of the account yet: it does not know the limit then, and counts only what others took.
-    */
-    std::optional<double> level {};
-};
-
-/** Amounts by client account. */
-using AccountAmounts = std::map<std::string, double, std::less<>>;
-
-/** What a node gave to the replicas of one service. */
-struct ServiceWork
-{
-    /** Prompt tokens to be read, lately. */
-    double tokensPerSecond = 0.0;
-    /** Requests that replicas have now. */
-    double inFlight = 0.0;
-    /** Prompt tokens that replicas read a millisecond, as the node learnt it. */
-    std::optional<double> promptSpeed {};
-};
+/** What this node heard of the others. A report never goes back: late and doubled ones change nothing.
 
-using AdmittedByAccount = std::map<std::string, AdmittedTokens, std::less<>>;
-
-/** What a node tells the others of itself, some times a second. */
-struct PeerReport
-{
-    std::string node;
-    /** Rises with each start of the node's process. */
-    std::uint64_t incarnation = 0;
-    /** Rises with each report. */
-    std::uint64_t sequence = 0;
-    /** Revision of its configuration, and how old its proof was when it sent the report. */
-    std::uint64_t configurationRevision = 0;
-    Duration proofAge {};
-    bool leaving = false;
-    /** Whether it has been there long enough to know what the others admit. */
-    bool isSettled = false;
-    AdmittedByAccount admitted;
-    /** By service. */
-    std::map<std::string, ServiceWork, std::less<>> work;
-    /** Its counts of requests that began to run, by window. */
-    std::map<std::uint64_t, AccountCounts> usage;
-};
-
-/** What this node heard of the others. A report never goes back: late and doubled ones change nothing. */
+    At a reader it also keeps the sums that the reader hands on, so that handing them on costs the same however many
+    nodes they are made of.
+*/
 class PeerTable
 {
 public:
     /** @param started  when this node began to admit requests */
-    explicit PeerTable (TimePoint started = {}) : startTime (started) {}
+    explicit PeerTable (TimePoint started = {}) : knownSince (started) {}
 
     /** Takes a report in; one that is older than what is known changes nothing.
 
         @returns tokens that the node admitted since its last report. Of a node heard of for the first time, what it is
-                 likely to have admitted since this one started
+                 likely to have admitted since this one knows of the others
     */
     auto note (PeerReport report, TimePoint now) -> AccountAmounts;
 
@@ -87,20 +37,39 @@
     */
     auto assumeSilent (Duration passed, TimePoint now) -> AccountAmounts;
 
+    /** Forgets all peers, as when another reader tells of the same nodes from now on.
+
+        @returns tokens to be given back: what was charged for peers that had fallen silent
+    */
+    auto forgetAll() -> AccountAmounts;
+
     /** @returns tokens a second that callers lately asked of the nodes heard of within `heardTime`. */
     [[nodiscard]] auto asked (TimePoint now) const -> AccountAmounts;
 
     /** @returns nodes heard of within `heardTime`. */
     [[nodiscard]] auto countHeard (TimePoint now) const -> std::size_t;
 
+    /** @returns when the last report came. */
+    [[nodiscard]] auto lastHeard() const -> TimePoint { return latestHeard; }
+
     /** @returns what the other nodes gave to a service's replicas, and the median of the speeds that they learnt. */
     [[nodiscard]] auto work (const std::string& service, TimePoint now) const -> ServiceWork;
 
-    /** Adds the other nodes' counts of a window. Those of nodes that died count too. */
-    auto addUsage (std::uint64_t window, AccountCounts& counts) const -> void;
+    /** Works out anew the rates that the sums tell. They may be a tenth of a second old: rates are means over 2 s. */
+    auto refreshRates (TimePoint now) -> void;
+
+    /** Adds the figures of the nodes that report here to those of this node.
+
+        @param own  this node's report; becomes one of scope `nodesOfReader`
+    */
+    [[nodiscard]] auto withNodes (PeerReport own, TimePoint now) const -> PeerReport;
+
+    /** Adds the figures of all nodes but one to those of this node.
 
-    /** Forgets counts of windows before one. */
-    auto dropUsageBefore (std::uint64_t window) -> void;
+        @param own    this node's report; becomes one of scope `allOthers`
+        @param asker  the node that is left out
+    */
+    [[nodiscard]] auto withAllBut (PeerReport own, std::string_view asker, TimePoint now) const -> PeerReport;
 
     /** A node that was silent for so long no longer counts among those that share limits. */
     static constexpr auto heardTime = Duration (2s);
@@ -119,17 +88,33 @@
     {
         PeerReport latest;
         TimePoint heard {};
+        /** Totals as last told of each account. */
+        AccountAmounts told;
+        /** All that was charged here for it. */
+        AccountAmounts charged;
         /** Tokens charged while it was silent, to be set off against what it tells next. */
         AccountAmounts assumed;
-        /** Counts of its earlier incarnations: a restart forgets its own. */
-        std::map<std::uint64_t, AccountCounts> earlierUsage;
     };
 
-    TimePoint startTime;
+    /** What was charged for several nodes together, and their rates as last worked out. */
+    struct Sum
+    {
+        AccountAmounts charged;
+        AccountAmounts perSecond;
+        AccountAmounts asked;
+    };
+
+    [[nodiscard]] auto isHeard (const Peer& peer, TimePoint now) const -> bool;
+    auto addCharge (Peer& peer, const std::string& account, double tokens) -> void;
+    auto addRates (Sum& sum, const Peer& peer) const -> void;
+
+    /** From when on admissions of the others are known here. */
+    TimePoint knownSince;
+    TimePoint latestHeard {};
     std::map<std::string, Peer, std::less<>> peers;
+    Sum all;
+    /** Of the peers that report here for themselves. */
+    Sum nodes;
 };
 
-/** Adds counts to counts. */
-auto addCounts (AccountCounts& sum, const AccountCounts& more) -> void;
-
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/ReportTimes.h
+++ b/modules/snowrudder_serving/members/ReportTimes.h
@@ -2,16 +2,23 @@
 
 #include "snowrudder_core/snowrudder_core.h"
 
-#include <algorithm>
 #include <cstddef>
 
 namespace snowrudder
 {
 
-/** Reports that a node sends in one round at most: its cost stays flat as the fleet grows. Targets take turns, so that each
-    of 83 other nodes is told within four rounds.
+/** Up to this many nodes tell each other directly what they admit, in one round. In larger fleets a node reports to one
+    reader, which answers with the sum of all others, and readers tell each other sums: what a node sends and hears stays
+    the same from 26 nodes on. In turns of 24 from each to all, 295 nodes took 2.7 s until all had heard, more than half of
+    the others always counted as silent, and a node sent 60 to 120 reports a second.
 */
-inline constexpr auto mostReportTargets = std::size_t { 24 };
+inline constexpr auto mostTellingDirectly = std::size_t { 25 };
+
+/** @param nodes  this one included */
+inline auto reportsToReaders (std::size_t nodes) -> bool
+{
+    return nodes > mostTellingDirectly;
+}
 
 /** Twice within the time in which limits must follow demand (1 s). */
 inline constexpr auto reportInterval = 400ms;
@@ -28,10 +35,16 @@
 */
 inline auto reportDelay (std::size_t nodes) -> Duration
 {
-    const auto others = std::max<std::size_t> (nodes, 1) - 1;
-    const auto rounds = (others + mostReportTargets - 1) / mostReportTargets;
-    return others == 0 ? Duration::zero()
-                       : Duration (static_cast<long> (rounds) * reportIntervalWhenTight + reportWay);
+    if (nodes <= 1)
+        return Duration::zero();
+
+    if (! reportsToReaders (nodes))
+        return reportIntervalWhenTight + reportWay;
+
+    // To the reader, from there to the other readers, and from those with the answers to their nodes' next reports.
+    constexpr auto hops = 3;
+    constexpr auto ways = 2;
+    return hops * Duration (reportIntervalWhenTight) + ways * Duration (reportWay);
 }
 
 } // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_serving/members/UsageNotice.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "../duties/UsageWindows.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace snowrudder
+{
+
+/** Counts of requests that began to run, by window. */
+using CountsByWindow = std::map<std::uint64_t, AccountCounts>;
+
+/** What a node counted, told to the readers of its failure domain; or what a reader knows of all nodes of its failure
+    domain together, told to the other readers. Counts of a window only grow, so that a lost or late notice is made good by
+    the next.
+*/
+struct UsageNotice
+{
+    std::string node;
+    /** Rises with each start of the node's process. */
+    std::uint64_t incarnation = 0;
+    /** Named where the counts are those of a whole failure domain. */
+    std::string domain;
+    CountsByWindow counts;
+};
+
+/** How often usage is told. */
+inline constexpr auto usageInterval = 500ms;
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -140,6 +140,9 @@
         state.pool.closeOld (now);
         state.quota.charge (state.peers.assumeSilent (sweepInterval, now), now);
 
+        if (state.news.isReader)
+            state.peers.refreshRates (now);
+
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
 
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -4,6 +4,7 @@
 #include "../configuration/ConfigurationState.h"
 #include "../directory/ReplicaDirectory.h"
 #include "../duties/Leadership.h"
+#include "../duties/UsageGathering.h"
 #include "../duties/UsageWindows.h"
 #include "../limits/QuotaSharing.h"
 #include "../members/News.h"
@@ -27,7 +28,8 @@
     ServingState (asio::io_context& eventLoop, const ServingSettings& servingSettings)
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
-          usage (servingSettings.usageWindow), quota (sharing.startTime), peers (sharing.startTime),
+          usage (servingSettings.usageWindow), usageOfOthers (servingSettings.failureDomain),
+          quota (sharing.startTime), peers (sharing.startTime),
           configurationWake (std::make_shared<Signal> (eventLoop.get_executor()))
     {
     }
@@ -77,6 +79,7 @@
     ServiceQueues queues;
     RetryBudgets retryBudgets;
     UsageWindows usage;
+    UsageGathering usageOfOthers;
     WorkMeter work;
     Leadership leadership;
     const LeadershipTimes leadershipTimes;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -29,11 +29,6 @@
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
-/** A prompt that takes a replica 100 ms to read holds up what else runs there; the other nodes are told at once. With 60
-    replicas some 30 a second are, at 83 nodes one of each in three seconds.
-*/
-constexpr auto announcedTokens = 6000.0;
-
 } // namespace
 
 RoutedRun::RoutedRun (ServingState& servingState, Exchange& callerExchange, RoutedRequest routedRequest)
@@ -138,8 +133,7 @@
     state.work.note (request.service, ticket.expectedTokens, SteadyClock::now());
     tried.push_back (ticket.number);
 
-    if (ticket.expectedTokens >= announcedTokens)
-        state.announcePrompt ({ {}, replicaHash (ticket.info.name), ticket.expectedTokens });
+    state.announcePrompt ({ {}, replicaHash (ticket.info.name), ticket.expectedTokens });
 
     lastReplica = ticket.info.name;
     const auto& chosen = taken->choice.candidates.front();
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -22,7 +22,12 @@
 constexpr auto slackTokens = 140'000.0;
 constexpr auto tolerance = QuotaTolerance { slackTokens, overshoot, window };
 
-/** Requests of one account at all nodes of a fleet that tell each other what they admit, in virtual time. */
+/** Two in each of six failure domains. */
+constexpr auto readers = std::size_t { 12 };
+
+/** Requests of one account at all nodes of a fleet that tell each other what they admit, in virtual time: directly, or in
+    larger fleets by way of readers.
+*/
 class QuotaFleet
 {
 public:
@@ -91,7 +96,6 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         TimePoint nextReport {};
-        std::size_t nextTarget = 0;
     };
 
     struct Datagram
@@ -113,6 +117,9 @@
         node.nextReport = now + std::uniform_int_distribution<int> (1, 20) (random) * tick;
     }
 
+    [[nodiscard]] auto isReporting() const -> bool { return reportsToReaders (nodes.size()); }
+    [[nodiscard]] auto isReader (std::size_t index) const -> bool { return index < readers; }
+
     auto ownReport (std::size_t index) -> PeerReport
     {
         auto& node = nodes[index];
@@ -125,6 +132,11 @@
         return told;
     }
 
+    auto send (std::size_t source, std::size_t target, PeerReport report) -> void
+    {
+        underWay.push_back ({ now + 2 * tick, source, target, std::move (report) });
+    }
+
     auto report (std::size_t index) -> void
     {
         auto& node = nodes[index];
@@ -133,14 +145,21 @@
             return;
 
         node.nextReport = now + reportIntervalWhenTight;
+        node.peers.refreshRates (now);
         node.quota.noteOthersAsked (askedOfOthers (node.sharing, node.peers, now));
-        const auto isFirst = node.sequence == 0;
         const auto told = ownReport (index);
-        const auto others = nodes.size() - 1;
 
-        for (auto left = isFirst ? others : std::min (mostReportTargets, others); left > 0; --left)
-            underWay.push_back (
-                { now + 2 * tick, index, (index + 1 + node.nextTarget++ % others) % nodes.size(), told });
+        if (isReporting() && ! isReader (index))
+        {
+            send (index, index % readers, told);
+            return;
+        }
+
+        const auto isSum = isReporting();
+
+        for (auto target = std::size_t { 0 }; target < (isSum ? readers : nodes.size()); ++target)
+            if (target != index)
+                send (index, target, isSum ? node.peers.withNodes (told, now) : told);
     }
 
     auto deliver() -> void
@@ -149,18 +168,24 @@
         {
             const auto datagram = underWay.front();
             auto& node = nodes[datagram.target];
-
-            if (node.peers.isFirst (datagram.report))
-                underWay.push_back (
-                    { now + 2 * tick, datagram.target, datagram.source, ownReport (datagram.target) });
-
-            if (datagram.report.isSettled && unsettledTime (node.sharing, now) > Duration::zero())
+            const auto& told = datagram.report;
+
+            if (isReporting() && told.scope == ReportScope::node)
+                send (datagram.target, datagram.source,
+                      node.peers.withAllBut (ownReport (datagram.target), told.node, now));
+            else if (node.peers.isFirst (told) && told.scope == ReportScope::nodesOfReader)
+                send (datagram.target, datagram.source,
+                      node.peers.withNodes (ownReport (datagram.target), now));
+            else if (node.peers.isFirst (told) && told.scope == ReportScope::node)
+                send (datagram.target, datagram.source, ownReport (datagram.target));
+
+            if (told.isSettled && unsettledTime (node.sharing, now) > Duration::zero())
             {
-                node.quota.adopt (datagram.report.admitted, now);
+                node.quota.adopt (told.admitted, now);
                 node.sharing.isAdopted = true;
             }
 
-            node.quota.charge (node.peers.note (datagram.report, now), now);
+            node.quota.charge (node.peers.note (told, now), now);
         }
     }
 
@@ -227,8 +252,10 @@
     double tokensPerSecond = 0.0;
 };
 
-constexpr auto quotaCases = std::array { QuotaCase { 9, 80'000.0 }, QuotaCase { 83, 40'000.0 },
-                                         QuotaCase { 83, 200'000.0 }, QuotaCase { 83, 850'000.0 } };
+constexpr auto quotaCases =
+    std::array { QuotaCase { 7, 80'000.0 },   QuotaCase { 9, 80'000.0 },   QuotaCase { 83, 40'000.0 },
+                 QuotaCase { 83, 200'000.0 }, QuotaCase { 83, 850'000.0 }, QuotaCase { 295, 40'000.0 },
+                 QuotaCase { 295, 850'000.0 } };
 
 /** Calls check (fleet, rate) for each case with five seeds. */
 template <typename Check>
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -2,6 +2,7 @@
 
 #include "snowrudder_serving/configuration/ConfigurationState.h"
 #include "snowrudder_serving/duties/Leadership.h"
+#include "snowrudder_serving/duties/UsageGathering.h"
 #include "snowrudder_serving/limits/SharedQuota.h"
 #include "snowrudder_serving/members/DatagramCodec.h"
 #include "snowrudder_serving/members/PeerTable.h"
@@ -303,24 +304,42 @@
     CHECK (peers.note (report, start + 11s)["alpha"] == Approx (25.0));
 }
 
-TEST_CASE ("usage counts of a peer outlive its restart")
+TEST_CASE ("usage counts of a node outlive its restart, and come from two readers of a domain once")
 {
-    PeerTable peers;
-    PeerReport report;
-    report.node = "one";
-    report.incarnation = 1;
-    report.sequence = 1;
-    report.usage[10]["alpha"] = 4;
-    peers.note (report, start);
-
-    report.incarnation = 2;
-    report.usage.clear();
-    report.usage[10]["alpha"] = 3;
-    peers.note (report, start + 1s);
+    UsageGathering reader ("hall-a");
+    UsageNotice notice;
+    notice.node = "one";
+    notice.incarnation = 1;
+    notice.counts[10]["alpha"] = 4;
+    reader.note (notice);
+    reader.note (notice);
+
+    notice.incarnation = 2;
+    notice.counts[10]["alpha"] = 3;
+    reader.note (notice);
+    CHECK (reader.ofAll (10, {})["alpha"] == 7);
+
+    // A late notice of the earlier start changes nothing.
+    notice.incarnation = 1;
+    reader.note (notice);
+    CHECK (reader.ofAll (10, {})["alpha"] == 7);
+
+    // The other reader of the domain knows the same nodes and one more; another domain's two readers tell of it.
+    notice.domain = "hall-a";
+    notice.counts[10]["alpha"] = 9;
+    reader.note (notice);
+    CHECK (reader.ofAll (10, {})["alpha"] == 9);
+
+    for (const auto count : { 20U, 18U })
+    {
+        notice.domain = "hall-b";
+        notice.counts[10]["alpha"] = count;
+        reader.note (notice);
+    }
 
-    AccountCounts counts;
-    peers.addUsage (10, counts);
-    CHECK (counts["alpha"] == 7);
+    CHECK (reader.ofAll (10, { { "alpha", 5 } })["alpha"] == 32);
+    CHECK (reader.ofDomain (10, { { "alpha", 5 } })["alpha"] == 12);
+    CHECK (reader.ofAll (11, {}).empty());
 }
 
 TEST_CASE (
@@ -335,7 +354,8 @@
     report.admitted["beta"] = { 10.0, 2.5, 40.0, std::nullopt };
     report.isSettled = true;
     report.work["model"] = { 64.0, 3.0 };
-    report.usage[77]["alpha"] = 12;
+    report.scope = ReportScope::nodesOfReader;
+    report.nodes = 25;
 
     auto datagram = encodeMessage (report, "secret");
     const auto message = decodeMessage (datagram, "secret");
@@ -352,7 +372,19 @@
     CHECK_FALSE (read->admitted.at ("beta").level);
     CHECK (read->isSettled);
     CHECK (read->work.at ("model").tokensPerSecond == Approx (64.0));
-    CHECK (read->usage.at (77).at ("alpha") == 12);
+    CHECK (read->scope == ReportScope::nodesOfReader);
+    CHECK (read->nodes == 25);
+
+    UsageNotice notice { "one", 3, "hall-a", {} };
+    notice.counts[77]["alpha"] = 12;
+    const auto usage = decodeMessage (encodeMessage (notice, "secret"), "secret");
+    REQUIRE (usage);
+    const auto* readUsage = std::get_if<UsageNotice> (&*usage);
+    REQUIRE (readUsage != nullptr);
+    CHECK (readUsage->node == "one");
+    CHECK (readUsage->incarnation == 3);
+    CHECK (readUsage->domain == "hall-a");
+    CHECK (readUsage->counts.at (77).at ("alpha") == 12);
 
     CHECK_FALSE (decodeMessage (datagram, "other"));
     CHECK_FALSE (decodeMessage ("", "secret"));
