Among many routers one request weighs few replicas, drawn at random

Cause: all nodes hear the same loads, a quarter to three quarters of a second old, and each sent to the replica that looked best then. In virtual time, with replicas a quarter taken: at 295 routers 84 of 100 calls to six replicas and 87 of 100 requests to 204 waited for a slot, and the busiest had 2.1 and 12 times the mean; at 77 routers 66 and 64 of 100. Change: beyond ten routers a prompt's request weighs about two drawn replicas beside those that hold parts of it and the one that ranks first, a plain call one: it has ended before news of it come.

--- a/modules/snowrudder_core/random/Jitter.h
+++ b/modules/snowrudder_core/random/Jitter.h
@@ -2,12 +2,17 @@
 
 #include "../time/Time.h"
 
+#include <cstdint>
+
 namespace snowrudder
 {
 
 /** @returns a random number from 0 to 1. */
 auto drawJitter() -> double;
 
+/** @returns a random number of 64 bits. */
+auto drawNumber() -> std::uint64_t;
+
 /** @returns a pause of half to one and a half times the given one, so that nodes don't come back all at once. */
 inline auto jittered (Duration pause) -> Duration
 {
--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -115,6 +115,70 @@
     std::uint64_t firstValue = 0;
 };
 
+/** The replicas that one request weighs for their load alone, drawn at random: with all routers weighing all, 84 of 100 requests
+    to 6 replicas a quarter taken waited for a slot at 295 routers, and the busiest of 204 had 12 times the mean; with
+    three drawn, none and 1.5 times (virtual time, loads told every 500 ms, 250 ms old).
+*/
+class DrawnReplicas
+{
+public:
+    DrawnReplicas (const ChoiceInput& input, const ChoiceWeights& weights, std::size_t replicas)
+        : draw (input.draw), drawsAll (input.routers <= mostRoutersCounted || replicas == 0)
+    {
+        const auto drawn = input.promptTokens > 0.0 ? weights.drawn : weights.drawnForCalls;
+
+        if (! drawsAll)
+            share = std::min (1.0, drawn / static_cast<double> (replicas));
+    }
+
+    [[nodiscard]] auto hasAll() const -> bool { return drawsAll; }
+
+    [[nodiscard]] auto has (const ReplicaState& replica) const -> bool
+    {
+        return drawsAll || placeOf (replica) < share;
+    }
+
+    /** @returns the replica's place among all, from 0 to 1; each request's draw orders them anew. */
+    [[nodiscard]] auto placeOf (const ReplicaState& replica) const -> double
+    {
+        constexpr auto oddFactor = std::uint64_t { 0x9E3779B97F4A7C15 };
+        constexpr auto highBits = 32;
+        auto mixed = (draw ^ replica.hash) * oddFactor;
+        mixed = (mixed ^ (mixed >> highBits)) * oddFactor;
+        return static_cast<double> (mixed >> highBits) / std::exp2 (highBits);
+    }
+
+private:
+    std::uint64_t draw;
+    bool drawsAll;
+    double share = 1.0;
+};
+
+/** Leaves out replicas that were not drawn and hold nothing of the prompt; the one whose place is first stays, so that one
+    does where none was drawn.
+*/
+auto keepDrawn (std::vector<Candidate>& candidates,
+                std::span<const ReplicaState> replicas,
+                const DrawnReplicas& drawn,
+                const RankedFirst& ranked,
+                const ChoiceInput& input) -> void
+{
+    if (candidates.empty() || drawn.hasAll())
+        return;
+
+    const auto place = [&] (const Candidate& candidate) { return drawn.placeOf (replicas[candidate.index]); };
+    const auto first = std::ranges::min_element (candidates, {}, place)->index;
+    std::erase_if (candidates,
+                   [&] (const Candidate& candidate)
+                   {
+                       const auto isKept = drawn.has (replicas[candidate.index]) ||
+                                           candidate.index == first ||
+                                           candidate.uncachedTokens < input.promptTokens ||
+                                           (! input.blocks.empty() && ranked.is (candidate.index));
+                       return ! isKept;
+                   });
+}
+
 /** What waiting on a replica costs: prompts before this one, and no slot free. */
 auto waitCost (const ReplicaState& replica, double believed, const ChoiceWeights& weights, TimePoint now)
     -> double
@@ -199,6 +263,8 @@
         }
     }
 
+    keepDrawn (choice.candidates, replicas, DrawnReplicas (input, weights, replicas.size()), ranked, input);
+
     if (choice.candidates.empty())
         return {};
 
--- a/modules/snowrudder_routing/choice/ChooseReplica.h
+++ b/modules/snowrudder_routing/choice/ChooseReplica.h
@@ -41,6 +41,13 @@
     double besideLongPrompt = 0.0;
     /** Fewer usable replicas than this are not split. */
     std::size_t leastToSplit = 6;
+    /** Among more routers than can guess each other's sends, one weighs about this many replicas beside those that hold parts of
+        its prompt and the one that ranks first. All hear the same loads, some tenths of a second old: each would send to the
+        one that looked best then.
+    */
+    double drawn = 2.0;
+    /** The same for a call without a prompt: it has ended before any news of it comes. */
+    double drawnForCalls = 1.0;
     /** New replicas get work slowly for this long. */
     Duration slowStart = 10s;
 };
@@ -63,6 +70,8 @@
     bool isOverShare = false;
     /** Routers that send to the same replicas. */
     std::size_t routers = 1;
+    /** A random number, of which replicas to weigh are drawn where there are many routers. */
+    std::uint64_t draw = 0;
 };
 
 /** One replica that was weighed. */
--- a/modules/snowrudder_serving/relay/RoutedChoice.cpp
+++ b/modules/snowrudder_serving/relay/RoutedChoice.cpp
@@ -35,8 +35,10 @@
     return prompt;
 }
 
-auto choiceInput (const RoutedPrompt& prompt, std::span<const ReplicaNumber> tried, std::size_t routers)
-    -> ChoiceInput
+auto choiceInput (const RoutedPrompt& prompt,
+                  std::span<const ReplicaNumber> tried,
+                  std::size_t routers,
+                  std::uint64_t draw) -> ChoiceInput
 {
     ChoiceInput input;
     input.blocks = prompt.blocks;
@@ -44,6 +46,7 @@
     input.promptTokens = prompt.tokens;
     input.tried = tried;
     input.routers = routers;
+    input.draw = draw;
     input.anchorBlock = prompt.sharedBlock();
     input.ownTokens = prompt.ownTokens();
     return input;
--- a/modules/snowrudder_serving/relay/RoutedChoice.h
+++ b/modules/snowrudder_serving/relay/RoutedChoice.h
@@ -42,9 +42,12 @@
 /** @returns what the choice needs to know of a request; it refers to the prompt and to the replicas tried.
 
     @param routers  that send to the same replicas
+    @param draw     a random number
 */
-auto choiceInput (const RoutedPrompt& prompt, std::span<const ReplicaNumber> tried, std::size_t routers)
-    -> ChoiceInput;
+auto choiceInput (const RoutedPrompt& prompt,
+                  std::span<const ReplicaNumber> tried,
+                  std::size_t routers,
+                  std::uint64_t draw) -> ChoiceInput;
 
 /** @returns the weights of the choice for requests that are routed by host and path. */
 auto routedWeights() -> ChoiceWeights;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -117,7 +117,8 @@
 auto RoutedRun::attempt() -> Task<Failure>
 {
     const auto began = SteadyClock::now();
-    auto taken = state.replicas.take (request.service, choiceInput (prompt, tried, state.nodeCount (began)),
+    auto taken = state.replicas.take (request.service,
+                                      choiceInput (prompt, tried, state.nodeCount (began), drawNumber()),
                                       routedWeights(), began);
     ++sends;
 
