--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -65,6 +65,41 @@
                 self.assertEqual(node.call("GET", "/again/x").status, 200)
 
 
+    def test_nodes_of_a_larger_fleet_report_to_a_reader_which_has_the_duties_and_all_their_counts(self):
+        with Platform(nodes=27) as platform:
+            wait_until(lambda: sum("reports_to_reader" in node.log.read_text() for node in platform.nodes) >= 25,
+                       "all but the two readers report")
+            wait_until(lambda: platform.cloud.of("/usage"), "the duties are taken")
+            for number, node in enumerate(platform.nodes):
+                self.assertEqual(node.call("GET", "/again/x", id=f"r-{number}").status, 200)
+            wait_until(lambda: sum(entry[3]["counts"].get("alpha", 0) for entry in {
+                call[3]["window_id"]: call for call in platform.cloud.of("/usage")}.values()) == 27, "all are counted")
+            holder = next(node for node in platform.nodes if node.name == platform.cloud.of("/usage")[-1][1])
+            self.assertNotIn("reports_to_reader", holder.log.read_text())
+            # A node whose reader dies goes on to the other one.
+            holder.process.kill()
+            wait_until(lambda: any(re.search(r"reports_to_reader .*given_up=1", node.log.read_text()) for node in platform.nodes),
+                       "the other reader is taken")
+            for number, node in enumerate(platform.nodes):
+                if node is not holder:
+                    self.assertEqual(node.call("GET", "/again/x", id=f"s-{number}").status, 200)
+
+    def test_an_entry_that_can_not_be_read_names_no_replica_and_the_others_serve_on(self):
+        with Platform(nodes=3) as platform:
+            self.settled(platform)
+            good = platform.replicas[0].entry("svc")
+            for number, broken in enumerate(({**good, "state": "serving"}, {**good, "slots": "8"}, {"service": "svc"})):
+                platform.store.put("servers/i-0", broken)
+                for node in platform.nodes:
+                    wait_until(lambda node=node: node.log.read_text().count("reason=unreadable") == number + 1, "it is dropped")
+                    for call in range(5):
+                        answer = node.call("GET", "/again/x", id=f"r-{number}-{call}")
+                        self.assertEqual((answer.status, answer.json()), (200, {"by": "i-1"}))
+                platform.store.put("servers/i-0", good)
+                for node in platform.nodes:
+                    wait_until(lambda node=node: node.log.read_text().count("replica_seen replica=i-0 ") == number + 2, "it is back")
+
+
 class Serving(unittest.TestCase):
     def test_a_request_reaches_a_replica_with_its_account_and_without_its_key(self):
         with Platform() as platform:
