--- a/modules/snowrudder_serving/directory/ReplicaDirectory.h
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.h
@@ -49,7 +49,8 @@
     /** How often a list showed changes that the watches before it had left out. */
     std::uint64_t missedChanges = 0;
 
-    static constexpr auto mostRemovals = std::size_t { 256 };
+    /** Hundreds of replicas may be reclaimed within a minute; who knows less has to list. Some 100 bytes each. */
+    static constexpr auto mostRemovals = std::size_t { 1024 };
 };
 
 /** An entry that the store no longer has, or that can't be read. */
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -12,6 +12,9 @@
 /** After a failure the store is asked again soon: freshness runs out meanwhile. */
 constexpr auto failurePause = 250ms;
 
+/** Before the operators have written a first configuration nobody can serve, and nodes that start together ask this often. */
+constexpr auto emptyPause = Duration (600ms);
+
 /** A node that others read the store for leaves it to them to ask often while the store fails. */
 constexpr auto followerPause = Duration (1s);
 
@@ -206,8 +209,9 @@
                 .warning();
 
         wasFresh = fresh;
-        const auto isSettled = isAnswered && state.configuration.current;
-        const auto pause = isSettled ? Duration (checkInterval) : pauseAfterFailure (state.news);
+        const auto pause = ! isAnswered                  ? pauseAfterFailure (state.news)
+                           : state.configuration.current ? Duration (checkInterval)
+                                                         : emptyPause;
         co_await state.configurationWake->wait (SteadyClock::now() + pause);
     }
 }
@@ -223,6 +227,13 @@
 
     while (asksStore (state.news, SteadyClock::now()))
     {
+        // A node that has just started reads for itself until it knows the others; it need not watch before.
+        if (! state.sharing.members && isNewNode (state.sharing, SteadyClock::now()))
+        {
+            co_await pauseFor (state.loop, idlePause);
+            continue;
+        }
+
         const auto changed =
             co_await store.watch (formats.replicaPrefix, state.directory.revision, watchTime);
         noteStoreAnswer (state, changed.outcome, "replicas");
