--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -2,8 +2,6 @@
 
 #include "../store/StoreTransactions.h"
 
-#include <algorithm>
-
 namespace snowrudder
 {
 
@@ -184,40 +182,26 @@
 auto Membership::noteReaders (const std::map<std::string, MemberInfo>& members,
                               const std::map<std::string, Endpoint>& endpoints) -> void
 {
-    const auto readers = chooseReaders (members);
-    const auto storeReaders = chooseStoreReaders (readers, members.size());
-    const auto& own = state.settings.node;
     readersOfDomain.clear();
     readersElsewhere.clear();
-    sourcesOfNews.clear();
     auto isReader = false;
 
-    for (const auto& [domain, names] : readers)
+    for (const auto& [domain, names] : chooseReaders (members))
         for (const auto& name : names)
-            if (name == own)
+            if (name == state.settings.node)
                 isReader = true;
             else if (domain == state.settings.failureDomain)
                 readersOfDomain.push_back (endpoints.at (name));
             else
                 readersElsewhere.push_back (endpoints.at (name));
 
-    const auto readsStore = std::ranges::find (storeReaders, own) != storeReaders.end();
-
-    if (! isReader)
-        sourcesOfNews = readersOfDomain;
-    else if (! readsStore)
-        for (const auto& name : storeReaders)
-            sourcesOfNews.push_back (endpoints.at (name));
-
-    if (isReader != state.news.isReader || readsStore != state.news.readsStore)
-        LogLine (readsStore ? "store_reader" : "store_read_by_others")
-            .with ("hands_on_news", isReader ? "yes" : "no")
-            .with ("other_readers", readersOfDomain.size())
+    if (isReader != state.news.isReader)
+        LogLine (isReader ? "store_reader" : "store_read_by_others")
+            .with ("readers", readersOfDomain.size())
             .with ("members", members.size())
             .info();
 
     state.news.isReader = isReader;
-    state.news.readsStore = readsStore;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -46,9 +46,6 @@
     [[nodiscard]] auto ownReaders() const -> const std::vector<Endpoint>& { return readersOfDomain; }
     [[nodiscard]] auto otherReaders() const -> const std::vector<Endpoint>& { return readersElsewhere; }
 
-    /** The other nodes that this one asks for news: its readers, or for a reader those that read the store. */
-    [[nodiscard]] auto newsSources() const -> const std::vector<Endpoint>& { return sourcesOfNews; }
-
 private:
     auto refresh() -> Task<bool>;
     auto agreeOnSecret() -> Task<void>;
@@ -66,7 +63,6 @@
     std::vector<Endpoint> endpointsOfOthers;
     std::vector<Endpoint> readersOfDomain;
     std::vector<Endpoint> readersElsewhere;
-    std::vector<Endpoint> sourcesOfNews;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/News.cpp
+++ b/modules/snowrudder_serving/members/News.cpp
@@ -123,13 +123,13 @@
 
     // A node that reads the store itself goes by its own calls, unless it alone is cut off.
     const auto isRecent = now - directoryProvenAt <= newsOverdue;
-    const auto takesWord = ! news.readsStore || now - news.ownProvenAt > newsOverdue;
+    const auto takesWord = ! news.isReader || now - news.ownProvenAt > newsOverdue;
 
     if (takesWord && isRecent && answer.changes.isComplete)
         directory.keepMissingUntil = now + answer.keepMissing;
 
     if (hasMissedMore (news, answer) || ! answer.changes.isComplete)
-        news.needsList = news.needsList || ! news.readsStore;
+        news.needsList = news.needsList || ! news.isReader;
 
     if (! answer.changes.isComplete)
         return effect;
--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -55,10 +55,10 @@
         TimePoint sent {};
     };
 
-    /** Whether this node hands on to the others of its failure domain what it knows, and gathers their reports. */
+    /** Whether this node reads the store itself, hands on to the others of its failure domain what it knows, and gathers their
+        reports.
+    */
     bool isReader = true;
-    /** Whether it reads the store itself for that; in larger fleets most readers ask those that do. */
-    bool readsStore = true;
     /** Of the members as this node listed them, and as a reader told that it did; zero where none did. */
     std::uint64_t membersHash = 0;
     std::uint64_t membersHashHeard = 0;
@@ -78,8 +78,8 @@
     std::map<std::string, std::uint64_t, std::less<>> missedChanges;
 };
 
-/** Who reads the store proves its configuration every 0.9 s, and is asked every 0.2 s, by way of a reader in larger fleets:
-    while one reader lives no news is older than this. A leaving replica must get nothing after 2 s.
+/** A reader proves its configuration every 0.9 s, and a node asks its two readers in turn every 0.2 s: while one of them
+    lives no news is older than this. A leaving replica must get nothing after 2 s.
 */
 inline constexpr auto newsLimit = Duration (1800ms);
 
@@ -89,7 +89,7 @@
 /** @returns whether a node must ask the store itself. */
 inline auto asksStore (const NewsState& news, TimePoint now) -> bool
 {
-    return news.readsStore || now - news.provenAt > newsLimit;
+    return news.isReader || now - news.provenAt > newsLimit;
 }
 
 /** A reader's word of the members is good for so long: it lists them every 2 s. */
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -319,7 +319,8 @@
         send (encodeMessage (question, membership.secret()), readers[next++ % readers.size()]);
     };
 
-    ask (membership.newsSources(), nextSource);
+    if (! state.news.isReader)
+        ask (membership.ownReaders(), nextOwnReader);
 
     // What the store itself told lately is as good.
     if (now - std::max (state.news.ownProvenAt, state.news.provenAt) > newsOverdue)
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -63,7 +63,7 @@
     ReportRoute route;
     PromptBudget promptBudget;
     /** Places from which the next round goes on. */
-    std::size_t nextSource = 0;
+    std::size_t nextOwnReader = 0;
     std::size_t nextOtherReader = 0;
 };
 
--- a/modules/snowrudder_serving/members/Readers.cpp
+++ b/modules/snowrudder_serving/members/Readers.cpp
@@ -1,7 +1,5 @@
 #include "Readers.h"
 
-#include "ReportTimes.h"
-
 #include "snowrudder_core/snowrudder_core.h"
 
 #include <algorithm>
@@ -25,20 +23,6 @@
     return readers;
 }
 
-auto chooseStoreReaders (const ReadersByDomain& readers, std::size_t nodes) -> std::vector<std::string>
-{
-    std::vector<std::string> chosen;
-    const auto most = reportsToReaders (nodes) ? mostStoreReaders : nodes;
-
-    // One of each failure domain before the second of any.
-    for (auto place = std::size_t { 0 }; place < readersADomain; ++place)
-        for (const auto& [domain, names] : readers)
-            if (place < names.size() && chosen.size() < most)
-                chosen.push_back (names[place]);
-
-    return chosen;
-}
-
 auto writeMember (const MemberInfo& member) -> std::string
 {
     return member.endpoint + " " + member.failureDomain;
--- a/modules/snowrudder_serving/members/Readers.h
+++ b/modules/snowrudder_serving/members/Readers.h
@@ -28,18 +28,6 @@
 */
 auto chooseReaders (const std::map<std::string, MemberInfo>& members) -> ReadersByDomain;
 
-/** Readers of the whole fleet that read the store, where nodes report to readers; the others ask these. What is asked of the
-    store does not grow with the failure domains then. Four, in different failure domains: with one alone or two, their loss
-    together would leave all others without news until they ask the store themselves.
-*/
-inline constexpr auto mostStoreReaders = std::size_t { 4 };
-
-/** @returns the readers that read the store themselves: all of them in small fleets.
-
-    @param nodes  of the fleet
-*/
-auto chooseStoreReaders (const ReadersByDomain& readers, std::size_t nodes) -> std::vector<std::string>;
-
 /** @returns the text under which a node enters itself. */
 auto writeMember (const MemberInfo& member) -> std::string;
 
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -37,7 +37,7 @@
 /** @returns how long to wait after the store did not answer. */
 auto pauseAfterFailure (const NewsState& news) -> Duration
 {
-    return news.readsStore ? Duration (failurePause) : followerPause;
+    return news.isReader ? Duration (failurePause) : followerPause;
 }
 
 auto takeConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -68,16 +68,3 @@
     CHECK (read.failureDomain == "launceston");
     CHECK (readMember ("10.0.0.1:7600").failureDomain.empty());
 }
-
-TEST_CASE (
-    "four readers of different failure domains read the store for a large fleet, all of them in a small one")
-{
-    const ReadersByDomain readers { { "a", { "1", "2" } },
-                                    { "b", { "3", "4" } },
-                                    { "c", { "5", "6" } },
-                                    { "d", { "7", "8" } },
-                                    { "e", { "9", "10" } } };
-    CHECK (chooseStoreReaders (readers, 25).size() == 10);
-    CHECK (chooseStoreReaders (readers, 26) == std::vector<std::string> { "1", "3", "5", "7" });
-    CHECK (chooseStoreReaders ({ { "a", { "1", "2" } } }, 300) == std::vector<std::string> { "1", "2" });
-}
--- a/tests/unit/ServingFixtures.h
+++ b/tests/unit/ServingFixtures.h
@@ -43,7 +43,6 @@
 {
     Knowledge node;
     node.news.isReader = isReader;
-    node.news.readsStore = isReader;
     node.news.needsList = false;
     node.configuration.current = configurationAt (5);
     node.configuration.provenAt = start;
