A reader reports also a configuration that it has only heard of

Cause: a gap that reports by way of readers opened: they used to carry each node's revision to all. A reader that the store turns away knows from others that there is a newer configuration, and told its nodes only of its own. Not shown to be that cause: the process test, 28 nodes of which one's both readers are turned away, passes without the change too, for the node asks elsewhere once its news are 1.3 s old.

--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -375,7 +375,10 @@
 
     if (state.configuration.current)
     {
-        report.configurationRevision = state.configuration.current->revision;
+        // Also what was only heard of: a reader that the store turns away can't read it, but the nodes that hear nobody else
+        // may. Without that they kept to the version before for as long as both their readers were turned away.
+        report.configurationRevision =
+            std::max (state.configuration.current->revision, state.news.newestConfiguration);
         report.proofAge = now - state.configuration.provenAt;
     }
 
--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -82,10 +82,10 @@
         self.first = self.nodes[0]
         self.doors = []
 
-    def add_node_behind_door(self):
+    def add_node_behind_door(self, zone="a"):
         door = Door(free_ports(1)[0], self.store)
         self.doors.append(door)
-        self.nodes.append(Node(self, f"front-{len(self.nodes)}", door.server.server_port))
+        self.nodes.append(Node(self, f"front-{len(self.nodes)}", door.server.server_port, zone))
         return self.nodes[-1], door
 
     def __enter__(self):
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -84,6 +84,24 @@
                 if node is not holder:
                     self.assertEqual(node.call("GET", "/again/x", id=f"s-{number}").status, 200)
 
+    def test_a_node_whose_readers_are_both_turned_away_learns_of_a_new_configuration(self):
+        with Platform(nodes=25) as platform:
+            doors = dict(platform.add_node_behind_door(zone="b") for _ in range(3))
+            for node in doors:
+                wait_until(node.is_ready, "ready")
+            wait_until(lambda: sum("store_read_by_others" in node.log.read_text() for node in platform.nodes) == 24,
+                       "all but two of each zone leave the store to others")
+            wait_until(lambda: all("members=28" in node.log.read_text() or "now=28" in node.log.read_text() for node in doors),
+                       "all are known")
+            (follower,) = [node for node in doors if "store_read_by_others" in node.log.read_text()]
+            for node, door in doors.items():
+                door.shut = node is not follower
+            time.sleep(1)
+            platform.store.put("op/config", configuration(2, keys=("key-new",)))
+            time.sleep(3)
+            self.assertEqual(follower.call("GET", "/again/x").status, 401)
+            self.assertEqual(follower.call("GET", "/again/x", id="r-2", key="key-new").status, 200)
+
     def test_an_entry_that_can_not_be_read_names_no_replica_and_the_others_serve_on(self):
         with Platform(nodes=3) as platform:
             self.settled(platform)
