--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -375,8 +375,8 @@
 
     if (state.configuration.current)
     {
-        // Also what was only heard of: a reader that the store turns away can't read it, but the nodes that hear nobody else
-        // may. Without that they kept to the version before for as long as both their readers were turned away.
+        // Also what was only heard of: a reader that the store turns away can't read it, but its nodes may. Otherwise they learn
+        // of it only when their news are `newsOverdue` and they ask elsewhere.
         report.configurationRevision =
             std::max (state.configuration.current->revision, state.news.newestConfiguration);
         report.proofAge = now - state.configuration.provenAt;
