What a node reports, takes and answers by its role stands in one place, which the tests of limits play too

Cause, found by reading the change: whether a report is wanted, what answers it and what is told were decided in three places of the exchange, and a fourth time in QuotaFleetTests, which so tested its own copy. The copies had a fault: a node answered the first word of its reader with a report that claimed to be a reader's, so that what it admitted before it was left out of the sum told to other readers. Change: reportRole, scopeToTell, isWantedReport, scopeToAnswer, free functions in ReportRole.h; the exchange and the fleet of the tests call them; a member answers nothing. Peers heard lately are told from silent ones by one function in place of six comparisons; sums are worked out only at readers that tell some.

--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -115,11 +115,15 @@
 
 auto PeerExchange::take (PeerReport report, const Endpoint& sender) -> void
 {
-    if (report.node == state.settings.node || ! isWanted (report, sender))
+    const auto own = role();
+
+    if (report.node == state.settings.node || ! isWantedReport (own, report.scope, sender == route.reader))
         return;
 
     const auto now = SteadyClock::now();
-    const auto answer = answerTo (report, now);
+
+    if (const auto scope = scopeToAnswer (own, report.scope, state.peers.isFirst (report)))
+        send (encodeMessage (makeReport (*scope, report.node, now), membership.secret()), sender);
 
     if (noteConfigurationHeard (state.news, state.configuration, report.configurationRevision))
         state.configurationWake->notify();
@@ -135,33 +139,6 @@
     }
 
     state.quota.charge (state.peers.note (std::move (report), now), now);
-
-    if (answer)
-        send (encodeMessage (*answer, membership.secret()), sender);
-}
-
-auto PeerExchange::isWanted (const PeerReport& report, const Endpoint& sender) const -> bool
-{
-    if (! isReporting())
-        return report.scope == ReportScope::node;
-
-    // What another reader tells of all others would count the same nodes twice.
-    if (! state.news.isReader)
-        return report.scope == ReportScope::allOthers && sender == route.reader;
-
-    return report.scope != ReportScope::allOthers;
-}
-
-auto PeerExchange::answerTo (const PeerReport& report, TimePoint now) -> std::optional<PeerReport>
-{
-    if (isReporting() && report.scope == ReportScope::node)
-        return state.peers.withAllBut (ownReport (now), report.node, now);
-
-    // A node that has just started is told at once what is left of the shared limits.
-    if (! state.peers.isFirst (report))
-        return {};
-
-    return isReporting() ? state.peers.withNodes (ownReport (now), now) : ownReport (now);
 }
 
 auto PeerExchange::answer (const NewsQuestion& question, const Endpoint& sender) -> void
@@ -199,13 +176,12 @@
                                                                    : reportInterval);
         state.quota.noteOthersAsked (askedOfOthers (state.sharing, state.peers, SteadyClock::now()));
 
-        if (membership.secret().empty() || membership.others().empty())
+        if (! knowsOthers())
             continue;
 
         const auto sent = SteadyClock::now();
         const auto targets = chooseTargets (sent);
-        const auto isSum = isReporting() && state.news.isReader;
-        const auto report = isSum ? state.peers.withNodes (ownReport (sent), sent) : ownReport (sent);
+        const auto report = makeReport (scopeToTell (role()), {}, sent);
         const auto datagram = encodeMessage (report, membership.secret());
 
         for (const auto& target : targets)
@@ -221,7 +197,7 @@
     {
         co_await pauseFor (state.loop, usageInterval);
 
-        if (! membership.secret().empty() && ! membership.others().empty())
+        if (knowsOthers())
             tellUsage (SteadyClock::now());
     }
 }
@@ -258,7 +234,7 @@
     {
         co_await pauseFor (state.loop, newsInterval);
 
-        if (membership.secret().empty() || membership.others().empty())
+        if (! knowsOthers())
             continue;
 
         const auto now = SteadyClock::now();
@@ -327,23 +303,31 @@
         ask (membership.otherReaders(), nextOtherReader);
 }
 
-auto PeerExchange::isReporting() const -> bool
+auto PeerExchange::knowsOthers() const -> bool
+{
+    return ! membership.secret().empty() && ! membership.others().empty();
+}
+
+auto PeerExchange::role() const -> ReportRole
 {
-    return reportsToReaders (state.memberCount());
+    return reportRole (state.memberCount(), state.news.isReader);
 }
 
 auto PeerExchange::chooseTargets (TimePoint now) -> std::vector<Endpoint>
 {
+    const auto own = role();
+    const auto isDirect = own == ReportRole::direct;
+
     // What was heard of the same nodes in the other way must not count twice.
-    if (isReporting() != wasReporting)
+    if (isDirect != wasDirect)
         state.quota.charge (state.peers.forgetAll(), now);
 
-    wasReporting = isReporting();
+    wasDirect = isDirect;
 
-    if (! isReporting())
+    if (isDirect)
         return membership.others();
 
-    if (state.news.isReader)
+    if (own == ReportRole::reader)
     {
         auto readers = membership.ownReaders();
         readers.insert (readers.end(), membership.otherReaders().begin(), membership.otherReaders().end());
@@ -383,8 +367,8 @@
     }
 
     // The levels that a starting node adopts come from readers, where there are any that tell sums.
-    const auto tellsAll = ! isReporting() || state.news.isReader;
-    report.admitted = state.quota.admitted (now, tellsAll ? Duration::max() : idleAccountTime);
+    report.admitted =
+        state.quota.admitted (now, role() == ReportRole::member ? idleAccountTime : Duration::max());
     state.work.forEach (now,
                         [&] (const std::string& service, double tokens)
                         {
@@ -395,4 +379,21 @@
     return report;
 }
 
+auto PeerExchange::makeReport (ReportScope scope, std::string_view asker, TimePoint now) -> PeerReport
+{
+    auto report = ownReport (now);
+
+    switch (scope)
+    {
+        case ReportScope::nodesOfReader:
+            return state.peers.withNodes (std::move (report), now);
+        case ReportScope::allOthers:
+            return state.peers.withAllBut (std::move (report), asker, now);
+        case ReportScope::node:
+            break;
+    }
+
+    return report;
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -4,6 +4,7 @@
 #include "DatagramCodec.h"
 #include "Membership.h"
 #include "PromptBudget.h"
+#include "ReportRole.h"
 #include "ReportRoute.h"
 
 #include <string>
@@ -34,8 +35,6 @@
 
     auto receiveLoop() -> Task<void>;
     auto take (PeerReport report, const Endpoint& sender) -> void;
-    auto isWanted (const PeerReport& report, const Endpoint& sender) const -> bool;
-    auto answerTo (const PeerReport& report, TimePoint now) -> std::optional<PeerReport>;
     auto answer (const NewsQuestion& question, const Endpoint& sender) -> void;
     auto take (NewsAnswer answer) -> void;
     auto sendLoop() -> Task<void>;
@@ -47,9 +46,11 @@
     auto send (const std::string& datagram, const Endpoint& target) -> void;
     auto askForNews (TimePoint now) -> void;
     auto sendToReaders (const std::string& datagram) -> void;
-    auto isReporting() const -> bool;
+    auto knowsOthers() const -> bool;
+    auto role() const -> ReportRole;
     auto chooseTargets (TimePoint now) -> std::vector<Endpoint>;
     auto ownReport (TimePoint now) -> PeerReport;
+    auto makeReport (ReportScope scope, std::string_view asker, TimePoint now) -> PeerReport;
 
     ServingState& state;
     const Membership& membership;
@@ -58,8 +59,8 @@
     std::uint64_t sequence = 0;
     /** Whether the others have been told of this node once. */
     bool hasGreeted = false;
-    /** Whether this node reported to readers, or was one that is reported to, in the last round. */
-    bool wasReporting = false;
+    /** Whether this node told all others directly in the last round. */
+    bool wasDirect = true;
     ReportRoute route;
     PromptBudget promptBudget;
     /** Places from which the next round goes on. */
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -157,7 +157,7 @@
     AccountAmounts sum;
 
     for (const auto& [name, peer] : peers)
-        if (now - peer.heard <= heardTime)
+        if (isRecent (peer, now))
             for (const auto& [account, use] : peer.latest.admitted)
                 sum[account] += use.askedPerSecond;
 
@@ -169,8 +169,7 @@
     auto count = std::size_t { 0 };
 
     for (const auto& [name, peer] : peers)
-        if (isHeard (peer, now))
-            count += peer.latest.nodes;
+        count += countedNodes (peer, now);
 
     return count;
 }
@@ -182,7 +181,7 @@
 
     for (const auto& [name, peer] : peers)
         if (const auto found = peer.latest.work.find (service);
-            now - peer.heard <= heardTime && found != peer.latest.work.end())
+            isRecent (peer, now) && found != peer.latest.work.end())
             addWork (sum, found->second, speeds);
 
     sum.promptSpeed = medianOf (speeds);
@@ -199,7 +198,7 @@
 
     for (const auto& [name, peer] : peers)
     {
-        if (now - peer.heard > heardTime)
+        if (! isRecent (peer, now))
             continue;
 
         addRates (all, peer);
@@ -225,10 +224,9 @@
         if (peer.latest.scope != ReportScope::node)
             continue;
 
-        if (isHeard (peer, now))
-            ++own.nodes;
+        own.nodes += countedNodes (peer, now);
 
-        if (now - peer.heard <= heardTime)
+        if (isRecent (peer, now))
             for (const auto& [service, work] : peer.latest.work)
                 addWork (own.work[service], work, speeds[service]);
     }
@@ -249,9 +247,7 @@
     if (const auto found = peers.find (asker); found != peers.end())
     {
         const auto& peer = found->second;
-
-        if (isHeard (peer, now))
-            own.nodes -= peer.latest.nodes;
+        own.nodes -= countedNodes (peer, now);
 
         for (const auto& [account, tokens] : peer.charged)
             own.admitted[account].tokens -= tokens;
@@ -267,9 +263,14 @@
     return own;
 }
 
-auto PeerTable::isHeard (const Peer& peer, TimePoint now) const -> bool
+auto PeerTable::isRecent (const Peer& peer, TimePoint now) -> bool
+{
+    return now - peer.heard <= heardTime;
+}
+
+auto PeerTable::countedNodes (const Peer& peer, TimePoint now) -> std::uint32_t
 {
-    return now - peer.heard <= heardTime && ! peer.latest.leaving;
+    return isRecent (peer, now) && ! peer.latest.leaving ? peer.latest.nodes : 0;
 }
 
 auto PeerTable::addCharge (Peer& peer, const std::string& account, double tokens) -> void
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -104,7 +104,8 @@
         AccountAmounts asked;
     };
 
-    [[nodiscard]] auto isHeard (const Peer& peer, TimePoint now) const -> bool;
+    [[nodiscard]] static auto isRecent (const Peer& peer, TimePoint now) -> bool;
+    [[nodiscard]] static auto countedNodes (const Peer& peer, TimePoint now) -> std::uint32_t;
     auto addCharge (Peer& peer, const std::string& account, double tokens) -> void;
     auto addRates (Sum& sum, const Peer& peer) const -> void;
 
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -140,7 +140,7 @@
         state.pool.closeOld (now);
         state.quota.charge (state.peers.assumeSilent (sweepInterval, now), now);
 
-        if (state.news.isReader)
+        if (reportRole (state.memberCount(), state.news.isReader) == ReportRole::reader)
             state.peers.refreshRates (now);
 
         if (dropMissing (state.directory, now))
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -1,6 +1,7 @@
 #include "ServingFixtures.h"
 
 #include "snowrudder_serving/limits/QuotaSharing.h"
+#include "snowrudder_serving/members/ReportRole.h"
 
 #include <catch2/catch.hpp>
 
@@ -117,8 +118,10 @@
         node.nextReport = now + std::uniform_int_distribution<int> (1, 20) (random) * tick;
     }
 
-    [[nodiscard]] auto isReporting() const -> bool { return reportsToReaders (nodes.size()); }
-    [[nodiscard]] auto isReader (std::size_t index) const -> bool { return index < readers; }
+    [[nodiscard]] auto role (std::size_t index) const -> ReportRole
+    {
+        return reportRole (nodes.size(), index < readers);
+    }
 
     auto ownReport (std::size_t index) -> PeerReport
     {
@@ -147,19 +150,33 @@
         node.nextReport = now + reportIntervalWhenTight;
         node.peers.refreshRates (now);
         node.quota.noteOthersAsked (askedOfOthers (node.sharing, node.peers, now));
-        const auto told = ownReport (index);
+        const auto own = role (index);
+        const auto told = makeReport (index, scopeToTell (own), {});
 
-        if (isReporting() && ! isReader (index))
+        if (own == ReportRole::member)
         {
-            send (index, index % readers, told);
+            send (index, readerOf (index), told);
             return;
         }
 
-        const auto isSum = isReporting();
+        const auto targets = own == ReportRole::reader ? readers : nodes.size();
 
-        for (auto target = std::size_t { 0 }; target < (isSum ? readers : nodes.size()); ++target)
+        for (auto target = std::size_t { 0 }; target < targets; ++target)
             if (target != index)
-                send (index, target, isSum ? node.peers.withNodes (told, now) : told);
+                send (index, target, told);
+    }
+
+    [[nodiscard]] static auto readerOf (std::size_t index) -> std::size_t { return index % readers; }
+
+    auto makeReport (std::size_t index, ReportScope scope, std::string_view asker) -> PeerReport
+    {
+        auto report = ownReport (index);
+        const auto& peers = nodes[index].peers;
+
+        if (scope == ReportScope::nodesOfReader)
+            return peers.withNodes (std::move (report), now);
+
+        return scope == ReportScope::allOthers ? peers.withAllBut (std::move (report), asker, now) : report;
     }
 
     auto deliver() -> void
@@ -170,14 +187,13 @@
             auto& node = nodes[datagram.target];
             const auto& told = datagram.report;
 
-            if (isReporting() && told.scope == ReportScope::node)
-                send (datagram.target, datagram.source,
-                      node.peers.withAllBut (ownReport (datagram.target), told.node, now));
-            else if (node.peers.isFirst (told) && told.scope == ReportScope::nodesOfReader)
-                send (datagram.target, datagram.source,
-                      node.peers.withNodes (ownReport (datagram.target), now));
-            else if (node.peers.isFirst (told) && told.scope == ReportScope::node)
-                send (datagram.target, datagram.source, ownReport (datagram.target));
+            const auto own = role (datagram.target);
+
+            if (! isWantedReport (own, told.scope, datagram.source == readerOf (datagram.target)))
+                continue;
+
+            if (const auto scope = scopeToAnswer (own, told.scope, node.peers.isFirst (told)))
+                send (datagram.target, datagram.source, makeReport (datagram.target, *scope, told.node));
 
             if (told.isSettled && unsettledTime (node.sharing, now) > Duration::zero())
             {
--- a/tests/unit/ReportTests.cpp
+++ b/tests/unit/ReportTests.cpp
@@ -3,6 +3,7 @@
 #include "snowrudder_serving/duties/UsageGathering.h"
 #include "snowrudder_serving/members/PeerTable.h"
 #include "snowrudder_serving/members/PromptBudget.h"
+#include "snowrudder_serving/members/ReportRole.h"
 #include "snowrudder_serving/members/ReportRoute.h"
 #include "snowrudder_serving/members/ReportTimes.h"
 
@@ -361,3 +362,36 @@
     CHECK_FALSE (mayAnnounce (budget, announcedTokens - 1.0, 6, start));
     CHECK (mayAnnounce (budget, announcedTokens, 6, start));
 }
+
+TEST_CASE (
+    "a node is told what its role needs, takes only that, and answers only who asks or has just started")
+{
+    CHECK (reportRole (mostTellingDirectly, true) == ReportRole::direct);
+    CHECK (reportRole (mostTellingDirectly + 1, true) == ReportRole::reader);
+    CHECK (reportRole (mostTellingDirectly + 1, false) == ReportRole::member);
+
+    // Directly: each node for itself, and a first report is answered.
+    CHECK (scopeToTell (ReportRole::direct) == ReportScope::node);
+    CHECK (isWantedReport (ReportRole::direct, ReportScope::node, false));
+    CHECK_FALSE (isWantedReport (ReportRole::direct, ReportScope::allOthers, true));
+    CHECK_FALSE (isWantedReport (ReportRole::direct, ReportScope::nodesOfReader, false));
+    CHECK (scopeToAnswer (ReportRole::direct, ReportScope::node, true) == ReportScope::node);
+    CHECK_FALSE (scopeToAnswer (ReportRole::direct, ReportScope::node, false));
+
+    // A reader: each report of a member is answered; another reader's first one with its own sum.
+    CHECK (scopeToTell (ReportRole::reader) == ReportScope::nodesOfReader);
+    CHECK (isWantedReport (ReportRole::reader, ReportScope::node, false));
+    CHECK (isWantedReport (ReportRole::reader, ReportScope::nodesOfReader, false));
+    CHECK_FALSE (isWantedReport (ReportRole::reader, ReportScope::allOthers, true));
+    CHECK (scopeToAnswer (ReportRole::reader, ReportScope::node, false) == ReportScope::allOthers);
+    CHECK (scopeToAnswer (ReportRole::reader, ReportScope::nodesOfReader, true) ==
+           ReportScope::nodesOfReader);
+    CHECK_FALSE (scopeToAnswer (ReportRole::reader, ReportScope::nodesOfReader, false));
+
+    // A member: only its own reader's word, which is no question, not even the first one of a reader.
+    CHECK (scopeToTell (ReportRole::member) == ReportScope::node);
+    CHECK (isWantedReport (ReportRole::member, ReportScope::allOthers, true));
+    CHECK_FALSE (isWantedReport (ReportRole::member, ReportScope::allOthers, false));
+    CHECK_FALSE (isWantedReport (ReportRole::member, ReportScope::node, true));
+    CHECK_FALSE (scopeToAnswer (ReportRole::member, ReportScope::allOthers, true));
+}
