--- /dev/null
+++ b/tests/unit/ReplicaTableTests.cpp
@@ -0,0 +1,131 @@
+#include "RoutingFixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowrudder;
+using namespace snowrudder::tests;
+
+TEST_CASE ("a sign of leaving is never taken back")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x"), listed ("y") }, now);
+    table.update ({ listed ("x", true), listed ("y") }, now);
+    table.update ({ listed ("x"), listed ("y") }, now + 1s);
+
+    for (auto count = 0; count < 20; ++count)
+        CHECK (table.take ("s", {}, {}, now + 2s)->ticket.info.name == "y");
+
+    table.update ({ listed ("x", true), listed ("y", true) }, now);
+    CHECK_FALSE (table.take ("s", {}, {}, now).has_value());
+}
+
+TEST_CASE ("a replica that starts again under its name is taken as new in all that is believed of it")
+{
+    ReplicaTable table;
+    auto replica = listed ("one");
+    replica.info.born = 1000;
+    table.update ({ replica }, now);
+    const std::vector<std::uint64_t> blocks { 1, 2 };
+    ChoiceInput input;
+    input.blocks = blocks;
+    input.promptTokens = 1000.0;
+    const auto before = table.take ("s", input, ChoiceWeights(), now);
+    REQUIRE (before);
+    const auto hash = replicaHash ("one");
+    table.noteLoad (before->ticket.number, { 9, 4, 0.0, false }, now);
+    table.noteLeaving (before->ticket.number, now);
+    CHECK_FALSE (table.take ("s", input, ChoiceWeights(), now));
+
+    const auto restarted = now + 5s;
+    replica.info.born = 2000;
+    table.update ({ replica }, restarted);
+    const auto after = table.take ("s", input, ChoiceWeights(), restarted);
+    REQUIRE (after);
+    CHECK (after->ticket.number != before->ticket.number);
+    CHECK (after->choice.reason != "cached");
+    CHECK (after->choice.believed == Approx (0.0));
+    CHECK_FALSE (after->choice.loadAge);
+
+    // What others heard of the earlier start, and what this router still had there, changes nothing.
+    table.noteLoadHeard (hash, { 12, 25, 0.0, false }, restarted - 100ms);
+    table.release (before->ticket, AttemptHealth::unreachable, restarted);
+    const auto next = table.take ("s", {}, ChoiceWeights(), restarted);
+    REQUIRE (next);
+    CHECK (next->choice.believed == Approx (1.0));
+}
+
+TEST_CASE ("a refused connection suspends a replica, a probe brings it back")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x") }, now);
+    auto taken = table.take ("s", {}, {}, now);
+    table.release (taken->ticket, AttemptHealth::unreachable, now);
+    CHECK_FALSE (table.take ("s", {}, {}, now + 500ms).has_value());
+
+    taken = table.take ("s", {}, {}, now + 1100ms);
+    REQUIRE (taken.has_value());
+    CHECK_FALSE (table.take ("s", {}, {}, now + 1100ms).has_value());
+    table.release (taken->ticket, AttemptHealth::good, now + 1200ms);
+    CHECK (table.take ("s", {}, {}, now + 1200ms).has_value());
+}
+
+TEST_CASE ("failed answers suspend after three in a row, and longer each time")
+{
+    ReplicaState replica;
+    const BreakerLimits limits;
+
+    for (auto count = 0; count < 2; ++count)
+        noteHealth (replica, AttemptHealth::failed, limits, now);
+
+    CHECK (useOf (replica, now) == ReplicaUse::usable);
+    noteHealth (replica, AttemptHealth::failed, limits, now);
+    CHECK (useOf (replica, now + 900ms) == ReplicaUse::suspended);
+    CHECK (useOf (replica, now + 1s) == ReplicaUse::usable);
+    noteHealth (replica, AttemptHealth::failed, limits, now + 1s);
+    CHECK (useOf (replica, now + 2500ms) == ReplicaUse::suspended);
+    noteHealth (replica, AttemptHealth::refused, limits, now + 3s);
+    CHECK (replica.failuresInRow == 4);
+}
+
+TEST_CASE ("a prompt that another router announced keeps others off until it has been read")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x"), listed ("y") }, now);
+    constexpr auto tokens = 32'000.0;
+    table.notePromptHeard (replicaHash ("x"), tokens, now);
+    table.notePromptHeard (replicaHash ("not there"), tokens, now);
+    ChoiceInput input;
+    input.promptTokens = 500.0;
+
+    for (auto count = 0; count < 5; ++count)
+        CHECK (table.take ("s", input, {}, now + 100ms)->ticket.info.name == "y");
+
+    // At 64 tokens a millisecond it has been read by now; y has five requests.
+    const auto later = table.take ("s", input, {}, now + 501ms);
+    CHECK (later->ticket.info.name == "x");
+    CHECK (later->choice.pendingTokens == 0.0);
+}
+
+TEST_CASE ("a load that another router heard counts with what was sent since, and never goes back")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x") }, now);
+    const std::vector<std::uint64_t> blocks { 1 };
+    const auto believed = [&]
+    {
+        auto sum = 0.0;
+        table.forEach ([&] (const ReplicaState& replica) { sum = believedRequests (replica, now); });
+        return sum;
+    };
+
+    table.take ("s", inputFor (blocks), {}, now);
+    table.take ("s", inputFor (blocks), {}, now + 300ms);
+    // The replica spoke between the two: only the second is not in its word.
+    table.noteLoadHeard (replicaHash ("x"), { 5, 2, 0.0, false }, now + 200ms);
+    CHECK (believed() == Approx (8.0));
+
+    table.noteLoadHeard (replicaHash ("x"), { 1, 0, 0.0, false }, now + 100ms);
+    CHECK (believed() == Approx (8.0));
+    table.noteLoadHeard (replicaHash ("other"), { 50, 0, 0.0, false }, now + 400ms);
+    CHECK (believed() == Approx (8.0));
+}
