--- a/modules/snowrudder_serving/members/News.cpp
+++ b/modules/snowrudder_serving/members/News.cpp
@@ -53,6 +53,12 @@
     return configuration.current && configuration.current->revision < revision;
 }
 
+auto newestConfigurationKnown (const NewsState& news, const ConfigurationState& configuration)
+    -> std::uint64_t
+{
+    return configuration.current ? std::max (configuration.current->revision, news.newestConfiguration) : 0;
+}
+
 auto makeQuestion (NewsState& news, const ReplicaDirectory& directory, std::string node, TimePoint now)
     -> NewsQuestion
 {
--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -121,6 +121,13 @@
 auto noteConfigurationHeard (NewsState& news, const ConfigurationState& configuration, std::uint64_t revision)
     -> bool;
 
+/** @returns the newest revision of the configuration that a node has or heard of; 0 while it has none. A reader that the store turns
+    away hears of a newer one from others and can't read it, while the replicas' changes that others tell keep its news fresh:
+    nodes that heard only of the reader's own configuration asked nobody else, and one kept to an old one for 4.7 s.
+*/
+auto newestConfigurationKnown (const NewsState& news, const ConfigurationState& configuration)
+    -> std::uint64_t;
+
 /** @returns the next question, noted as sent now. */
 auto makeQuestion (NewsState& news, const ReplicaDirectory& directory, std::string node, TimePoint now)
     -> NewsQuestion;
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -357,14 +357,10 @@
     report.leaving = state.leaving;
     report.isSettled = unsettledTime (state.sharing, now) == Duration::zero();
 
+    report.configurationRevision = newestConfigurationKnown (state.news, state.configuration);
+
     if (state.configuration.current)
-    {
-        // Also what was only heard of: a reader that the store turns away can't read it, but its nodes may. Otherwise they learn
-        // of it only when their news are `newsOverdue` and they ask elsewhere.
-        report.configurationRevision =
-            std::max (state.configuration.current->revision, state.news.newestConfiguration);
         report.proofAge = now - state.configuration.provenAt;
-    }
 
     // The levels that a starting node adopts come from readers, where there are any that tell sums.
     report.admitted =
--- a/tests/unit/NewsTests.cpp
+++ b/tests/unit/NewsTests.cpp
@@ -307,3 +307,28 @@
     news.isReader = true;
     CHECK (mustListMembers (news, start));
 }
+
+TEST_CASE (
+    "a node whose reader can't read a newer configuration hears of it, though its other news stay fresh")
+{
+    auto reader = knowing (true);
+    auto member = knowing (false);
+    auto elsewhere = knowing (true);
+    elsewhere.configuration.current = configurationAt (9);
+
+    // The store turns the reader away; another reader's word keeps its knowledge of the replicas fresh.
+    const auto later = start + 3s;
+    elsewhere.news.ownProvenAt = later;
+    exchange (reader, elsewhere, later);
+    exchange (member, reader, later + 10ms);
+    REQUIRE_FALSE (asksStore (member.news, later + 20ms));
+    REQUIRE (member.configuration.current->revision == 5);
+
+    // What it reports, in answer to the member's own report.
+    const auto told = newestConfigurationKnown (reader.news, reader.configuration);
+    CHECK (told == 9);
+    CHECK (noteConfigurationHeard (member.news, member.configuration, told));
+    CHECK (mustCheckConfiguration (member.news, member.configuration, later + 20ms));
+
+    CHECK (newestConfigurationKnown (NewsState(), ConfigurationState()) == 0);
+}
