--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -208,6 +208,24 @@
     return cost;
 }
 
+/** @returns how many tokens a prompt's home, the replica that its ranking puts first, is taken to compute. Of a prompt's own
+    tokens nothing can be cached anywhere.
+*/
+auto uncachedAtHome (const ChoiceInput& input, const ChoiceWeights& weights) -> double
+{
+    const auto shared = std::max (0.0, input.promptTokens - input.ownTokens);
+    return input.promptTokens - shared * weights.assumedCached;
+}
+
+/** Keeps the candidates of the lowest scores, the lowest first: as many as a choice tells of. */
+auto keepBest (std::vector<Candidate>& candidates) -> void
+{
+    const auto kept = std::min (keptCandidates, candidates.size());
+    std::ranges::partial_sort (candidates, candidates.begin() + static_cast<std::ptrdiff_t> (kept), {},
+                               &Candidate::score);
+    candidates.resize (kept);
+}
+
 } // namespace
 
 auto rendezvousValue (std::uint64_t anchor, std::string_view replicaName) -> std::uint64_t
@@ -273,21 +291,13 @@
         if (isKeptApart)
             candidate.score += weights.besideLongPrompt * believed;
 
-        // Of a prompt's own tokens nothing can be cached anywhere.
-        const auto shared = std::max (0.0, input.promptTokens - input.ownTokens);
-
         if (ranked.is (candidate.index) && ! input.blocks.empty())
-            candidate.uncachedTokens =
-                std::min (candidate.uncachedTokens, input.promptTokens - shared * weights.assumedCached);
+            candidate.uncachedTokens = std::min (candidate.uncachedTokens, uncachedAtHome (input, weights));
 
         candidate.score += weights.recompute * candidate.uncachedTokens;
     }
 
-    const auto kept = std::min (keptCandidates, choice.candidates.size());
-    std::ranges::partial_sort (choice.candidates,
-                               choice.candidates.begin() + static_cast<std::ptrdiff_t> (kept), {},
-                               &Candidate::score);
-    choice.candidates.resize (kept);
+    keepBest (choice.candidates);
 
     const auto& winner = choice.candidates.front();
     const auto& chosen = replicas[winner.index];
