Before a first configuration nodes leave it to their readers to look for one, and a list counts as news

Cause: an answer of a reader that had no configuration was thrown away whole, its word on the replicas too. So until the operators wrote a first one each node asked the store by itself, 1.7 times a second, and followed the replicas; each node that starts also watched once before its readers' first answer. A reader that had just started and listed nothing made the others list anew. Change: news of replicas are taken without a configuration; one is asked for when it is heard of; a node's own list is as good as news for as long as these are (mustWatch). Tests: three, of which the first fails on the News.cpp before (asksStore true, newestConfigurationKnown 0).

--- a/modules/snowrudder_serving/members/News.cpp
+++ b/modules/snowrudder_serving/members/News.cpp
@@ -56,7 +56,7 @@
 auto newestConfigurationKnown (const NewsState& news, const ConfigurationState& configuration)
     -> std::uint64_t
 {
-    return configuration.current ? std::max (configuration.current->revision, news.newestConfiguration) : 0;
+    return std::max (configuration.current ? configuration.current->revision : 0, news.newestConfiguration);
 }
 
 auto makeQuestion (NewsState& news, const ReplicaDirectory& directory, std::string node, TimePoint now)
@@ -113,7 +113,7 @@
         news.membersHeardAt = *sent;
     }
 
-    if (! sent || answer.configurationRevision == 0)
+    if (! sent)
         return effect;
 
     const auto provenAt = *sent - answer.proofAge;
@@ -123,8 +123,9 @@
     if (configuration.current && configuration.current->revision == answer.configurationRevision)
         configuration.provenAt = std::max (configuration.provenAt, provenAt);
 
-    // Without a list of its own the node has nothing that changes could be added to.
-    if (directory.revision == 0)
+    // Without a list of its own the node has nothing that changes could be added to, and a node that has just started has
+    // nothing to tell of them.
+    if (directory.revision == 0 || answer.changes.revision == 0)
         return effect;
 
     // A node that reads the store itself goes by its own calls, unless it alone is cut off.
--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -105,13 +105,25 @@
            now - news.membersHeardAt > membersWordTime;
 }
 
-/** @returns whether the configuration must be asked for at the store. */
+/** @returns whether a node must follow the replicas' changes at the store itself. Its own list is as good as others' news for
+    as long as these are: nodes that start together know their readers long before they have been answered by them.
+
+    @param listedAt  when this node asked for the list of replicas that it has
+*/
+inline auto mustWatch (const NewsState& news, TimePoint listedAt, TimePoint now) -> bool
+{
+    return asksStore (news, now) && (news.isReader || now - listedAt > newsLimit);
+}
+
+/** @returns whether the configuration must be asked for at the store. Before there is a first one, nodes wait for the
+    readers' word too: 295 nodes that each looked for it made about half of a day's calls before the day's traffic began.
+*/
 inline auto mustCheckConfiguration (const NewsState& news,
                                     const ConfigurationState& configuration,
                                     TimePoint now) -> bool
 {
-    return asksStore (news, now) || ! configuration.current ||
-           configuration.current->revision < news.newestConfiguration;
+    const auto held = configuration.current ? configuration.current->revision : 0;
+    return asksStore (news, now) || held < news.newestConfiguration;
 }
 
 /** Notes the revision of another node's configuration.
@@ -121,7 +133,7 @@
 auto noteConfigurationHeard (NewsState& news, const ConfigurationState& configuration, std::uint64_t revision)
     -> bool;
 
-/** @returns the newest revision of the configuration that a node has or heard of; 0 while it has none. A reader that the store turns
+/** @returns the newest revision of the configuration that a node has or heard of; 0 where there is none. A reader that the store turns
     away hears of a newer one from others and can't read it, while the replicas' changes that others tell keep its news fresh:
     nodes that heard only of the reader's own configuration asked nobody else, and one kept to an old one for 4.7 s.
 */
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -12,7 +12,7 @@
 /** After a failure the store is asked again soon: freshness runs out meanwhile. */
 constexpr auto failurePause = 250ms;
 
-/** Before the operators have written a first configuration nobody can serve, and nodes that start together ask this often. */
+/** Before the operators have written a first configuration nobody can serve, and those that read for others ask this often. */
 constexpr auto emptyPause = Duration (600ms);
 
 /** A node that others read the store for leaves it to them to ask often while the store fails. */
@@ -211,24 +211,31 @@
         wasFresh = fresh;
         const auto pause = ! isAnswered                  ? pauseAfterFailure (state.news)
                            : state.configuration.current ? Duration (checkInterval)
-                                                         : emptyPause;
+                           : asksStore (state.news, now) ? emptyPause
+                                                         : Duration (idlePause);
         co_await state.configurationWake->wait (SteadyClock::now() + pause);
     }
 }
 
 /** Follows the watch until it may have missed something, or until others read the store for this node.
 
-    @returns what the next list follows on
+    @param listedAt  when the list was asked for on which the watch follows
+    @returns         what the next list follows on
 */
-auto watchReplicas (ServingState& state, const StateStore& store, const StoreFormats& formats)
-    -> Task<ListReason>
+auto watchReplicas (ServingState& state,
+                    const StateStore& store,
+                    const StoreFormats& formats,
+                    TimePoint listedAt) -> Task<ListReason>
 {
     const auto listEnd = SteadyClock::now() + listTime;
 
     while (asksStore (state.news, SteadyClock::now()))
     {
+        const auto now = SteadyClock::now();
+
         // A node that has just started reads for itself until it knows the others; it need not watch before.
-        if (! state.sharing.members && isNewNode (state.sharing, SteadyClock::now()))
+        if ((! state.sharing.members && isNewNode (state.sharing, now)) ||
+            ! mustWatch (state.news, listedAt, now))
         {
             co_await pauseFor (state.loop, idlePause);
             continue;
@@ -270,6 +277,7 @@
             continue;
         }
 
+        const auto asked = SteadyClock::now();
         const auto listed = co_await store.list (formats.replicaPrefix, ListAge::newest);
         noteStoreAnswer (state, listed.outcome, "replicas");
 
@@ -281,7 +289,7 @@
 
         state.news.needsList = false;
         takeList (state, formats, listed, reason);
-        reason = co_await watchReplicas (state, store, formats);
+        reason = co_await watchReplicas (state, store, formats, asked);
     }
 }
 
--- a/tests/unit/NewsTests.cpp
+++ b/tests/unit/NewsTests.cpp
@@ -79,6 +79,52 @@
     CHECK (asksStore (reader.news, start));
 }
 
+TEST_CASE ("before there is a configuration nodes leave it to their readers to look for one")
+{
+    // Hundreds of nodes are started seconds before the operators write the first one.
+    auto reader = knowing (true);
+    auto asker = knowing (false);
+    reader.configuration = asker.configuration = ConfigurationState();
+
+    exchange (asker, reader, start);
+    CHECK_FALSE (asksStore (asker.news, start));
+    CHECK_FALSE (mustCheckConfiguration (asker.news, asker.configuration, start));
+    CHECK (mustCheckConfiguration (reader.news, reader.configuration, start));
+
+    // The first one is heard of, by the news or by a report, and told on even where it could not be read yet.
+    reader.configuration.current = configurationAt (5);
+    exchange (asker, reader, start + 200ms);
+    CHECK (mustCheckConfiguration (asker.news, asker.configuration, start + 200ms));
+    CHECK (newestConfigurationKnown (asker.news, asker.configuration) == 5);
+}
+
+TEST_CASE ("a reader that has just started and listed no replicas has no news of them")
+{
+    Knowledge reader;
+    auto asker = knowing (false);
+    reader.news.ownProvenAt = start + 1s;
+
+    exchange (asker, reader, start + 1s);
+    CHECK (asksStore (asker.news, start + 1s));
+    CHECK_FALSE (asker.news.needsList);
+}
+
+TEST_CASE ("a node that has listed the replicas waits for its readers' news before it watches")
+{
+    NewsState news;
+    news.isReader = false;
+    CHECK_FALSE (mustWatch (news, start, start + newsLimit));
+    CHECK (mustWatch (news, start, start + newsLimit + 1ms));
+
+    // News came, and ended.
+    news.provenAt = start + 1s;
+    CHECK_FALSE (mustWatch (news, start, start + 1s + newsLimit));
+    CHECK (mustWatch (news, start, start + 1s + newsLimit + 1ms));
+
+    news.isReader = true;
+    CHECK (mustWatch (news, start, start));
+}
+
 TEST_CASE ("a reader that has proofs from others but not their changes of replicas is no source of them")
 {
     // Found by a hunt: a node followed a reader that was cut off, and sent to a leaving replica for 2.8 s.
