A node that starts learns the secret and the members by one list that may be old

Cause: each start wrote a transaction to find the secret that the nodes had long agreed on, and knew the other nodes only after that, a lease, its own entry and a list: four calls one after the other, of which it served nobody. A node that finds nobody goes by what it lists once it has joined, as before. Tests: MembershipTests, calls counted in virtual time: one transaction a start (two before), members known by the first call.

--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -54,6 +54,9 @@
 
 auto Membership::refresh() -> Task<bool>
 {
+    if (agreedSecret.empty())
+        co_await readShared();
+
     if (agreedSecret.empty())
         co_await agreeOnSecret();
 
@@ -74,7 +77,7 @@
     if (listed.outcome != StoreOutcome::done)
         co_return false;
 
-    takeMembers (listed);
+    takeMembers (listed.items);
     co_await pauseFor (state.loop, listPause());
     co_return true;
 }
@@ -85,6 +88,28 @@
     return jittered (isNew ? Duration (firstListInterval) : Duration (listInterval));
 }
 
+/** Learns by one call, which may tell what was seconds ago, what the other nodes agreed on and who they are: a node that comes
+    back need not write to find the secret. One that finds nobody may only be early: it goes by what it lists once it has joined.
+*/
+auto Membership::readShared() -> Task<void>
+{
+    const auto listed = co_await store.list (std::string (sharedPrefix), ListAge::secondsOld);
+
+    if (listed.outcome != StoreOutcome::done)
+        co_return;
+
+    std::vector<StoredItem> members;
+
+    for (const auto& item : listed.items)
+        if (item.key == secretKey)
+            agreedSecret = item.value;
+        else if (item.key.starts_with (memberPrefix))
+            members.push_back (item);
+
+    if (! members.empty())
+        takeMembers (members);
+}
+
 auto Membership::agreeOnSecret() -> Task<void>
 {
     const auto proposed = toString (makeUuid (wallTimeNow()));
@@ -143,7 +168,7 @@
     LogLine ("membership_joined").with ("lease", lease).info();
 }
 
-auto Membership::takeMembers (const ReadItems& listed) -> void
+auto Membership::takeMembers (const std::vector<StoredItem>& listed) -> void
 {
     std::map<std::string, MemberInfo> members;
     std::map<std::string, Endpoint> endpoints;
@@ -151,7 +176,7 @@
 
     auto hash = std::uint64_t { 1 };
 
-    for (const auto& item : listed.items)
+    for (const auto& item : listed)
     {
         hash = hashBytes (item.value, hashBytes (item.key, hash));
         const auto name = item.key.substr (memberPrefix.size());
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -13,7 +13,8 @@
 namespace snowrudder
 {
 
-/** Keys under which nodes note their address for datagrams, and the fleet's secret. */
+/** Keys under which nodes note their address for datagrams, and the fleet's secret; both lie below the first. */
+inline constexpr auto sharedPrefix = std::string_view ("snowrudder/");
 inline constexpr auto memberPrefix = std::string_view ("snowrudder/members/");
 inline constexpr auto secretKey = std::string_view ("snowrudder/secret");
 
@@ -48,9 +49,10 @@
 
 private:
     auto refresh() -> Task<bool>;
+    auto readShared() -> Task<void>;
     auto agreeOnSecret() -> Task<void>;
     auto joinMembers() -> Task<void>;
-    auto takeMembers (const ReadItems& listed) -> void;
+    auto takeMembers (const std::vector<StoredItem>& listed) -> void;
     [[nodiscard]] auto listPause() const -> Duration;
     auto noteReaders (const std::map<std::string, MemberInfo>& members,
                       const std::map<std::string, Endpoint>& endpoints) -> void;
--- /dev/null
+++ b/tests/unit/MembershipTests.cpp
@@ -0,0 +1,106 @@
+#include "snowrudder_serving/members/Membership.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace snowrudder;
+
+namespace
+{
+
+/** A store in memory that answers at once and counts calls. */
+struct CountingStore
+{
+    auto face() -> StateStore
+    {
+        StateStore store;
+        store.list = [this] (std::string prefix, ListAge) -> Task<ReadItems>
+        {
+            ++lists;
+            ReadItems read { StoreOutcome::done, {}, 1 };
+
+            for (const auto& [key, value] : items)
+                if (key.starts_with (prefix))
+                    read.items.push_back ({ key, value, 1, 0, false });
+
+            co_return read;
+        };
+        store.commit = [this] (StoreTransaction transaction) -> Task<TransactionResult>
+        {
+            ++transactions;
+
+            for (const auto& put : transaction.puts)
+                items[put.key] = put.value;
+
+            co_return TransactionResult { StoreOutcome::done, 2, {} };
+        };
+        store.grantLease = [this] (Duration length) -> Task<GrantedLease>
+        {
+            ++leases;
+            co_return GrantedLease { StoreOutcome::done, 1, length };
+        };
+        return store;
+    }
+
+    std::map<std::string, std::string> items;
+    unsigned lists = 0;
+    unsigned transactions = 0;
+    unsigned leases = 0;
+};
+
+/** A node that enters itself among the members, for a moment. */
+struct JoiningNode
+{
+    explicit JoiningNode (CountingStore& store)
+        : face (store.face()), state (loop, settings()), membership (state, face)
+    {
+        asio::co_spawn (loop, membership.follow(), asio::detached);
+        loop.run_for (100ms);
+    }
+
+    static auto settings() -> ServingSettings
+    {
+        ServingSettings made;
+        made.node = "node-1";
+        made.failureDomain = "north";
+        made.listenPeers = "127.0.0.1:4001";
+        return made;
+    }
+
+    asio::io_context loop;
+    StateStore face;
+    ServingState state;
+    Membership membership;
+};
+
+} // namespace
+
+TEST_CASE ("a node that comes back learns the secret and the members by one list, and writes only its entry")
+{
+    // Hundreds of nodes that come back at once each made a write to find a secret that had long been agreed on.
+    CountingStore store;
+    store.items = { { "snowrudder/secret", "agreed" },
+                    { "snowrudder/leader", "node-2" },
+                    { "snowrudder/members/node-2", "127.0.0.1:4002 north" },
+                    { "snowrudder/members/node-3", "127.0.0.1:4003 south" } };
+
+    const JoiningNode node (store);
+    CHECK (node.membership.secret() == "agreed");
+    CHECK (node.membership.others().size() == 2);
+    CHECK (node.state.memberCount() == 3);
+    CHECK (store.transactions == 1);
+    CHECK (store.leases == 1);
+    CHECK (store.items.at ("snowrudder/members/node-1") == "127.0.0.1:4001 north");
+}
+
+TEST_CASE ("a node that is the first to come proposes a secret")
+{
+    CountingStore store;
+    const JoiningNode node (store);
+    CHECK_FALSE (node.membership.secret().empty());
+    CHECK (store.items.at ("snowrudder/secret") == node.membership.secret());
+    CHECK (node.membership.others().empty());
+    CHECK (node.state.memberCount() == 1);
+    CHECK (store.transactions == 2);
+}
