A node that comes back before its entry has lapsed takes its lease up again

Cause: each start asked for a lease and wrote the node's entry, though a process that died had left both, the lease still running for up to 12 s. Where the renewal is refused the node joins as before. Test: MembershipTests, calls counted: 0 leases and 0 transactions in place of 1 and 1; joins anew where the lease has ended or the address is another one.

--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -99,6 +99,7 @@
         co_return;
 
     std::vector<StoredItem> members;
+    const auto own = ownEntry();
 
     for (const auto& item : listed.items)
         if (item.key == secretKey)
@@ -106,10 +107,23 @@
         else if (item.key.starts_with (memberPrefix))
             members.push_back (item);
 
+    // A process that died left its entry, which its lease keeps up: renewing that is a twentieth of the price of a new one.
+    for (const auto& item : members)
+        if (item.key == own.key && item.value == own.value)
+            lease = item.lease;
+
     if (! members.empty())
         takeMembers (members);
 }
 
+auto Membership::ownEntry() const -> StoredItem
+{
+    StoredItem item;
+    item.key = std::string (memberPrefix) + state.settings.node;
+    item.value = writeMember ({ state.settings.listenPeers, state.settings.failureDomain });
+    return item;
+}
+
 auto Membership::agreeOnSecret() -> Task<void>
 {
     const auto proposed = toString (makeUuid (wallTimeNow()));
@@ -144,7 +158,9 @@
             co_return;
 
         lease = 0;
-        LogLine ("membership_lapsed").warning();
+
+        if (renewed != TimePoint())
+            LogLine ("membership_lapsed").warning();
     }
 
     const auto granted = co_await store.grantLease (memberLease);
@@ -153,11 +169,8 @@
         co_return;
 
     StoreTransaction join;
-    StoredItem item;
-    item.key = std::string (memberPrefix) + state.settings.node;
-    item.value = writeMember ({ state.settings.listenPeers, state.settings.failureDomain });
-    item.lease = granted.lease;
-    join.puts.push_back (std::move (item));
+    join.puts.push_back (ownEntry());
+    join.puts.back().lease = granted.lease;
     const auto joined = co_await store.commit (std::move (join));
 
     if (joined.outcome != StoreOutcome::done)
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -52,6 +52,8 @@
     auto readShared() -> Task<void>;
     auto agreeOnSecret() -> Task<void>;
     auto joinMembers() -> Task<void>;
+    /** @returns the item of the store that names this node, without its lease. */
+    [[nodiscard]] auto ownEntry() const -> StoredItem;
     auto takeMembers (const std::vector<StoredItem>& listed) -> void;
     [[nodiscard]] auto listPause() const -> Duration;
     auto noteReaders (const std::map<std::string, MemberInfo>& members,
--- a/tests/unit/MembershipTests.cpp
+++ b/tests/unit/MembershipTests.cpp
@@ -22,10 +22,15 @@
 
             for (const auto& [key, value] : items)
                 if (key.starts_with (prefix))
-                    read.items.push_back ({ key, value, 1, 0, false });
+                    read.items.push_back ({ key, value, 1, leaseOfItems, false });
 
             co_return read;
         };
+        store.renewLease = [this] (std::uint64_t lease) -> Task<StoreOutcome>
+        {
+            ++renewals;
+            co_return lease == leaseOfItems&& isLeaseAlive ? StoreOutcome::done : StoreOutcome::refused;
+        };
         store.commit = [this] (StoreTransaction transaction) -> Task<TransactionResult>
         {
             ++transactions;
@@ -44,7 +49,11 @@
     }
 
     std::map<std::string, std::string> items;
+    /** All items go with it. */
+    std::uint64_t leaseOfItems = 7;
+    bool isLeaseAlive = true;
     unsigned lists = 0;
+    unsigned renewals = 0;
     unsigned transactions = 0;
     unsigned leases = 0;
 };
@@ -94,6 +103,34 @@
     CHECK (store.items.at ("snowrudder/members/node-1") == "127.0.0.1:4001 north");
 }
 
+TEST_CASE ("a node that comes back before its entry has lapsed takes its lease up again")
+{
+    CountingStore store;
+    store.items = { { "snowrudder/secret", "agreed" },
+                    { "snowrudder/members/node-1", "127.0.0.1:4001 north" } };
+
+    {
+        const JoiningNode node (store);
+        CHECK (store.renewals == 1);
+        CHECK (store.leases == 0);
+        CHECK (store.transactions == 0);
+    }
+
+    // The list was old: the lease has ended since.
+    store.isLeaseAlive = false;
+    const JoiningNode node (store);
+    CHECK (store.renewals == 2);
+    CHECK (store.leases == 1);
+    CHECK (store.transactions == 1);
+
+    // It listens at another address than the process before.
+    store.isLeaseAlive = true;
+    store.items["snowrudder/members/node-1"] = "127.0.0.1:5001 north";
+    const JoiningNode moved (store);
+    CHECK (store.leases == 2);
+    CHECK (store.items.at ("snowrudder/members/node-1") == "127.0.0.1:4001 north");
+}
+
 TEST_CASE ("a node that is the first to come proposes a secret")
 {
     CountingStore store;
