--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <unistd.h>
 
 using namespace snowrudder;
 
@@ -27,7 +28,8 @@
     SettingsFile (const SettingsFile&) = delete;
     auto operator= (const SettingsFile&) -> SettingsFile& = delete;
 
-    const std::string path = "platform-face-tests.conf";
+    /** Tests run in processes of their own, at the same time and in one folder. */
+    const std::string path = "platform-face-tests-" + std::to_string (getpid()) + ".conf";
 };
 
 const auto wholeSettings = std::string ("node_name=front-a-1\n"
