--- a/modules/snowrudder_serving/duties/LeadershipLoop.cpp
+++ b/modules/snowrudder_serving/duties/LeadershipLoop.cpp
@@ -61,7 +61,7 @@
     auto& own = state.leadership;
     const auto read = co_await store.read (std::string (leaderKey), ReadAge::newest);
 
-    if (read.outcome != StoreOutcome::done && read.outcome != StoreOutcome::refused)
+    if (! isAnswer (read.outcome))
     {
         co_await pauseFor (state.loop, jittered (failurePause));
         co_return;
--- a/modules/snowrudder_serving/duties/UsageWindows.h
+++ b/modules/snowrudder_serving/duties/UsageWindows.h
@@ -12,6 +12,9 @@
 /** Requests by client account. */
 using AccountCounts = std::map<std::string, std::uint64_t, std::less<>>;
 
+/** Requests by client account, by window. */
+using CountsByWindow = std::map<std::uint64_t, AccountCounts>;
+
 /** Requests that began to run, by client account and window of true time. Counts only grow. */
 class UsageWindows
 {
@@ -37,7 +40,7 @@
     }
 
     /** @returns this node's counts of each window that it still keeps. */
-    [[nodiscard]] auto counts() const -> const std::map<std::uint64_t, AccountCounts>& { return windows; }
+    [[nodiscard]] auto counts() const -> const CountsByWindow& { return windows; }
 
     /** @returns this node's counts of one window; none where it counted nothing in it. */
     [[nodiscard]] auto countsOf (std::uint64_t window) const -> AccountCounts
@@ -47,9 +50,9 @@
     }
 
     /** @returns this node's counts of the windows that end after a time, since the start of 1970. */
-    [[nodiscard]] auto endedAfter (Duration time) const -> std::map<std::uint64_t, AccountCounts>
+    [[nodiscard]] auto endedAfter (Duration time) const -> CountsByWindow
     {
-        std::map<std::uint64_t, AccountCounts> recent;
+        CountsByWindow recent;
 
         for (const auto& [window, counts] : windows)
             if (endOf (window) > time)
@@ -66,7 +69,7 @@
 
 private:
     Duration length;
-    std::map<std::uint64_t, AccountCounts> windows;
+    CountsByWindow windows;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -138,7 +138,7 @@
 /** @returns whether this node knows what the others admit. */
 auto knowsLimits (const ServingState& state) -> bool
 {
-    return unsettledTime (state.sharing, state.peers, SteadyClock::now()) == Duration::zero();
+    return isSettled (state.sharing, state.peers, SteadyClock::now());
 }
 
 /** Lets a request that was refused for its account's limit wait until this node knows what the others admit. */
--- a/modules/snowrudder_serving/limits/QuotaSharing.cpp
+++ b/modules/snowrudder_serving/limits/QuotaSharing.cpp
@@ -51,6 +51,11 @@
     return left;
 }
 
+auto isSettled (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> bool
+{
+    return unsettledTime (sharing, peers, now) == Duration::zero();
+}
+
 auto quotaBounds (const QuotaSharing& sharing,
                   const PeerTable& peers,
                   const QuotaTolerance& tolerance,
--- a/modules/snowrudder_serving/limits/QuotaSharing.h
+++ b/modules/snowrudder_serving/limits/QuotaSharing.h
@@ -38,6 +38,9 @@
 */
 auto unsettledTime (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> Duration;
 
+/** @returns whether a node knows what the others admit. */
+auto isSettled (const QuotaSharing& sharing, const PeerTable& peers, TimePoint now) -> bool;
+
 /** @param draw  a random number from 0 to 1 */
 auto quotaBounds (const QuotaSharing& sharing,
                   const PeerTable& peers,
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -102,15 +102,17 @@
     const auto own = ownEntry();
 
     for (const auto& item : listed.items)
+    {
         if (item.key == secretKey)
             agreedSecret = item.value;
-        else if (item.key.starts_with (memberPrefix))
+
+        if (item.key.starts_with (memberPrefix))
             members.push_back (item);
 
-    // A process that died left its entry, which its lease keeps up: renewing that is a twentieth of the price of a new one.
-    for (const auto& item : members)
+        // A process that died left its entry, which its lease keeps up: renewing that is a twentieth of the price of a new one.
         if (item.key == own.key && item.value == own.value)
             lease = item.lease;
+    }
 
     if (! members.empty())
         takeMembers (members);
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -115,7 +115,7 @@
 
 auto PeerExchange::take (PeerReport report, const Endpoint& sender) -> void
 {
-    const auto own = role();
+    const auto own = state.role();
 
     if (report.node == state.settings.node || ! isWantedReport (own, report.scope, sender == route.reader))
         return;
@@ -128,7 +128,7 @@
     if (noteConfigurationHeard (state.news, state.configuration, report.configurationRevision))
         state.configurationWake->notify();
 
-    if (report.isSettled && unsettledTime (state.sharing, state.peers, now) > Duration::zero())
+    if (report.isSettled && ! isSettled (state.sharing, state.peers, now))
     {
         state.quota.adopt (report.admitted, now);
         state.sharing.isAdopted = true;
@@ -179,7 +179,7 @@
 
         const auto sent = SteadyClock::now();
         const auto targets = chooseTargets (sent);
-        const auto report = makeReport (scopeToTell (role()), {}, sent);
+        const auto report = makeReport (scopeToTell (state.role()), {}, sent);
         const auto datagram = encodeMessage (report, membership.secret());
 
         for (const auto& target : targets)
@@ -191,7 +191,7 @@
 
 auto PeerExchange::nextReportIn (TimePoint now) const -> Duration
 {
-    if (unsettledTime (state.sharing, state.peers, now) > Duration::zero())
+    if (! isSettled (state.sharing, state.peers, now))
         return reportIntervalWhenUnsettled;
 
     return state.quota.isTight (now) ? reportIntervalWhenTight : reportInterval;
@@ -314,14 +314,9 @@
     return ! membership.secret().empty() && ! membership.others().empty();
 }
 
-auto PeerExchange::role() const -> ReportRole
-{
-    return reportRole (state.memberCount(), state.news.isReader);
-}
-
 auto PeerExchange::chooseTargets (TimePoint now) -> std::vector<Endpoint>
 {
-    const auto own = role();
+    const auto own = state.role();
     const auto isDirect = own == ReportRole::direct;
 
     // What was heard of the same nodes in the other way must not count twice.
@@ -361,8 +356,7 @@
     report.incarnation = incarnation;
     report.sequence = ++sequence;
     report.leaving = state.leaving;
-    report.isSettled = unsettledTime (state.sharing, state.peers, now) == Duration::zero();
-
+    report.isSettled = isSettled (state.sharing, state.peers, now);
     report.configurationRevision = newestConfigurationKnown (state.news, state.configuration);
 
     if (state.configuration.current)
@@ -370,7 +364,7 @@
 
     // The levels that a starting node adopts come from readers, where there are any that tell sums.
     report.admitted =
-        state.quota.admitted (now, role() == ReportRole::member ? idleAccountTime : Duration::max());
+        state.quota.admitted (now, state.role() == ReportRole::member ? idleAccountTime : Duration::max());
     state.work.forEach (now,
                         [&] (const std::string& service, double tokens)
                         {
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -48,7 +48,6 @@
     auto askForNews (TimePoint now) -> void;
     auto sendToReaders (const std::string& datagram) -> void;
     auto knowsOthers() const -> bool;
-    auto role() const -> ReportRole;
     auto chooseTargets (TimePoint now) -> std::vector<Endpoint>;
     auto ownReport (TimePoint now) -> PeerReport;
     auto makeReport (ReportScope scope, std::string_view asker, TimePoint now) -> PeerReport;
--- a/modules/snowrudder_serving/members/UsageNotice.h
+++ b/modules/snowrudder_serving/members/UsageNotice.h
@@ -3,15 +3,11 @@
 #include "../duties/UsageWindows.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
 
 namespace snowrudder
 {
 
-/** Counts of requests that began to run, by window. */
-using CountsByWindow = std::map<std::uint64_t, AccountCounts>;
-
 /** What a node counted, told to the readers of its failure domain; or what a reader knows of all nodes of its failure
     domain together, told to the other readers. Counts of a window only grow, so that a lost or late notice is made good by
     the next.
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -140,7 +140,7 @@
         state.pool.closeOld (now);
         state.quota.charge (state.peers.assumeSilent (sweepInterval, now), now);
 
-        if (reportRole (state.memberCount(), state.news.isReader) == ReportRole::reader)
+        if (state.role() == ReportRole::reader)
             state.peers.refreshRates (now);
 
         if (dropMissing (state.directory, now))
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -9,6 +9,7 @@
 #include "../limits/QuotaSharing.h"
 #include "../members/News.h"
 #include "../members/PeerTable.h"
+#include "../members/ReportRole.h"
 #include "../members/TrueTime.h"
 #include "../queue/ServiceQueues.h"
 #include "../request/UpstreamProtocol.h"
@@ -53,6 +54,9 @@
     /** @returns nodes that the store last listed, this one included; 1 before it listed them once. */
     [[nodiscard]] auto memberCount() const -> std::size_t { return sharing.members.value_or (1); }
 
+    /** @returns what this node does among those that report to each other. */
+    [[nodiscard]] auto role() const -> ReportRole { return reportRole (memberCount(), news.isReader); }
+
     /** @returns retries that this node may save up: its part of half of the fleet's fixed number. The other half is kept back
         for nodes that know each other late. A node without any could not even replace an attempt that was refused.
     */
--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -37,6 +37,12 @@
     historyGone
 };
 
+/** @returns whether the store's word on a key or a condition is known. */
+inline auto isAnswer (StoreOutcome outcome) -> bool
+{
+    return outcome == StoreOutcome::done || outcome == StoreOutcome::refused;
+}
+
 /** @returns one word for the log. */
 inline auto toString (StoreOutcome outcome) -> std::string_view
 {
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -65,11 +65,6 @@
     return true;
 }
 
-auto isAnswer (StoreOutcome outcome) -> bool
-{
-    return outcome == StoreOutcome::done || outcome == StoreOutcome::refused;
-}
-
 /** Looks for the configuration that others told of in what may be an old copy. It proves nothing: the others' next news do. */
 auto readHeardOf (ServingState& state, const StateStore& store, const StoreFormats& formats)
     -> Task<StoreOutcome>
@@ -189,8 +184,7 @@
 
 auto noteStoreAnswer (ServingState& state, StoreOutcome outcome, std::string_view purpose) -> void
 {
-    const auto isAnswered = outcome == StoreOutcome::done || outcome == StoreOutcome::refused ||
-                            outcome == StoreOutcome::historyGone;
+    const auto isAnswered = isAnswer (outcome) || outcome == StoreOutcome::historyGone;
 
     if (isAnswered == state.isStoreReached)
         return;
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -262,7 +262,7 @@
 
     [[nodiscard]] auto isUnsettled (const Node& node) const -> bool
     {
-        return unsettledTime (node.sharing, node.peers, now) > Duration::zero();
+        return ! isSettled (node.sharing, node.peers, now);
     }
 
     /** What one bucket for all nodes would admit, the best that can be had. */
