Replicas are drawn by the hash that ranks them, once each

Cause: reading the change: the draw mixed numbers by hand beside the hashing that the project has (rendezvousValue), reckoned each replica's place three times for a request, in a class that one function used. Change: a candidate's place is rendezvousValue of the draw and its name, reckoned once; drawnShare() and keepDrawn() in place of the class. Which replicas are drawn is another draw of the same kind.

--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -115,65 +115,46 @@
     std::uint64_t firstValue = 0;
 };
 
-/** The replicas that one request weighs for their load alone, drawn at random. With all of 295 routers weighing all replicas, 84 of
-    100 calls to 6 of them and 87 of 100 prompts to 204 waited for a slot, with a quarter of the slots taken, and the busiest of
-    204 had 12 times the mean; with one drawn for calls and two for prompts 0.3 of 100 calls and no prompt waited, and it had
-    1.7 times (virtual time, loads told every 500 ms, 250 ms old).
+/** @returns the part of the replicas that one request weighs for their load alone, drawn at random; 1 where it weighs all. With all
+    of 295 routers weighing all replicas, 84 of 100 calls to 6 of them and 87 of 100 prompts to 204 waited for a slot, with a
+    quarter of the slots taken, and the busiest of 204 had 12 times the mean; with one drawn for calls and two for prompts 0.4 of
+    100 calls and no prompt waited, and it had 1.7 times (virtual time, loads told every 500 ms, 250 ms old).
 */
-class DrawnReplicas
+auto drawnShare (const ChoiceInput& input, const ChoiceWeights& weights, std::size_t replicas) -> double
 {
-public:
-    DrawnReplicas (const ChoiceInput& input, const ChoiceWeights& weights, std::size_t replicas)
-        : draw (input.draw), drawsAll (input.routers <= mostRoutersCounted || replicas == 0)
-    {
-        const auto drawn = input.promptTokens > 0.0 ? weights.drawn : weights.drawnForCalls;
-
-        if (! drawsAll)
-            share = std::min (1.0, drawn / static_cast<double> (replicas));
-    }
-
-    [[nodiscard]] auto hasAll() const -> bool { return drawsAll; }
+    if (input.routers <= mostRoutersCounted)
+        return 1.0;
 
-    [[nodiscard]] auto has (const ReplicaState& replica) const -> bool
-    {
-        return drawsAll || placeOf (replica) < share;
-    }
-
-    /** @returns the replica's place among all, from 0 to 1; each request's draw orders them anew. */
-    [[nodiscard]] auto placeOf (const ReplicaState& replica) const -> double
-    {
-        constexpr auto oddFactor = std::uint64_t { 0x9E3779B97F4A7C15 };
-        constexpr auto highBits = 32;
-        auto mixed = (draw ^ replica.hash) * oddFactor;
-        mixed = (mixed ^ (mixed >> highBits)) * oddFactor;
-        return static_cast<double> (mixed >> highBits) / std::exp2 (highBits);
-    }
-
-private:
-    std::uint64_t draw;
-    bool drawsAll;
-    double share = 1.0;
-};
+    const auto drawn = input.promptTokens > 0.0 ? weights.drawn : weights.drawnForCalls;
+    return drawn / static_cast<double> (replicas);
+}
 
 /** Leaves out replicas that were not drawn and hold nothing of the prompt; the one whose place is first stays, so that one
     does where none was drawn.
 */
 auto keepDrawn (std::vector<Candidate>& candidates,
                 std::span<const ReplicaState> replicas,
-                const DrawnReplicas& drawn,
-                const RankedFirst& ranked,
-                const ChoiceInput& input) -> void
+                const ChoiceInput& input,
+                const ChoiceWeights& weights,
+                const RankedFirst& ranked) -> void
 {
-    if (candidates.empty() || drawn.hasAll())
+    const auto share = drawnShare (input, weights, replicas.size());
+
+    if (share >= 1.0 || candidates.empty())
         return;
 
-    const auto place = [&] (const Candidate& candidate) { return drawn.placeOf (replicas[candidate.index]); };
-    const auto first = std::ranges::min_element (candidates, {}, place)->index;
+    constexpr auto bits = 64;
+
+    for (auto& candidate : candidates)
+        candidate.place =
+            static_cast<double> (rendezvousValue (input.draw, replicas[candidate.index].info.name)) /
+            std::exp2 (bits);
+
+    const auto first = std::ranges::min_element (candidates, {}, &Candidate::place)->index;
     std::erase_if (candidates,
                    [&] (const Candidate& candidate)
                    {
-                       const auto isKept = drawn.has (replicas[candidate.index]) ||
-                                           candidate.index == first ||
+                       const auto isKept = candidate.place < share || candidate.index == first ||
                                            candidate.uncachedTokens < input.promptTokens ||
                                            (! input.blocks.empty() && ranked.is (candidate.index));
                        return ! isKept;
@@ -261,7 +242,7 @@
         const auto uncached = std::max (0.0, input.promptTokens - matchedTokens (input, replica.number));
         const auto room = ! input.isOverShare || believedRequests (replica, now, others) + 1.0 <=
                                                      weights.fullOccupancy * replica.info.slots;
-        choice.candidates.push_back ({ index, 0.0, uncached, room });
+        choice.candidates.push_back ({ index, 0.0, uncached, room, 0.0 });
     }
 
     if (input.isOverShare)
@@ -277,7 +258,7 @@
             ranked.see (candidate.index, replicas[candidate.index]);
     }
 
-    keepDrawn (choice.candidates, replicas, DrawnReplicas (input, weights, replicas.size()), ranked, input);
+    keepDrawn (choice.candidates, replicas, input, weights, ranked);
 
     if (choice.candidates.empty())
         return {};
--- a/modules/snowrudder_routing/choice/ChooseReplica.h
+++ b/modules/snowrudder_routing/choice/ChooseReplica.h
@@ -83,6 +83,8 @@
     double uncachedTokens = 0.0;
     /** Whether it takes a request of an account over its share. */
     bool hasRoom = true;
+    /** Where the request's draw puts it among all, from 0 to 1, where replicas are drawn. */
+    double place = 0.0;
 };
 
 /** What was chosen and why. */
