A router that is asked to stop ends as asked, whoever still waits in it

Callers saw a connection end without an answer, and operators a router that ended by SIGSEGV in place of 0: in the last moment of a planned stop or a reclaim, where calls still waited for a place before a service. Cause: a process's loops, shared tables and workers were destroyed in an order in which each part met what was gone. A loop ends what waits in it only in its own destructor; that gives places back and wakes others in loops destroyed before it, and the tables, destroyed last, held timers of the loops. The address checks on: heap-use-after-free in ~Signal, from ~ServiceQueues, from ~Router, freed by ~io_context. Change: one order for all programs (docs/ARCHITECTURE.md, What outlives what): loops are declared first and destroyed last, threads are joined, then all that waits in any loop is ended while all of it is there. The same order in snowrudder-admin, the stand-ins and snowrudder-load. It holds for coroutines to come, where a guard at one place would not.

--- a/modules/snowrudder_fakes/common/FakeServer.cpp
+++ b/modules/snowrudder_fakes/common/FakeServer.cpp
@@ -5,7 +5,7 @@
 
 namespace json = boost::json;
 
-auto runFakeServer (asio::io_context& loop,
+auto runFakeServer (EventLoop& loop,
                     const std::string& listen,
                     const std::string& program,
                     ExchangeHandler handler) -> int
--- a/modules/snowrudder_fakes/common/FakeServer.h
+++ b/modules/snowrudder_fakes/common/FakeServer.h
@@ -18,7 +18,7 @@
     @param loop     the loop that the handler's own work runs on
     @returns        the process's exit code
 */
-auto runFakeServer (asio::io_context& loop,
+auto runFakeServer (EventLoop& loop,
                     const std::string& listen,
                     const std::string& program,
                     ExchangeHandler handler) -> int;
--- a/modules/snowrudder_load/client/Caller.h
+++ b/modules/snowrudder_load/client/Caller.h
@@ -15,7 +15,7 @@
 
     const schema::LoadSettings& settings;
     const LoadPlan& plan;
-    asio::io_context loop { 1 };
+    EventLoop loop { 1 };
     ConnectionPool pool { loop.get_executor() };
     RequestSource source;
     std::minstd_rand random;
--- a/modules/snowrudder_load/client/LoadRun.cpp
+++ b/modules/snowrudder_load/client/LoadRun.cpp
@@ -132,6 +132,10 @@
     for (auto& thread : threads)
         thread.join();
 
+    // Requests that are not waited for any longer refer to what their callers are destroyed with.
+    for (auto& caller : callers)
+        caller.loop.endWaiting();
+
     for (const auto& caller : callers)
         if (caller.open > 0)
             LogLine ("not_waited_for").with ("requests", caller.open).warning();
--- a/modules/snowrudder_net/concurrency/EventLoop.h
+++ b/modules/snowrudder_net/concurrency/EventLoop.h
@@ -15,7 +15,7 @@
 public:
     using boost::asio::io_context::io_context;
 
-    /** Ends all coroutines that wait in the loop. To be called once, after run() has returned; nothing runs in it afterwards. */
+    /** Ends all coroutines that wait in the loop. To be called after run() has returned; nothing runs in it afterwards. */
     auto endWaiting() -> void { shutdown(); }
 };
 
--- a/modules/snowrudder_net/concurrency/WorkerPool.cpp
+++ b/modules/snowrudder_net/concurrency/WorkerPool.cpp
@@ -41,4 +41,14 @@
         loop.stop();
 }
 
+auto WorkerPool::endWaiting() -> void
+{
+    // What ends in one loop may wake what waits in another: the second round takes what the first has left there.
+    constexpr auto rounds = 2;
+
+    for (auto round = 0; round < rounds; ++round)
+        for (auto& loop : loops)
+            loop.endWaiting();
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_net/concurrency/WorkerPool.h
+++ b/modules/snowrudder_net/concurrency/WorkerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AsioNames.h"
+#include "EventLoop.h"
 
 #include <atomic>
 #include <deque>
@@ -35,10 +36,15 @@
     /** Ends every loop. Any thread may call it. */
     auto stop() -> void;
 
+    /** Ends what still waits in the loops, while all loops and all that it refers to are there. To be called once the threads
+        have been joined and before anything that coroutines use is destroyed.
+    */
+    auto endWaiting() -> void;
+
 private:
     using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-    std::deque<asio::io_context> loops;
+    std::deque<EventLoop> loops;
     std::vector<WorkGuard> guards;
     std::vector<std::thread> threads;
 };
--- a/modules/snowrudder_net/server/RunServer.cpp
+++ b/modules/snowrudder_net/server/RunServer.cpp
@@ -8,7 +8,7 @@
 namespace snowrudder
 {
 
-auto runServer (asio::io_context& loop,
+auto runServer (EventLoop& loop,
                 const std::string& listen,
                 const std::string& program,
                 const ServerLimits& limits,
@@ -20,6 +20,7 @@
 
     if (const auto error = server->listen (parseEndpoint (listen)))
     {
+        loop.endWaiting();
         std::fprintf (stderr, "%s: can't listen on %s: %s\n", program.c_str(), listen.c_str(),
                       error.message().c_str());
         return static_cast<int> (ExitCode::unavailable);
@@ -30,6 +31,7 @@
 
     LogLine ("started").with ("listen", listen).info();
     loop.run();
+    loop.endWaiting();
     return static_cast<int> (ExitCode::success);
 }
 
--- a/modules/snowrudder_net/server/RunServer.h
+++ b/modules/snowrudder_net/server/RunServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../concurrency/EventLoop.h"
 #include "HttpServer.h"
 
 #include <string>
@@ -7,7 +8,7 @@
 namespace snowrudder
 {
 
-/** Runs a server on one event loop until SIGTERM or SIGINT.
+/** Runs a server on one event loop until SIGTERM or SIGINT, and ends what then still waits in it.
 
     @param loop     the loop that the handler's own work runs on
     @param listen   IP-NUMBER:PORT
@@ -16,7 +17,7 @@
     @param handler  answers each request
     @returns        the process's exit code
 */
-auto runServer (asio::io_context& loop,
+auto runServer (EventLoop& loop,
                 const std::string& listen,
                 const std::string& program,
                 const ServerLimits& limits,
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -30,12 +30,19 @@
 
 } // namespace
 
-Router::Router (const schema::RouterSettings& settings) : state (settings), pool (workerCount (settings))
+Router::Router (const schema::RouterSettings& settings) : pool (workerCount (settings)), state (settings)
 {
     for (auto index = std::size_t { 0 }; index < pool.size(); ++index)
         workers.emplace_back (pool.loop (index));
 }
 
+Router::~Router()
+{
+    pool.stop();
+    pool.join();
+    pool.endWaiting();
+}
+
 auto Router::run() -> std::error_code
 {
     if (const auto error = listen())
--- a/modules/snowrudder_router/Router.h
+++ b/modules/snowrudder_router/Router.h
@@ -16,6 +16,14 @@
 public:
     explicit Router (const schema::RouterSettings& settings);
 
+    /** Ends what still waits in the loops while all that it refers to is there: see "What outlives what" in
+        docs/ARCHITECTURE.md.
+    */
+    ~Router();
+
+    Router (const Router&) = delete;
+    auto operator= (const Router&) -> Router& = delete;
+
     /** Serves until a planned stop (SIGTERM or SIGINT) has ended.
 
         @returns an error when the address can't be listened on
@@ -33,8 +41,9 @@
     auto waitForSign() -> Task<Duration>;
     auto waitUntilIdle (TimePoint end) -> Task<bool>;
 
-    RouterState state;
+    /** Destroyed last: sockets, timers and signals of the members below belong to its loops. */
     WorkerPool pool;
+    RouterState state;
     std::deque<Worker> workers;
 };
 
--- a/programs/snowrudder-admin.cpp
+++ b/programs/snowrudder-admin.cpp
@@ -16,7 +16,7 @@
     const auto settings = loadProcessSettings<schema::AdminSettings> (line, program);
     startLogging (settings.node().name(), line.logLevel);
 
-    asio::io_context loop (1);
+    EventLoop loop (1);
     AdminState state (loop, settings);
     return runServer (loop, settings.listen(), program, {},
                       [&] (Exchange& exchange) { return handleAdmin (state, exchange); });
--- a/programs/snowrudder-fake-engine.cpp
+++ b/programs/snowrudder-fake-engine.cpp
@@ -13,7 +13,7 @@
     const auto settings = loadProcessSettings<schema::FakeEngineSettings> (line, program);
     startLogging (settings.name(), line.logLevel);
 
-    asio::io_context loop (1);
+    EventLoop loop (1);
     FakeEngine engine (loop, settings);
     engine.start();
     return runFakeServer (loop, settings.listen(), program,
--- a/programs/snowrudder-fake-platform.cpp
+++ b/programs/snowrudder-fake-platform.cpp
@@ -18,7 +18,7 @@
     const auto settings = loadProcessSettings<schema::FakePlatformSettings> (line, program);
     startLogging (program, line.logLevel);
 
-    asio::io_context loop (1);
+    EventLoop loop (1);
     FakePlatform platform (loop, settings);
 
     if (const auto error = platform.loadInitialState (line.settingsFile); ! error.empty())
--- a/programs/snowrudder-fake-service.cpp
+++ b/programs/snowrudder-fake-service.cpp
@@ -13,7 +13,7 @@
     const auto settings = loadProcessSettings<schema::FakeServiceSettings> (line, program);
     startLogging (settings.name(), line.logLevel);
 
-    asio::io_context loop (1);
+    EventLoop loop (1);
     FakeService service (loop, settings);
     return runFakeServer (loop, settings.listen(), program,
                           [&] (Exchange& exchange) { return service.handle (exchange); });
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -15,6 +15,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("SNOWRUDDER_BUILD", ROOT / "build"))
 MODEL = "test-model"
+NODE_SECRET = "test secret"
 LONGEST_WAIT = 20.0
 
 
@@ -196,7 +197,7 @@
 class Deployment:
     """A small deployment: the platform, engines, plain services and routers, each a process."""
 
-    def __init__(self, routers=2, engines=2, services=2, tree=None, engine=None, router=None, slots=8):
+    def __init__(self, routers=2, engines=2, services=2, tree=None, engine=None, router=None, slots=8, environment=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-test-"))
         self.processes = {}
         ports = free_ports(2 + routers + engines + services)
@@ -210,6 +211,7 @@
         self.tree = tree or usual_tree()
         self.engine_settings = {"step_microseconds": 2000, "slots": slots, **(engine or {})}
         self.router_settings = router or {}
+        self.environment = {**os.environ, **(environment or {})}
 
     def __enter__(self):
         try:
@@ -231,7 +233,7 @@
         path = self.settings_file(name, settings)
         log = open(self.folder / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen([BUILD / program, "--settings", path], stdin=subprocess.DEVNULL,
-                                                stdout=log, stderr=log)
+                                                stdout=log, stderr=log, env=self.environment)
         log.close()
 
     def vm_list(self):
@@ -261,12 +263,12 @@
         self.launch(name, "snowrudder-router", {
             "node": {"name": name, "vm": f"vm-{name}", "failure_domain": self.domains[index % 2], "region": "test"},
             "listen": f"127.0.0.1:{self.routers[name]}", "platform": f"127.0.0.1:{self.platform}",
-            "node_secret": "test secret", "peers": peers, **self.router_settings})
+            "node_secret": NODE_SECRET, "peers": peers, **self.router_settings})
 
     def start_admin(self):
         self.launch("admin", "snowrudder-admin", {
             "node": {"name": "admin", "vm": "vm-router-1", "failure_domain": self.domains[0], "region": "test"},
-            "listen": f"127.0.0.1:{self.admin}", "platform": f"127.0.0.1:{self.platform}", "node_secret": "test secret",
+            "listen": f"127.0.0.1:{self.admin}", "platform": f"127.0.0.1:{self.platform}", "node_secret": NODE_SECRET,
             "routers": self.router_entries(), "operators": [{"name": "ops", "sha256": sha256("key-ops"), "role": "EDIT"},
                                               {"name": "viewer", "sha256": sha256("key-viewer"), "role": "READ"}]})
         wait_until(lambda: self.answers(self.admin), "admin answers")
--- a/tests/process/test_stops.py
+++ b/tests/process/test_stops.py
@@ -1,5 +1,7 @@
 """Stops, reclaims and losses under load, on real processes."""
 import concurrent.futures
+import contextlib
+import http.client
 import json
 import re
 import signal
@@ -8,6 +10,8 @@
 
 from harness import Deployment, Stream, bearer, chat_body, request, text_of, wait_until
 
+# The C library fills what is freed with this byte: a use of it is seen.
+FILL_FREED = {"MALLOC_PERTURB_": "165"}
 ROUTER = {"slot_lease_milliseconds": 2000, "slot_margin_milliseconds": 400}
 
 
@@ -50,7 +54,7 @@
                 elif identifier is None:
                     self.error = json.loads(stream.response.read())
                     return self
-            except (OSError, ValueError, IndexError, __import__("http.client").client.HTTPException):
+            except (OSError, ValueError, IndexError, http.client.HTTPException):
                 pass
             if self.done or self.error:
                 return self
@@ -157,6 +161,11 @@
 
     def test_an_answer_that_ended_unread_outlives_its_router(self):
         # The caller is cut off in the middle, the answer ends without it, and then its router goes.
+        #
+        # Once in three whole runs the router ended by SIGSEGV. The address checks find one fault here, 24 times of 24: after a
+        # reclaim notice the router stops to wait for a signal, the frame of that wait is freed, and the wait's end then writes a
+        # byte into it, that is into the frame of whatever came next. Mended, 24 times of 24 without a report. That a crash came of
+        # it was not seen: 80 runs with the fault put back and without the checks all passed.
         for stop in ("reclaim", "planned"):
             deployment = self.deployment()
             caller = Caller([deployment.router], 1, 60)
@@ -179,6 +188,33 @@
             caller.take(rest)
             self.assertTrue(caller.done, stop)
 
+    def test_a_router_that_ends_while_callers_wait_for_a_place_ends_as_asked(self):
+        # Calls wait for a place before a service that answers nothing, and their router has to go: its time to end what it
+        # has is shorter than their wait. Whoever waits in a loop is ended with it, and refers to what all workers share and to
+        # the loop of whoever waits behind it. These were destroyed before: first the loops, one after the other, then the
+        # shared tables with the timers of those loops. What is freed is filled here, so that its use shows: the router
+        # ended by a signal (SIGSEGV), where it ends with 0 when it is asked to.
+        for stop in (signal.SIGTERM, signal.SIGTERM, None, None):
+            deployment = self.deployment(routers=1, services=1, slots=1, environment=FILL_FREED,
+                                         router={"timeouts": {"drain_milliseconds": 300}})
+            deployment.fault(deployment.services["service-1"], stall=True)
+
+            def call(_):
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    request(deployment.router, "GET", "/services/plain/x", headers=bearer())
+
+            with concurrent.futures.ThreadPoolExecutor(24) as pool:
+                calls = [pool.submit(call, number) for number in range(24)]
+                wait_until(lambda: deployment.metric("router-1", "snowrudder_requests_total") >= 24, "all calls are there")
+                if stop:
+                    deployment.processes["router-1"].send_signal(stop)
+                else:
+                    request(deployment.platform, "POST", "/cloud/reclaim", {"vm": "vm-router-1", "notice_milliseconds": 600})
+                self.assertEqual(deployment.processes["router-1"].wait(20), 0)
+                for made in calls:
+                    made.result()
+            self.assertRegex(deployment.log("router-1"), "drained .*in_time=no\n(.*\n)*.* stopped\n")
+
     def one_left(self, deployment):
         return next(port for name, port in deployment.routers.items() if deployment.processes[name].poll() is None)
 
