A request that two routers hand over at once is taken once

Callers saw the connections of a router end and its requests lost (404 on resuming): the heir ended with 'a request identifier names one request' as its last line. Cause: it looked whether it had the request, restored the answer so far, and only then added the record; two handovers of one request at the same moment (a paused heir that runs again and is reclaimed itself) both found nothing, and adding an identifier twice ends the process. Change: RequestTable::addHanded() looks and adds in one step, and whoever comes second gets the first one's record. Records are whole when they are added: of a chat request too, whose run was made after its record could be found, so that a handover in between passed it over. The same in keepHandedAnswer().

--- a/modules/snowrudder_requests/record/RequestTable.cpp
+++ b/modules/snowrudder_requests/record/RequestTable.cpp
@@ -23,6 +23,19 @@
     return nullptr;
 }
 
+auto RequestTable::addHanded (const RecordPointer& record) -> RecordPointer
+{
+    const std::lock_guard lock (mutex);
+    const std::string noKey;
+    const auto [place, isNew] =
+        records.emplace (toString (record->identity().id), Entry { record, noKey, false });
+
+    if (isNew)
+        ++openRecords;
+
+    return place->second.record;
+}
+
 auto RequestTable::find (const std::string& id, std::string_view account) const -> RecordPointer
 {
     const std::lock_guard lock (mutex);
--- a/modules/snowrudder_requests/record/RequestTable.h
+++ b/modules/snowrudder_requests/record/RequestTable.h
@@ -36,6 +36,13 @@
     */
     auto add (const RecordPointer& record, std::string_view key) -> RecordPointer;
 
+    /** Adds a request that another router handed over, unless it is here already: it may be handed over twice, also by two
+        routers at once. Whether it is here and its addition are one step, since an identifier that is added twice ends the process.
+
+        @returns the record that stands under the identifier: this one, or the earlier one
+    */
+    auto addHanded (const RecordPointer& record) -> RecordPointer;
+
     /** @returns the record of an identifier, or nullptr; another client account's is not found either. */
     [[nodiscard]] auto find (const std::string& id, std::string_view account) const -> RecordPointer;
 
--- a/modules/snowrudder_router/model/ChatHandler.cpp
+++ b/modules/snowrudder_router/model/ChatHandler.cpp
@@ -86,6 +86,10 @@
 
     const auto record = makeRecord (scope, wanted, exchange);
 
+    // Made before the record can be found: it keeps the caller's request, without which a leaving router hands nothing over.
+    const auto run = std::make_shared<ModelRun> (state, worker, record, std::move (wanted.request),
+                                                 scope.account, std::move (wanted.service));
+
     if (const auto earlier = state.requests.add (record, wanted.key))
     {
         admitted.reset();
@@ -102,8 +106,6 @@
     // The whole request lives on in the run; the connection need not keep it too.
     exchange.request().body() = {};
 
-    const auto run = std::make_shared<ModelRun> (state, worker, record, std::move (wanted.request),
-                                                 scope.account, std::move (wanted.service));
     run->start (std::move (admitted));
     co_await relayRecord (state, exchange, record, 0);
 }
--- a/modules/snowrudder_router/model/RequestHandover.cpp
+++ b/modules/snowrudder_router/model/RequestHandover.cpp
@@ -80,6 +80,36 @@
         .write (heir.empty() ? LogLevel::warning : LogLevel::info);
 }
 
+/** @returns the record of a request that is handed over, with the part of its answer made so far; nothing where that part makes
+    no sense.
+*/
+auto restoreRecord (const schema::HandedRequest& message, const RequestId& id, const ChatRequest& request)
+    -> std::shared_ptr<RequestRecord>
+{
+    const auto answer =
+        StreamedAnswer::restore (message.text(), { message.events().begin(), message.events().end() },
+                                 { message.choices().begin(), message.choices().end() });
+
+    if (! answer)
+        return nullptr;
+
+    RequestIdentity identity;
+    identity.id = id;
+    identity.account = message.account();
+    identity.service = message.service();
+    identity.model = request.model;
+    identity.stream = request.stream;
+    identity.includeUsage = request.includeUsage;
+    identity.accepted = SteadyClock::now();
+    identity.deadline = identity.accepted + std::chrono::milliseconds (message.milliseconds_left());
+    identity.created = std::chrono::sys_seconds (std::chrono::seconds (message.created_seconds()));
+    identity.contentHash = message.content_hash();
+
+    const auto record = std::make_shared<RequestRecord> (std::move (identity));
+    record->restore (*answer);
+    return record;
+}
+
 } // namespace
 
 auto handOverRequests (RouterState& state, Worker& worker) -> Task<void>
@@ -106,56 +136,43 @@
     if (! id || ! std::holds_alternative<ChatRequest> (parsed) || ! service || ! account)
         return false;
 
-    // The same request handed over twice is taken once.
-    if (state.requests.find (message.request_id(), message.account()))
-        return true;
-
     auto request = std::get<ChatRequest> (std::move (parsed));
-    RequestIdentity identity;
-    identity.id = *id;
-    identity.account = account->name;
-    identity.service = service->name;
-    identity.model = request.model;
-    identity.stream = request.stream;
-    identity.includeUsage = request.includeUsage;
-    identity.accepted = SteadyClock::now();
-    identity.deadline = identity.accepted + std::chrono::milliseconds (message.milliseconds_left());
-    identity.created = std::chrono::sys_seconds (std::chrono::seconds (message.created_seconds()));
-    identity.contentHash = message.content_hash();
-
-    const auto answer =
-        StreamedAnswer::restore (message.text(), { message.events().begin(), message.events().end() },
-                                 { message.choices().begin(), message.choices().end() });
+    const auto record = restoreRecord (message, *id, request);
 
-    if (! answer)
+    if (! record)
         return false;
 
-    const auto record = std::make_shared<RequestRecord> (std::move (identity));
-    record->restore (*answer);
-    const std::string noKey;
-    state.requests.add (record, noKey);
-    LogLine ("request_taken_over")
-        .with ("request", message.request_id())
-        .with ("events", answer->eventCount())
-        .with ("whole", message.has_finish_reason() ? "yes" : "no")
-        .info();
+    std::shared_ptr<ModelRun> run;
 
     if (message.has_finish_reason())
     {
         record->keepRequest (std::make_shared<const ChatRequest> (std::move (request)));
         record->finish (message.finish_reason(),
                         { message.prompt_tokens(), message.cached_tokens(), message.answer_tokens() });
-        state.requests.noteEnded (record, SteadyClock::now());
-        return true;
     }
+    else
+    {
+        run = std::make_shared<ModelRun> (state, worker, record, std::move (request), account, service);
 
-    const auto run =
-        std::make_shared<ModelRun> (state, worker, record, std::move (request), account, service);
+        if (message.prompt_tokens() > 0)
+            run->goOnFrom ({ message.prompt_tokens(), message.cached_tokens(), 0 }, message.answer_tokens());
+    }
 
-    if (message.prompt_tokens() > 0)
-        run->goOnFrom ({ message.prompt_tokens(), message.cached_tokens(), 0 }, message.answer_tokens());
+    // The same request handed over twice is taken once.
+    if (state.requests.addHanded (record) != record)
+        return true;
+
+    LogLine ("request_taken_over")
+        .with ("request", message.request_id())
+        .with ("events", record->eventCount())
+        .with ("whole", run ? "no" : "yes")
+        .info();
+
+    if (run)
+        run->start (nullptr);
+    else
+        state.requests.noteEnded (record, SteadyClock::now());
 
-    run->start (nullptr);
     return true;
 }
 
--- a/modules/snowrudder_router/once/SlotHandover.cpp
+++ b/modules/snowrudder_router/once/SlotHandover.cpp
@@ -148,13 +148,16 @@
         .info();
 }
 
-/** Keeps a call's answer that the slot's last owner made, so that it can be asked for again here. */
-auto keepHandedAnswer (RouterState& state, const schema::HandedKey& handed) -> void
+/** Keeps a call's answer that the slot's last owner made, so that it can be asked for again here.
+
+    @returns where it is kept, or nothing
+*/
+auto keepHandedAnswer (RouterState& state, const schema::HandedKey& handed) -> std::shared_ptr<RequestRecord>
 {
     const auto id = parseRequestId (handed.request_id());
 
     if (! id)
-        return;
+        return nullptr;
 
     RequestIdentity identity;
     identity.id = *id;
@@ -164,15 +167,14 @@
     identity.contentHash = handed.content_hash();
 
     const auto record = std::make_shared<RequestRecord> (std::move (identity));
-    const std::string noKey;
-
-    if (state.requests.find (handed.request_id(), handed.account()) != nullptr)
-        return;
-
     record->finish (
         KeptAnswer { handed.answer().status(), handed.answer().content_type(), handed.answer().body() });
-    state.requests.add (record, noKey);
-    state.requests.noteEnded (record, SteadyClock::now());
+    const auto kept = state.requests.addHanded (record);
+
+    if (kept == record)
+        state.requests.noteEnded (record, SteadyClock::now());
+
+    return kept;
 }
 
 } // namespace
@@ -236,11 +238,11 @@
             if (! uuid || key.state() > static_cast<std::uint32_t> (KeyState::mayHaveRun))
                 return false;
 
-            inheritance.entries.push_back ({ key.account(), *uuid, key.content_hash(),
-                                             static_cast<KeyState> (key.state()), key.request_id() });
-
             if (key.has_answer())
                 keepHandedAnswer (state, key);
+
+            inheritance.entries.push_back ({ key.account(), *uuid, key.content_hash(),
+                                             static_cast<KeyState> (key.state()), key.request_id() });
         }
 
         const std::lock_guard lock (state.once.mutex);
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -1,5 +1,6 @@
 """Real processes over loopback for the tests beside this file: starts a small deployment, and speaks to it."""
 import hashlib
+import hmac
 import http.client
 import itertools
 import json
@@ -104,6 +105,32 @@
     }
 
 
+def varint(number):
+    out = b""
+    while number > 127:
+        out, number = out + bytes([number & 127 | 128]), number >> 7
+    return out + bytes([number])
+
+
+def message(fields):
+    """A Protobuf message of texts and whole numbers, by field number."""
+    out = b""
+    for number, value in fields.items():
+        if isinstance(value, int):
+            out += varint(number << 3) + varint(value)
+        else:
+            data = value.encode()
+            out += varint(number << 3 | 2) + varint(len(data)) + data
+    return out
+
+
+def signed(path, body, node="router-9"):
+    """The header by which a router knows another's call."""
+    moment = str(int(time.time() * 1000))
+    covered = f"{node};{moment};POST {path}   ".encode() + body
+    return {"Snowrudder-Node": f"{node};{moment};{hmac.new(NODE_SECRET.encode(), covered, hashlib.sha256).hexdigest()}"}
+
+
 class Answer:
     """A whole HTTP answer."""
 
--- a/tests/process/test_stops.py
+++ b/tests/process/test_stops.py
@@ -8,7 +8,7 @@
 import threading
 import unittest
 
-from harness import Deployment, Stream, bearer, chat_body, request, text_of, wait_until
+from harness import Deployment, Stream, bearer, chat_body, message, request, signed, text_of, uuid7, wait_until
 
 # The C library fills what is freed with this byte: a use of it is seen.
 FILL_FREED = {"MALLOC_PERTURB_": "165"}
@@ -188,6 +188,23 @@
             caller.take(rest)
             self.assertTrue(caller.done, stop)
 
+    def test_the_same_request_handed_over_twice_at_once_is_taken_once(self):
+        # Two routers can hand the same request to one heir at the same moment: the first asked another heir, which was paused
+        # and took the request after its time was up; then both leave. The heir looked whether it had the request, restored the
+        # answer so far, and only then added it; a second thread in between did the same, and adding an identifier twice
+        # ends the process: "a request identifier names one request" was the last line of its log, and with it went the
+        # requests of all its callers.
+        deployment = self.deployment(routers=1, engines=1, router={"workers": 4})
+        text = "piece" * 100_000
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            for _ in range(60):
+                body = message({1: f"router-9.{uuid7()}", 2: "alpha", 3: "models", 4: json.dumps(chat_body("q", True)), 7: 1, 8: 9000,
+                                9: text, 10: 2 * len(text)})
+                hand = lambda _: request(deployment.router, "POST", "/internal/request", body, signed("/internal/request", body))
+                self.assertEqual([answer.status for answer in pool.map(hand, range(8))], [200] * 8, deployment.log("router-1")[-300:])
+        taken = re.findall(r"request_taken_over request=(\S+)", deployment.log("router-1"))
+        self.assertEqual((len(taken), len(set(taken))), (60, 60))
+
     def test_a_router_that_ends_while_callers_wait_for_a_place_ends_as_asked(self):
         # Calls wait for a place before a service that answers nothing, and their router has to go: its time to end what it
         # has is shorter than their wait. Whoever waits in a loop is ended with it, and refers to what all workers share and to
--- a/tests/unit/RequestTests.cpp
+++ b/tests/unit/RequestTests.cpp
@@ -149,6 +149,18 @@
     CHECK (table.decide (call, now, wallNow, now + 1s).verdict == KeyVerdict::unknown);
 }
 
+TEST_CASE ("a request that is handed over twice is added once")
+{
+    RequestTable table (1s, 1024);
+    RequestIdentity identity;
+    identity.id = { "router", makeUuid (wallNow) };
+    const auto first = std::make_shared<RequestRecord> (identity);
+    const auto second = std::make_shared<RequestRecord> (identity);
+    CHECK (table.addHanded (first) == first);
+    CHECK (table.addHanded (second) == first);
+    CHECK (table.openCount() == 1);
+}
+
 TEST_CASE ("a call that is proved not to have run may run yet")
 {
     auto table = owningTable (wallNow - 1h);
