Requests that replicas began and failed are in the usage reports

Cause: a request was noted as begun only where an answer was passed on; a replica's 500 that was to be tried again returned before that, and where nothing was left of the retry budget the caller got our 502. Change: noted as soon as the replica's own answer says that it ran, before the choice to try again. It holds for every way a begun request can end, since all of them come after that answer.

--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -216,6 +216,10 @@
     if (answer.isNotRun)
         return failed (call, FailureCause::refused);
 
+    // A replica that began and failed has begun all the same: counted only where its answer was passed on, a twelfth of a
+    // window's requests was left out of the usage report while replicas failed 45% of theirs.
+    noteBegun();
+
     if (! events.lastEvent().empty() && ! answer.isSuccess)
         return failed (call, FailureCause::failed);
 
@@ -224,8 +228,6 @@
     if (call.status() >= serverErrors && mayRunAgain())
         return failed (call, FailureCause::failed);
 
-    noteBegun();
-
     if (answer.isSuccess)
         state.replicas.noteWait (request.service, prompt.ownTokens(), now - sent);
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -387,6 +387,27 @@
                 windows.setdefault(entry[3]["window_id"], set()).add(str(entry[3]["counts"]))
             self.assertTrue(all(len(counts) == 1 for counts in windows.values()))
 
+    def counted(self, platform):
+        """Requests in the usage reports, each window once."""
+        return sum(entry[3]["counts"].get("alpha", 0) for entry in {
+            call[3]["window_id"]: call for call in platform.cloud.of("/usage")}.values())
+
+    def test_requests_that_replicas_began_and_failed_are_reported(self):
+        # Replicas begin requests and answer 500; nothing is left of the budget for a second attempt, and the caller gets our 502. A replica has begun
+        # them, so they belong to the usage of their account. They were counted only where an answer was passed on: the report
+        # of a window in which all replicas failed 45% of their requests lacked 322 to 330 of 3,650, and its log had 317 lines
+        # "request_ended" with status=502 and runs=2.
+        with Platform(replicas=2) as platform:
+            wait_until(lambda: platform.cloud.of("/usage"), "the duties are taken")
+            for replica in platform.replicas:
+                replica.behave = ["fail"] * 100
+            answers = [platform.first.call("GET", "/again/x", id=f"r-{number}").status for number in range(40)]
+            begun = {run for replica in platform.replicas for run in replica.runs}
+            self.assertGreater(len(begun), 5)
+            self.assertIn(502, answers)
+            last = platform.cloud.of("/usage")[-1][3]["window_id"] + 4
+            wait_until(lambda: platform.cloud.of("/usage")[-1][3]["window_id"] >= last, "its windows are reported")
+            self.assertEqual(self.counted(platform), len(begun), answers)
 
 class Starts(unittest.TestCase):
     def first_answer(self, node, **traits):
