A holder of the duties reports windows that ended before it started

Cause: a holder left out all windows that had ended before its process started; with restarts in turn whoever follows has started after the end of windows that nobody has reported yet. Change: windowsDue() decides, a function over plain data: windows from before the start belong to it from the first on in which others are known to have counted something, once the node has run for as long as they need to tell it. A fleet's first start still reports nothing from before it. It holds whichever node follows, since each reader is told all counts of the last windows. Four unit tests of the decision; they can't be built on the old code, where it stood inside a coroutine.

--- a/modules/snowrudder_serving/duties/UsageGathering.cpp
+++ b/modules/snowrudder_serving/duties/UsageGathering.cpp
@@ -117,6 +117,28 @@
     return recent;
 }
 
+auto UsageGathering::oldestWindow() const -> std::optional<std::uint64_t>
+{
+    std::optional<std::uint64_t> oldest;
+
+    const auto look = [&oldest] (const CountsByWindow& counts)
+    {
+        if (! counts.empty())
+            oldest = std::min (oldest.value_or (counts.begin()->first), counts.begin()->first);
+    };
+
+    for (const auto& [name, node] : nodes)
+    {
+        look (node.counts);
+        look (node.earlier);
+    }
+
+    for (const auto& [domain, counts] : domains)
+        look (counts);
+
+    return oldest;
+}
+
 auto UsageGathering::dropBefore (std::uint64_t window) -> void
 {
     for (auto& [name, node] : nodes)
--- a/modules/snowrudder_serving/duties/UsageGathering.h
+++ b/modules/snowrudder_serving/duties/UsageGathering.h
@@ -2,6 +2,7 @@
 
 #include "../members/UsageNotice.h"
 
+#include <optional>
 #include <string>
 
 namespace snowrudder
@@ -36,6 +37,9 @@
     */
     [[nodiscard]] auto recentOfDomain (const UsageWindows& own, Duration time) const -> CountsByWindow;
 
+    /** @returns the oldest window in which another node is known to have counted something. */
+    [[nodiscard]] auto oldestWindow() const -> std::optional<std::uint64_t>;
+
     /** Forgets windows before one. */
     auto dropBefore (std::uint64_t window) -> void;
 
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -1,10 +1,9 @@
 #include "../store/StoreTransactions.h"
 #include "DutyLoops.h"
+#include "UsageSchedule.h"
 
 #include <boost/json.hpp>
 
-#include <set>
-
 namespace snowrudder
 {
 
@@ -15,19 +14,8 @@
 
 constexpr auto tick = 500ms;
 
-/** How long after a window's end every node's last counts of it have come in: told to the readers and by them to each other
-    within 500 ms each, once more where a datagram was lost; the rest is for the ways, and for clocks that differ. It does not
-    depend on the number of nodes.
-*/
-constexpr auto settleTime = 3 * Duration (usageInterval) + Duration (500ms);
-
-/** How far back a new holder looks for windows that its predecessor may have left unreported: twice the time after which
-    a report is late.
-*/
-constexpr auto lookBack = Duration (20s);
-
 /** Counts and records are kept for longer than anybody looks back. */
-constexpr auto keepTime = 2 * lookBack;
+constexpr auto keepTime = 2 * usageLookBack;
 
 auto usageKey (std::uint64_t window) -> std::string
 {
@@ -104,31 +92,26 @@
 
 auto reportUsage (ServingState& state, const StateStore& store, const DutyCalls& calls) -> Task<void>
 {
-    std::set<std::uint64_t> reported;
-    const auto firstWindow = state.usage.windowOf (state.trueTime.now (SteadyClock::now()));
+    UsageSchedule schedule;
+    schedule.started = state.trueTime.now (SteadyClock::now());
 
     for (;;)
     {
         co_await pauseFor (state.loop, tick);
 
         const auto now = state.trueTime.now (SteadyClock::now());
-        const auto current = state.usage.windowOf (now);
-        const auto oldest = state.usage.windowOf (now - lookBack);
         const auto oldestKept = state.usage.windowOf (now - keepTime);
         state.usage.dropBefore (oldestKept);
         state.usageOfOthers.dropBefore (oldestKept);
-        reported.erase (reported.begin(), reported.lower_bound (oldest));
+        schedule.reported.erase (schedule.reported.begin(), schedule.reported.lower_bound (oldestKept));
 
-        for (auto window = std::max (oldest, firstWindow); window < current; ++window)
+        for (const auto window : windowsDue (schedule, state.usage, state.usageOfOthers, now))
         {
-            if (reported.contains (window) || now < state.usage.endOf (window) + settleTime)
-                continue;
-
             if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
                 break;
 
             if (co_await reportWindow (state, store, calls, window))
-                reported.insert (window);
+                schedule.reported.insert (window);
         }
     }
 }
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -409,6 +409,30 @@
             wait_until(lambda: platform.cloud.of("/usage")[-1][3]["window_id"] >= last, "its windows are reported")
             self.assertEqual(self.counted(platform), len(begun), answers)
 
+    def test_no_window_is_left_out_while_nodes_are_restarted_in_turn(self):
+        # One node is restarted, then the holder of the duties is stopped: who follows has started after the end of windows that
+        # nobody has reported yet, and left them out ("usage of window 356670888 didn't come by 52.000 s").
+        with Platform(nodes=2) as platform:
+            wait_until(lambda: len(platform.cloud.of("/usage")) >= 3, "usage is reported")
+            for number in range(20):
+                platform.nodes[number % 2].call("GET", "/again/x", id=f"r-{number}")
+            holder = next(node for node in platform.nodes if node.name == platform.cloud.of("/usage")[-1][1])
+            other = next(node for node in platform.nodes if node is not holder)
+            other.process.send_signal(signal.SIGTERM)
+            self.assertEqual(other.process.wait(15), 0)
+            other.start()
+            wait_until(other.is_ready, "it is back")
+            for number in range(20, 25):
+                holder.call("GET", "/again/x", id=f"r-{number}")
+            holder.process.send_signal(signal.SIGTERM)
+            wait_until(lambda: platform.cloud.of("/usage")[-1][1] == other.name, "the other has the duties")
+            until = platform.cloud.of("/usage")[-1][3]["window_id"] + 3
+            wait_until(lambda: platform.cloud.of("/usage")[-1][3]["window_id"] >= until, "it reports on")
+            windows = sorted({entry[3]["window_id"] for entry in platform.cloud.of("/usage")})
+            self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+            self.assertEqual(self.counted(platform), 25)
+
+
 class Starts(unittest.TestCase):
     def first_answer(self, node, **traits):
         """What the first request gets that the node's process accepts, and after how many seconds."""
--- /dev/null
+++ b/tests/unit/UsageScheduleTests.cpp
@@ -0,0 +1,93 @@
+#include "ServingFixtures.h"
+
+#include "snowrudder_serving/duties/UsageSchedule.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowrudder;
+
+namespace
+{
+
+constexpr auto windowLength = Duration (5s);
+
+/** In the middle of window 100. */
+constexpr auto middle = windowLength * 100 + 2s;
+
+auto noticeOf (std::uint64_t window, std::uint64_t count) -> UsageNotice
+{
+    UsageNotice notice;
+    notice.node = "other";
+    notice.incarnation = 1;
+    notice.counts[window]["alpha"] = count;
+    return notice;
+}
+
+auto noWindows() -> std::vector<std::uint64_t>
+{
+    return {};
+}
+
+} // namespace
+
+TEST_CASE ("a holder that started after a window's end reports it with what the others counted")
+{
+    // Nodes are restarted in turn, the holder of the duties among them. A window is reported two seconds after its end; whoever
+    // takes the duties in that time has been restarted after the end itself, and left out all windows from before its start. So
+    // nobody reported them: "usage of window 356670888 didn't come", where the log has duties_taken at a node that started
+    // after that window's end, and no usage_reported of it.
+    const UsageWindows own (windowLength);
+    UsageGathering others ("hall-a");
+    others.note (noticeOf (99, 7));
+    UsageSchedule schedule;
+    schedule.started = middle;
+
+    CHECK (windowsDue (schedule, own, others, middle + 3s) == std::vector<std::uint64_t> { 99 });
+
+    // A window in which nobody counted anything after one in which somebody did is due as well.
+    others.note (noticeOf (98, 3));
+    const std::vector<std::uint64_t> both { 98, 99 };
+    CHECK (windowsDue (schedule, own, others, middle + 3s) == both);
+
+    schedule.reported = { 98, 99 };
+    CHECK (windowsDue (schedule, own, others, middle + 3s) == noWindows());
+}
+
+TEST_CASE ("a holder that has just started waits until the others have told it their counts")
+{
+    const UsageWindows own (windowLength);
+    UsageGathering others ("hall-a");
+    others.note (noticeOf (99, 7));
+    UsageSchedule schedule;
+    schedule.started = middle;
+    CHECK (windowsDue (schedule, own, others, middle + 1s) == noWindows());
+}
+
+TEST_CASE ("windows from before the first start of all nodes are not reported, empty ones after it are")
+{
+    const UsageWindows own (windowLength);
+    const UsageGathering others ("hall-a");
+    UsageSchedule schedule;
+    schedule.started = middle;
+    CHECK (windowsDue (schedule, own, others, middle + 3s) == noWindows());
+
+    const auto later = windowLength * 102 + 3s;
+    CHECK (windowsDue (schedule, own, others, later) == std::vector<std::uint64_t> { 100, 101 });
+}
+
+TEST_CASE ("a window is due two seconds after its end, and for twenty seconds")
+{
+    const UsageWindows own (windowLength);
+    const UsageGathering others ("hall-a");
+    const UsageSchedule schedule;
+    const auto end = own.endOf (99);
+    const auto isDue = [&] (Duration now)
+    {
+        const auto due = windowsDue (schedule, own, others, now);
+        return std::ranges::count (due, 99U) == 1;
+    };
+    CHECK_FALSE (isDue (end + 1900ms));
+    CHECK (isDue (end + 2s));
+    CHECK (isDue (end + 19s));
+    CHECK_FALSE (isDue (end + 25s));
+}
