A node that adopted a limit's level and was not asked since does not hand it on

Callers within their limit were refused by a node that had just started, for as long as three seconds of the whole limit. Cause: a copy of a bucket that was adopted at a start is filled only when its account is asked for, and charged with what the others admit meanwhile; its level (-2,510,681 at 850,000 tokens a second, in virtual time) was told to the next node that started, which adopted it. Change: a level is told only of a bucket that is being filled. Another node answers the starting one, as all are asked.

--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -269,7 +269,8 @@
         use = { state.total, state.admitted.perSecond (startTime, now),
                 state.asked.perSecond (startTime, now), std::nullopt };
 
-        if (state.isBegun)
+        // A bucket that was adopted and not asked since has been charged, and not filled: what it holds is no level.
+        if (state.isBegun && state.bucket.rate > 0.0)
             use.level = levelAt (state.bucket, now);
     }
 
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -210,6 +210,30 @@
     CHECK_FALSE (second.admit (limits, 100.0, bounds, start + 10s).admitted);
 }
 
+TEST_CASE ("a node that adopted what is left and was not asked since hands no level on")
+{
+    // A node starts, has a request, adopts what another believes to be left, and has no more requests of the account. Its copy
+    // is charged with what the others admit, and filled only when it is asked: after 3 s of a whole limit it stood 3 s of the
+    // limit in debt. The next node that started adopted that debt and refused all that kept to the limit (level -2,510,681 at
+    // 850,000 tokens a second, adopted from a node that had started 4 s before).
+    const auto limits = account (1000.0, 5000.0);
+    QuotaBounds unsettled;
+    unsettled.unsettled = 300ms;
+    unsettled.evenShare = 0.5;
+    SharedQuota first (start);
+    first.admit (limits, 100.0, unsettled, start);
+    SharedQuota aware (start - 10s);
+    aware.admit (limits, 100.0, QuotaBounds(), start);
+    first.adopt (aware.admitted (start), start);
+
+    for (auto second = 1; second <= 3; ++second)
+        first.charge ({ { "alpha", 1000.0 } }, start + second * 1s);
+
+    SharedQuota next (start + 3s);
+    next.adopt (first.admitted (start + 3s), start + 3s);
+    CHECK (next.admit (limits, 100.0, QuotaBounds(), start + 3s).admitted);
+}
+
 TEST_CASE ("a refused request is told when the bucket is not empty any more")
 {
     SharedQuota quota;
