A node's even part of a limit is not charged with what all others admit

Callers within their limits were refused at nodes that had run for long, while other nodes were restarted in turn. Cause: while its reader starts anew a node hears fewer than half of the others and takes an even part of each limit. Its one bucket got the rate of that part (2,881 of 850,000 tokens a second at 295 nodes) and was still charged with all that the others admitted: level -1,394,371 within a second, to be paid back before it admitted anything again. Change: the even part has a bucket of its own, which begins with its part of what was left; the bucket that all nodes copy goes on at the whole rate, so that what it is charged with later is what it was filled with.

--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -46,8 +46,8 @@
 /** A ration that is not used is saved up for this long. */
 constexpr auto rationTime = 250ms;
 
-/** A ration that was not needed for so long begins anew. */
-constexpr auto rationMemory = 2s;
+/** A ration, or an even part, that was not needed for so long begins anew. */
+constexpr auto partMemory = 2s;
 
 /** @returns what all nodes together may hold of an account's burst. */
 auto burstOf (const RoutedAccount& account, const QuotaBounds& bounds) -> double
@@ -97,37 +97,85 @@
     if (! bounds.isAskedAgain)
         state.asked.add (tokens, now);
 
-    if (account.tokensPerSecond > 0.0 && bounds.unsettled > Duration::zero())
-    {
-        if (const auto admission = admitUnsettled (state, account, tokens, bounds, now); ! admission.admitted)
+    if (account.tokensPerSecond > 0.0)
+        if (const auto admission = admitLimited (state, account, tokens, bounds, now); ! admission.admitted)
             return admission;
-    }
-    else if (account.tokensPerSecond > 0.0)
-    {
-        refillBucket (state, account, bounds, now);
 
-        // The last request may be larger than what is left; the bucket makes up for it.
-        if (state.bucket.level < leastLevel)
-            return { false, timeUntil (state.bucket, leastLevel) };
+    state.total += tokens;
+    state.admitted.add (tokens, now);
+    return { true, {} };
+}
 
-        const auto allAsked = state.asked.perSecond (startTime, now) + state.othersAskedPerSecond;
-        const auto reserve = allAsked * Seconds (bounds.reportDelay).count();
+auto SharedQuota::admitLimited (State& state,
+                                const RoutedAccount& account,
+                                double tokens,
+                                const QuotaBounds& bounds,
+                                TimePoint now) -> Admission
+{
+    if (bounds.unsettled > Duration::zero())
+        return admitUnsettled (state, account, tokens, bounds, now);
 
-        if (state.bucket.level < reserve)
-        {
-            refillRation (state, bounds, tokens, reserve, now);
+    if (bounds.share < 1.0)
+        return admitEvenPart (state, account, tokens, bounds, now);
 
-            if (state.ration.level < leastLevel)
-                return { false, timeUntil (state.ration, leastLevel) };
+    return admitShared (state, account, tokens, bounds, now);
+}
 
-            state.ration.level -= tokens;
-        }
+auto SharedQuota::admitShared (State& state,
+                               const RoutedAccount& account,
+                               double tokens,
+                               const QuotaBounds& bounds,
+                               TimePoint now) -> Admission
+{
+    refillBucket (state, account, bounds, now);
+    const auto allAsked = state.asked.perSecond (startTime, now) + state.othersAskedPerSecond;
 
-        state.bucket.level -= tokens;
+    // The last request may be larger than what is left; the bucket makes up for it.
+    if (state.bucket.level < leastLevel)
+        return { false, timeUntil (state.bucket, leastLevel) };
+
+    const auto reserve = allAsked * Seconds (bounds.reportDelay).count();
+
+    if (state.bucket.level < reserve)
+    {
+        refillRation (state, tokens, reserve, bounds.draw, now);
+
+        if (state.ration.level < leastLevel)
+            return { false, timeUntil (state.ration, leastLevel) };
+
+        state.ration.level -= tokens;
     }
 
-    state.total += tokens;
-    state.admitted.add (tokens, now);
+    state.bucket.level -= tokens;
+    return { true, {} };
+}
+
+auto SharedQuota::admitEvenPart (State& state,
+                                 const RoutedAccount& account,
+                                 double tokens,
+                                 const QuotaBounds& bounds,
+                                 TimePoint now) -> Admission
+{
+    refillBucket (state, account, bounds, now);
+    auto& part = state.evenPart;
+
+    // It begins with its part of what all nodes had left when this one last heard them.
+    if (now - part.filled > partMemory)
+    {
+        part.level = state.bucket.level * bounds.share;
+        part.filled = now;
+    }
+
+    part.burst = burstOf (account, bounds) * bounds.share;
+    part.rate = account.tokensPerSecond * bounds.share;
+    refill (part, now);
+    part.level = std::min (part.level, part.burst);
+
+    if (part.level < leastLevel)
+        return { false, timeUntil (part, leastLevel) };
+
+    part.level -= tokens;
+    state.bucket.level -= tokens;
     return { true, {} };
 }
 
@@ -170,38 +218,37 @@
                                 TimePoint now) -> void
 {
     auto& bucket = state.bucket;
-    const auto burst = burstOf (account, bounds) * bounds.share;
+    const auto burst = burstOf (account, bounds);
 
     if (bucket.filled == TimePoint())
         bucket.filled = bounds.knownSince.value_or (now);
 
     // What was charged before the first request here left a debt, which has been filled up since.
     if (! state.isBegun)
-        bucket.level += startLevelOf (account, bounds) * bounds.share;
+        bucket.level += startLevelOf (account, bounds);
 
     state.isBegun = true;
     bucket.burst = burst;
-    bucket.rate = account.tokensPerSecond * bounds.share;
+    bucket.rate = account.tokensPerSecond;
     refill (bucket, now);
     bucket.level = std::min (bucket.level, burst);
 }
 
-auto SharedQuota::refillRation (
-    State& state, const QuotaBounds& bounds, double tokens, double reserve, TimePoint now) -> void
+auto SharedQuota::refillRation (State& state, double tokens, double reserve, double draw, TimePoint now)
+    -> void
 {
     auto& ration = state.ration;
     const auto asked = state.asked.perSecond (startTime, now);
 
-    // A node that can't hear the others has its even part of the rate already.
-    const auto part = bounds.share < 1.0 ? 1.0 : asked / (asked + state.othersAskedPerSecond);
+    const auto part = asked / (asked + state.othersAskedPerSecond);
     const auto filling = leastFilling + (mostFilling - leastFilling) * state.bucket.level / reserve;
     ration.rate = state.bucket.rate * part * filling;
     ration.burst = std::max (leastLevel, ration.rate * Seconds (rationTime).count());
 
     // Nodes whose rations all began full would each admit a request at the same moment.
-    if (now - ration.filled > rationMemory)
+    if (now - ration.filled > partMemory)
     {
-        ration.level = (std::min (1.0, ration.rate / asked) - bounds.draw) * tokens;
+        ration.level = (std::min (1.0, ration.rate / asked) - draw) * tokens;
         ration.filled = now;
     }
 
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -106,12 +106,32 @@
         bool isBegun = false;
         /** This node's part of the rate while the bucket is nearly empty; its even part of it while the node is not settled. */
         TokenBucket ration;
+        /** This node's even part of the limit while it hears too few of the others. It stands apart from the bucket, which goes on
+            at the whole rate and is charged with what the others admitted: charged with that at the rate of its part, the bucket
+            of a node that lost its reader for a second fell a second of the whole limit into debt.
+        */
+        TokenBucket evenPart;
         double total = 0.0;
         FadingSum admitted;
         FadingSum asked;
         double othersAskedPerSecond = 0.0;
     };
 
+    auto admitLimited (State& state,
+                       const RoutedAccount& account,
+                       double tokens,
+                       const QuotaBounds& bounds,
+                       TimePoint now) -> Admission;
+    auto admitShared (State& state,
+                      const RoutedAccount& account,
+                      double tokens,
+                      const QuotaBounds& bounds,
+                      TimePoint now) -> Admission;
+    auto admitEvenPart (State& state,
+                        const RoutedAccount& account,
+                        double tokens,
+                        const QuotaBounds& bounds,
+                        TimePoint now) -> Admission;
     auto admitUnsettled (State& state,
                          const RoutedAccount& account,
                          double tokens,
@@ -119,8 +139,7 @@
                          TimePoint now) -> Admission;
     auto refillBucket (State& state, const RoutedAccount& account, const QuotaBounds& bounds, TimePoint now)
         -> void;
-    auto refillRation (State& state, const QuotaBounds& bounds, double tokens, double reserve, TimePoint now)
-        -> void;
+    auto refillRation (State& state, double tokens, double reserve, double draw, TimePoint now) -> void;
 
     TimePoint startTime;
     std::map<std::string, State, std::less<>> accounts;
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -63,8 +63,14 @@
             startNode (node);
     }
 
+    /** Kills one node: nothing that it knew is left. */
+    auto restart (std::size_t index) -> void { startNode (nodes[index]); }
+
     [[nodiscard]] auto admittedTokens() const -> double { return admittedSum; }
     /** @returns what one bucket for all nodes would have admitted. */
+    /** Of one request, in tokens. */
+    static constexpr auto largestSize = 60'000.0;
+
     [[nodiscard]] auto admittedByCentral() const -> double { return centralSum; }
 
     /** @returns the most tokens admitted in a window, less what a window may have; above zero the limit is broken. */
@@ -217,7 +223,6 @@
     auto ask (double tokensPerSecond) -> void
     {
         constexpr auto meanSize = 12'000.0;
-        constexpr auto largestSize = 60'000.0;
         const auto perTick = tokensPerSecond / meanSize * std::chrono::duration<double> (tick).count();
         std::lognormal_distribution<double> sizes (std::log (meanSize) - 0.5, 1.0);
 
@@ -443,3 +448,37 @@
             CHECK (shareOfCentral (fleet, 20s, 0.6 * rate) >= 0.95);
         });
 }
+
+TEST_CASE ("an account that keeps to its limit is admitted while the readers are restarted in turn")
+{
+    // While its reader starts anew a node hears fewer than half of the others and keeps to an even part of each limit. It went
+    // on charging its bucket with all that the others admitted, at the rate of its own part: a debt of more than a second of
+    // the whole limit within that second (level -1,394,371 at a limit of 850,000 a second and a part of 2,881), and it refused
+    // what kept to the limit until that was paid back.
+    for (const auto& [nodes, rate] : quotaCases)
+    {
+        auto admitted = 0.0;
+        auto central = 0.0;
+
+        for (auto seed = std::uint64_t { 1 }; seed <= 5; ++seed)
+        {
+            QuotaFleet fleet (nodes, limitOf (rate), seed);
+            fleet.run (6s, 0.6 * rate);
+            admitted -= fleet.admittedTokens();
+            central -= fleet.admittedByCentral();
+
+            for (auto reader = std::size_t { 0 }; reader < 6; ++reader)
+            {
+                fleet.restart (reader);
+                fleet.run (1s, 0.6 * rate);
+            }
+
+            admitted += fleet.admittedTokens();
+            central += fleet.admittedByCentral();
+            CHECK (fleet.mostOverLimit() <= 0.0);
+        }
+
+        INFO ("nodes " << nodes << ", tokens a second " << rate << ", admitted " << admitted / central);
+        CHECK (admitted >= 0.99 * central);
+    }
+}
