A refused caller is told the time of its account's whole limit

Callers were told to come back after up to 700 s where another node would have taken them at once. Cause: Retry-After was the time in which one node's part of the limit pays back what is missing there; with a small part the debt of one large request takes minutes. Change: timeToReturn(): the time in which the whole limit makes up for it, longer by as much as more is asked of all nodes than the limit gives, and never longer than the node's own time. A refusal before a node knows the others follows the same rule.

--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -65,6 +65,23 @@
     return std::min (level, burstOf (account, bounds));
 }
 
+/** @returns after how long a refused caller may come back: when the account's whole limit has made up for what is missing here,
+    later where all nodes are asked for more than the limit. Another node takes the caller by then. Until a node's own part had
+    made up for it callers were told to wait up to 700 s: a small part, and the debt of one large request.
+
+    @param own              what this node may give out: the account's bucket, or its ration
+    @param tokensPerSecond  the account's limit over all nodes
+    @param allAsked         tokens a second that all nodes together are asked for
+*/
+auto timeToReturn (const TokenBucket& own, double tokensPerSecond, double allAsked) -> Duration
+{
+    const auto missing = leastLevel - own.level;
+    const auto pressure = std::max (1.0, allAsked / tokensPerSecond);
+    const auto ofAllNodes =
+        std::chrono::duration_cast<Duration> (Seconds (missing / tokensPerSecond * pressure));
+    return std::min (timeUntil (own, leastLevel), ofAllNodes);
+}
+
 } // namespace
 
 auto SharedQuota::FadingSum::add (double more, TimePoint now) -> void
@@ -132,7 +149,7 @@
 
     // The last request may be larger than what is left; the bucket makes up for it.
     if (state.bucket.level < leastLevel)
-        return { false, timeUntil (state.bucket, leastLevel) };
+        return { false, timeToReturn (state.bucket, account.tokensPerSecond, allAsked) };
 
     const auto reserve = allAsked * Seconds (bounds.reportDelay).count();
 
@@ -141,7 +158,7 @@
         refillRation (state, tokens, reserve, bounds.draw, now);
 
         if (state.ration.level < leastLevel)
-            return { false, timeUntil (state.ration, leastLevel) };
+            return { false, timeToReturn (state.ration, account.tokensPerSecond, allAsked) };
 
         state.ration.level -= tokens;
     }
@@ -172,7 +189,8 @@
     part.level = std::min (part.level, part.burst);
 
     if (part.level < leastLevel)
-        return { false, timeUntil (part, leastLevel) };
+        return { false,
+                 timeToReturn (part, account.tokensPerSecond, state.asked.perSecond (startTime, now)) };
 
     part.level -= tokens;
     state.bucket.level -= tokens;
@@ -205,7 +223,7 @@
     refill (opening, now);
 
     if (opening.level < leastLevel)
-        return { false, std::min (bounds.unsettled, timeUntil (opening, leastLevel)) };
+        return { false, std::min (bounds.unsettled, timeToReturn (opening, account.tokensPerSecond, 0.0)) };
 
     opening.level -= tokens;
     charge ({ { account.name, tokens } }, now);
--- a/tests/unit/QuotaFleetTests.cpp
+++ b/tests/unit/QuotaFleetTests.cpp
@@ -67,6 +67,9 @@
     auto restart (std::size_t index) -> void { startNode (nodes[index]); }
 
     [[nodiscard]] auto admittedTokens() const -> double { return admittedSum; }
+
+    /** @returns the longest time after which a refused caller was told to come back. */
+    [[nodiscard]] auto longestWaitTold() const -> Duration { return longestWait; }
     /** @returns what one bucket for all nodes would have admitted. */
     /** Of one request, in tokens. */
     static constexpr auto largestSize = 60'000.0;
@@ -243,8 +246,13 @@
         auto bounds = quotaBounds (node.sharing, node.peers, tolerance, draw, now);
         bounds.isAskedAgain = isAskedAgain;
 
-        if (! node.quota.admit (limits, size, bounds, now).admitted)
+        const auto admission = node.quota.admit (limits, size, bounds, now);
+
+        if (! admission.admitted)
+        {
+            longestWait = std::max (longestWait, admission.retryAfter);
             return false;
+        }
 
         admittedSum += size;
         admitted.emplace_back (now, size);
@@ -291,6 +299,7 @@
     std::deque<Datagram> underWay;
     std::vector<Held> held;
     std::vector<std::pair<TimePoint, double>> admitted;
+    Duration longestWait {};
     double admittedSum = 0.0;
     double centralSum = 0.0;
 };
@@ -449,6 +458,36 @@
         });
 }
 
+TEST_CASE ("a refused caller is told the time of the account's limit, not of one node's part of it")
+{
+    // An account asks for more than its limit while the readers that nodes report to are restarted in turn. A node's part of the
+    // limit is small then, and one large request leaves a debt that this part pays back in minutes, while another node takes
+    // the caller at once. The node told its own time: lines "refused kind=rate_limited" with retry_after_milliseconds up to
+    // 700,000, from nodes that had run for long, in the 14 s in which nodes were restarted.
+    forEachFleet (
+        [] (QuotaFleet& fleet, double rate)
+        {
+            constexpr auto pressure = 1.5;
+            fleet.run (4s, pressure * rate);
+
+            for (auto reader = std::size_t { 0 }; reader < 6; ++reader)
+            {
+                fleet.restart (reader);
+                fleet.run (1s, pressure * rate);
+            }
+
+            // What the whole limit needs to pay back the largest request and all by which nodes may go over it, as many times as
+            // callers ask for more than it gives.
+            const auto mostOver =
+                slackTokens + overshoot * (rate * std::chrono::duration<double> (window).count() +
+                                           limitOf (rate).burstTokens);
+            const auto wholeLimit =
+                std::chrono::duration<double> ((QuotaFleet::largestSize + mostOver) / rate);
+            CHECK (fleet.longestWaitTold() <= pressure * wholeLimit);
+            CHECK (fleet.mostOverLimit() <= 0.0);
+        });
+}
+
 TEST_CASE ("an account that keeps to its limit is admitted while the readers are restarted in turn")
 {
     // While its reader starts anew a node hears fewer than half of the others and keeps to an even part of each limit. It went
