--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,6 +1,7 @@
 """The soak's own checks find what they are for, and a short seeded run of it keeps every promise."""
 import pathlib
 import shutil
+import signal
 import socket
 import sys
 import threading
@@ -10,10 +11,10 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
 
 import soak  # noqa: E402  (its folder is put on the path above)
-from ledger import Ledger, Run, Sent, duty_breaches  # noqa: E402
+from ledger import End, Ledger, Run, Sent, duty_breaches  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
-LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.0, "answer": 7.0}
+LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.0, "answer": 7.0, "stop": 7.0}
 
 
 class Checks(unittest.TestCase):
@@ -46,6 +47,15 @@
         self.run_at()
         self.assert_breach("was told 503")
 
+    def test_processes_that_end_otherwise_than_asked(self):
+        self.ledger.ends = [End("front-0", signal.SIGTERM, 0, 6.5), End("front-1", signal.SIGKILL, -9, 0.1)]
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+        for end, part in ((End("front-2", signal.SIGTERM, -11, 0.5), "front-2 ended with -11"),
+                          (End("front-3", signal.SIGTERM, 0, 7.5), "front-3 took 7.5 s"),
+                          (End("front-4", 0, -6, 0.0), "front-4 ended by itself with -6")):
+            self.ledger.ends = [end]
+            self.assert_breach(part)
+
     def test_a_run_that_nobody_asked_for_or_for_another_account(self):
         self.run_at("r-9")
         self.assert_breach("without a request")
@@ -129,6 +139,12 @@
         self.assertEqual(broken, [], f"logs in {folder}")
         shutil.rmtree(folder)
 
+    def test_seeds_that_ever_failed_and_some_more_keep_every_promise(self):
+        for seed in [*soak.regressions(), 2, 3, 4]:
+            broken, folder = soak.play(seed, seconds=10, nodes=4, replicas=4, callers=8)
+            self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
+            shutil.rmtree(folder)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -2,6 +2,7 @@
 import collections
 import contextlib
 import dataclasses
+import signal
 import threading
 import time
 
@@ -36,6 +37,16 @@
     at: float
 
 
+@dataclasses.dataclass
+class End:
+    """The end of a node's process."""
+    node: str
+    sent: int
+    """The signal that it was sent; 0: none."""
+    code: int
+    seconds: float
+
+
 class Ledger:
     def __init__(self):
         self.lock = threading.Lock()
@@ -45,6 +56,7 @@
         self.left = {}
         self.disturbed = collections.defaultdict(list)
         self.thawed = {}
+        self.ends = []
 
     def note_sent(self, request):
         with self.lock:
@@ -78,8 +90,19 @@
         found = [f"runs without a request: {id}" for id in runs if id not in self.sent]
         for request in self.sent.values():
             found += self.of_request(request, runs[request.id], limits)
+        for end in self.ends:
+            found += self.of_end(end, limits)
         return found
 
+    @staticmethod
+    def of_end(end, limits):
+        if not end.sent:
+            yield f"{end.node} ended by itself with {end.code}"
+        elif end.sent == signal.SIGTERM and end.code != 0:
+            yield f"{end.node} ended with {end.code} when it was asked to stop"
+        elif end.sent == signal.SIGTERM and end.seconds > limits["stop"]:
+            yield f"{end.node} took {end.seconds:.1f} s to stop"
+
     def of_request(self, request, runs, limits):
         most = 2 if request.kind in ("again", "resumed-stream") else 1
         if len(runs) > most:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 
 # Seconds. The settings of the nodes say 2.5 for revoked keys; the rest are the platform's figures for a small site, each with
 # a margin for a machine that is busy.
-LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.5, "answer": 7.0}
+LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.5, "answer": 7.0, "stop": 7.0}
 THAW = 0.3
 
 OUTAGES = ("silent", "busy")
@@ -173,6 +173,12 @@
     return broken, folder
 
 
+def regressions():
+    """The seeds that ever failed."""
+    lines = (pathlib.Path(__file__).parent / "regressions.txt").read_text().splitlines()
+    return [int(line.split("|")[0]) for line in lines if line and not line.startswith("#")]
+
+
 def main():
     options = argparse.ArgumentParser(description="A randomised soak on real processes.")
     options.add_argument("--seed", type=int, default=1)
@@ -185,8 +191,7 @@
     given = options.parse_args()
     seeds = range(given.seed, given.seed + given.count)
     if given.regressions:
-        lines = (pathlib.Path(__file__).parent / "regressions.txt").read_text().splitlines()
-        seeds = [int(line.split("|")[0]) for line in lines if line and not line.startswith("#")]
+        seeds = regressions()
     failed = 0
     for seed in seeds:
         broken, folder = play(seed, given.seconds, given.nodes, given.replicas, given.callers)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -12,7 +13,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "process"))
 
 from harness import free_ports, wait_until  # noqa: E402  (its folder is put on the path above)
-from ledger import Ledger, Run, Sent  # noqa: E402
+from ledger import End, Ledger, Run, Sent  # noqa: E402
 from platform_deployment import Node, configuration  # noqa: E402
 from platform_stand_in import Cloud, Replica, Store  # noqa: E402
 from proxy import Proxy  # noqa: E402
@@ -20,6 +21,8 @@
 KINDS = {"again": ("GET", "/again/x"), "once": ("POST", "/once/x"), "stream": ("POST", "/stream/x"),
          "resumed-stream": ("POST", "/resumed-stream/x")}
 EVENTS = 6
+# Seconds after which a process that does not end is killed: far over its grace time of 6 s.
+LONGEST_STOP = 15
 WHOLE = [b"data: piece %d" % number for number in range(1, EVENTS + 1)]
 
 
@@ -110,12 +113,24 @@
     # Processes
 
     def stop_process(self, node, sent):
-        """Ends a node's process by a signal and starts it again."""
+        """Ends a node's process by a signal and starts it again; the ledger learns how it ended."""
+        self.note_own_end(node)
         node.process.send_signal(sent)
-        node.process.wait(15)
+        began = time.monotonic()
+        try:
+            code = node.process.wait(LONGEST_STOP)
+        except subprocess.TimeoutExpired:
+            node.process.kill()
+            code = node.process.wait()
+        self.ledger.ends.append(End(node.name, sent, code, time.monotonic() - began))
         time.sleep(0.2)
         node.start()
 
+    def note_own_end(self, node):
+        """Notes a process that has ended though nobody asked it to."""
+        if node.process.poll() is not None:
+            self.ledger.ends.append(End(node.name, 0, node.process.returncode, 0.0))
+
     # Callers
 
     def call_on(self, draw, number):
@@ -185,6 +200,7 @@
         """Lists the nodes that don't serve again once all is healed."""
         failed = []
         for node in self.nodes:
+            self.note_own_end(node)
             try:
                 wait_until(node.is_ready, "ready")
             except AssertionError:
