--- a/modules/snowrudder_router/model/RequestHandover.cpp
+++ b/modules/snowrudder_router/model/RequestHandover.cpp
@@ -105,7 +105,7 @@
     identity.created = std::chrono::sys_seconds (std::chrono::seconds (message.created_seconds()));
     identity.contentHash = message.content_hash();
 
-    const auto record = std::make_shared<RequestRecord> (std::move (identity));
+    auto record = std::make_shared<RequestRecord> (std::move (identity));
     record->restore (*answer);
     return record;
 }
--- a/modules/snowrudder_router/once/SlotHandover.cpp
+++ b/modules/snowrudder_router/once/SlotHandover.cpp
@@ -169,7 +169,7 @@
     const auto record = std::make_shared<RequestRecord> (std::move (identity));
     record->finish (
         KeptAnswer { handed.answer().status(), handed.answer().content_type(), handed.answer().body() });
-    const auto kept = state.requests.addHanded (record);
+    auto kept = state.requests.addHanded (record);
 
     if (kept == record)
         state.requests.noteEnded (record, SteadyClock::now());
