Comments and postmortems claim only what was looked at

Cause: stories and postmortems named log lines that were not read and times that were not measured. Change: comments and docs only; they say what was seen, and what is likely and not shown.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -395,8 +395,8 @@
     def test_requests_that_replicas_began_and_failed_are_reported(self):
         # Replicas begin requests and answer 500; nothing is left of the budget for a second attempt, and the caller gets our 502. A replica has begun
         # them, so they belong to the usage of their account. They were counted only where an answer was passed on: the report
-        # of a window in which all replicas failed 45% of their requests lacked 322 to 330 of 3,650, and its log had 317 lines
-        # "request_ended" with status=502 and runs=2.
+        # of a window in which all replicas failed 45% of their requests lacked 322 to 330 of 3,650, of which 317
+        # were requests that ended with our 502 after replicas had answered 500.
         with Platform(replicas=2) as platform:
             wait_until(lambda: platform.cloud.of("/usage"), "the duties are taken")
             for replica in platform.replicas:
--- a/tests/unit/UsageScheduleTests.cpp
+++ b/tests/unit/UsageScheduleTests.cpp
@@ -34,8 +34,8 @@
 {
     // Nodes are restarted in turn, the holder of the duties among them. A window is reported two seconds after its end; whoever
     // takes the duties in that time has been restarted after the end itself, and left out all windows from before its start. So
-    // nobody reported them: "usage of window 356670888 didn't come", where the log has duties_taken at a node that started
-    // after that window's end, and no usage_reported of it.
+    // nobody reported them. Seen as "usage of window 356670888 didn't come"; that day's logs were not read, the cause was found
+    // in the code and shown by the process test of restarts in turn.
     const UsageWindows own (windowLength);
     UsageGathering others ("hall-a");
     others.note (noticeOf (99, 7));
