--- a/modules/snowrudder_serving/duties/UsageSchedule.h
+++ b/modules/snowrudder_serving/duties/UsageSchedule.h
@@ -25,8 +25,8 @@
 /** @returns the windows that a holder of the duties reports now, the oldest first.
 
     Windows that ended before this node started belong to them from the first on in which others are known to have counted
-    something: each node that could have reported one may have been restarted since. With nodes restarted in turn two to three windows at each change of the holder
-    were never reported.
+    something: each node that could have reported one may have been restarted since. With two nodes restarted in turn one or two windows of
+    a second were never reported.
 
     @param own     counts of this node
     @param others  counts that others told it
