Logs tell a replica that ended from an answer that was lost, and name a request by its content

On-call could not see why engines ended one after the other: a crashed replica, a lost answer and a reset link were all `cause=cut`, and a repeat of a request bears another identifier. Two facts were missing from `attempt_failed`.

No decision changes.

--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "client/ConnectionPool.h"
+#include "client/ProbeEndpoint.h"
 #include "client/SignedRequest.h"
 #include "client/SimpleCall.h"
 #include "client/UpstreamCall.h"
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
@@ -11,6 +11,12 @@
     return Ran::unknown;
 }
 
+auto mayShowCrash (const AttemptOutcome& outcome) -> bool
+{
+    const auto mayHaveBegun = outcome.stage == CallStage::sent || outcome.stage == CallStage::answering;
+    return mayHaveBegun && outcome.cause == FailureCause::cut;
+}
+
 auto kindOf (FailureCause cause) -> ErrorKind
 {
     switch (cause)
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.h
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.h
@@ -41,6 +41,9 @@
 */
 auto ranAfter (const AttemptOutcome& outcome) -> Ran;
 
+/** @returns whether a failed attempt may have failed because its replica ended: its connection ended after the request was sent. */
+auto mayShowCrash (const AttemptOutcome& outcome) -> bool;
+
 /** @returns the kind of error that a caller is told when no other attempt follows. */
 auto kindOf (FailureCause cause) -> ErrorKind;
 
--- /dev/null
+++ b/modules/snowrudder_requests/crashes/RequestFingerprint.cpp
@@ -0,0 +1,84 @@
+#include "RequestFingerprint.h"
+
+#include "snowrudder_core/snowrudder_core.h"
+
+#include <openssl/evp.h>
+#include <openssl/sha.h>
+
+#include <array>
+#include <cstring>
+#include <memory>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+constexpr auto keyBytes = std::size_t { 16 };
+constexpr auto fingerprintBytes = std::size_t { 16 };
+
+using Context = std::unique_ptr<EVP_MAC_CTX, decltype (&EVP_MAC_CTX_free)>;
+
+/** @returns a SipHash with a key that belongs to one secret, not yet fed. */
+auto keyedContext (std::string_view secret) -> Context
+{
+    // Looked up once: the look-up takes longer than the hash of a short request.
+    static auto* const algorithm = EVP_MAC_fetch (nullptr, "SIPHASH", nullptr);
+    requireInvariant (algorithm != nullptr, "OpenSSL offers SipHash");
+
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> key;
+    SHA256 (reinterpret_cast<const unsigned char*> (secret.data()), secret.size(), key.data());
+
+    Context context (EVP_MAC_CTX_new (algorithm), EVP_MAC_CTX_free);
+    requireInvariant (context && EVP_MAC_init (context.get(), key.data(), keyBytes, nullptr) == 1,
+                      "a hash can be made");
+    return context;
+}
+
+auto feed (EVP_MAC_CTX* context, std::string_view part) -> void
+{
+    // The length first, so that no part can pass for the end of the one before it.
+    const auto length = static_cast<std::uint64_t> (part.size());
+    EVP_MAC_update (context, reinterpret_cast<const unsigned char*> (&length), sizeof (length));
+    EVP_MAC_update (context, reinterpret_cast<const unsigned char*> (part.data()), part.size());
+}
+
+} // namespace
+
+auto fingerprintOf (std::string_view secret, const RequestContent& content) -> RequestFingerprint
+{
+    if (secret.empty())
+        return {};
+
+    const auto context = keyedContext (secret);
+
+    for (const auto part :
+         { content.account, content.method, content.host, content.target, content.body })
+        feed (context.get(), part);
+
+    std::array<unsigned char, fingerprintBytes> bytes {};
+    auto length = bytes.size();
+    EVP_MAC_final (context.get(), bytes.data(), &length, bytes.size());
+
+    RequestFingerprint fingerprint;
+    std::memcpy (&fingerprint.high, bytes.data(), sizeof (fingerprint.high));
+    std::memcpy (&fingerprint.low, bytes.data() + sizeof (fingerprint.high), sizeof (fingerprint.low));
+    return fingerprint;
+}
+
+auto toString (const RequestFingerprint& fingerprint) -> std::string
+{
+    constexpr auto digits = std::string_view ("0123456789abcdef");
+    constexpr auto bitsADigit = 4U;
+    constexpr auto digitsAHalf = 16U;
+    std::string text;
+
+    for (const auto half : { fingerprint.high, fingerprint.low })
+        for (auto place = digitsAHalf; place > 0; --place)
+            text += digits[(half >> ((place - 1) * bitsADigit)) & 0xF];
+
+    return text;
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -190,6 +190,7 @@
     request.end = arrived + std::min (patience, request.route->timeout);
     request.service = pickService (*request.route, drawJitter());
     request.caller = std::move (caller);
+    request.fingerprint = fingerprintOf (state.fleetSecret, contentOf (request));
     return request;
 }
 
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -54,13 +54,13 @@
 
 auto Membership::refresh() -> Task<bool>
 {
-    if (agreedSecret.empty())
+    if (state.fleetSecret.empty())
         co_await readShared();
 
-    if (agreedSecret.empty())
+    if (state.fleetSecret.empty())
         co_await agreeOnSecret();
 
-    if (agreedSecret.empty())
+    if (state.fleetSecret.empty())
         co_return false;
 
     if (! state.leaving)
@@ -104,7 +104,7 @@
     for (const auto& item : listed.items)
     {
         if (item.key == secretKey)
-            agreedSecret = item.value;
+            state.fleetSecret = item.value;
 
         if (item.key.starts_with (memberPrefix))
             members.push_back (item);
@@ -132,11 +132,11 @@
     const auto result = co_await store.commit (makeCreation (std::string (secretKey), proposed));
 
     if (result.outcome == StoreOutcome::done)
-        agreedSecret = proposed;
+        state.fleetSecret = proposed;
 
     if (result.outcome == StoreOutcome::refused)
         if (const auto* first = standingItem (result.items))
-            agreedSecret = first->value;
+            state.fleetSecret = first->value;
 }
 
 auto Membership::joinMembers() -> Task<void>
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -38,7 +38,7 @@
     auto leave() -> Task<void>;
 
     /** Empty until the nodes have agreed on one. */
-    [[nodiscard]] auto secret() const -> const std::string& { return agreedSecret; }
+    [[nodiscard]] auto secret() const -> const std::string& { return state.fleetSecret; }
 
     /** The other nodes, in the order of their names. */
     [[nodiscard]] auto others() const -> const std::vector<Endpoint>& { return endpointsOfOthers; }
@@ -61,7 +61,6 @@
 
     ServingState& state;
     const StateStore& store;
-    std::string agreedSecret;
     std::uint64_t lease = 0;
     TimePoint renewed {};
     std::vector<Endpoint> endpointsOfOthers;
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -2,6 +2,7 @@
 
 #include "../capacity/WorkMeter.h"
 #include "../configuration/ConfigurationState.h"
+#include "../crashes/SharedProbes.h"
 #include "../directory/ReplicaDirectory.h"
 #include "../duties/Leadership.h"
 #include "../duties/UsageGathering.h"
@@ -28,6 +29,7 @@
 {
     ServingState (asio::io_context& eventLoop, const ServingSettings& servingSettings)
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
+          probes (eventLoop, pool),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
           usage (servingSettings.usageWindow), usageOfOthers (servingSettings.failureDomain),
           quota (sharing.startTime), peers (sharing.startTime),
@@ -74,6 +76,7 @@
     /** Tells the other nodes of a prompt that a replica has to read. Set once, before the first request. */
     std::function<void (PromptNotice)> announcePrompt;
     ConnectionPool pool;
+    SharedProbes probes;
     Metrics metrics;
     ServingMetrics counts;
     ConfigurationState configuration;
@@ -95,6 +98,8 @@
     SharedLoads loads;
     /** Ends the pause before the next look at the configuration. */
     const std::shared_ptr<Signal> configurationWake;
+    /** Signs what nodes tell each other, and keys the fingerprints of requests. Empty until the nodes have agreed on one. */
+    std::string fleetSecret;
     bool hasReplicas = false;
     bool isStoreReached = true;
     bool leaving = false;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -88,10 +88,17 @@
         if (! outcome || isCallerGone)
             break;
 
+        const auto after = co_await replicaAfter (*outcome);
+
+        if (isCallerGone)
+            break;
+
         const auto decision = decide (*outcome);
 
         attemptFailed (request.caller.id, sends, *outcome, decision)
-            .with ("replica", lastReplica)
+            .with ("replica", lastReplica.name)
+            .with ("replica_address", after)
+            .with ("fingerprint", toString (request.fingerprint))
             .with ("ran", toString (ranAfter (*outcome)))
             .info();
 
@@ -124,7 +131,7 @@
 
     if (! taken)
     {
-        lastReplica.clear();
+        lastReplica = {};
         tried.clear();
         co_return AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
     }
@@ -136,14 +143,14 @@
 
     state.announcePrompt ({ {}, replicaHash (ticket.info.name), ticket.expectedTokens });
 
-    lastReplica = ticket.info.name;
+    lastReplica = ticket.info;
     const auto& chosen = taken->choice.candidates.front();
     const auto loadAge = taken->choice.loadAge;
     LogLine ("route")
         .with ("request", request.caller.id)
         .with ("service", request.service)
         .with ("attempt", sends)
-        .with ("replica", lastReplica)
+        .with ("replica", lastReplica.name)
         .with ("score", chosen.score)
         .with ("uncached", chosen.uncachedTokens)
         .with ("believed", taken->choice.believed)
@@ -285,6 +292,14 @@
     co_return Failure {};
 }
 
+auto RoutedRun::replicaAfter (const AttemptOutcome& outcome) -> Task<std::string_view>
+{
+    if (! mayShowCrash (outcome))
+        co_return "not_asked";
+
+    co_return toString (co_await state.probes.probe (lastReplica.endpoint));
+}
+
 auto RoutedRun::decide (const AttemptOutcome& outcome) -> RetryDecision
 {
     RetryInput input;
@@ -382,7 +397,7 @@
         .with ("status", status)
         .with ("sends", sends)
         .with ("runs", runs())
-        .with ("replica", lastReplica)
+        .with ("replica", lastReplica.name)
         .with ("prompt_tokens", request.caller.promptTokens)
         .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
         .with ("longest_pause_milliseconds", inMilliseconds (longestPause))
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -37,6 +37,7 @@
     auto takeHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
     auto relayStream (UpstreamCall& call) -> Task<Failure>;
+    auto replicaAfter (const AttemptOutcome& outcome) -> Task<std::string_view>;
     auto decide (const AttemptOutcome& outcome) -> RetryDecision;
     auto fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
     auto refuse (Problem problem) -> Task<void>;
@@ -61,7 +62,8 @@
     /** Attempts, the present one included, and those of them that surely did not run. */
     std::uint32_t sends = 0;
     std::uint32_t unrun = 0;
-    std::string lastReplica;
+    /** The replica of the present attempt. */
+    ReplicaInfo lastReplica;
     /** When the present attempt was sent. */
     TimePoint sent {};
     /** From the request's arrival to the head of the answer. */
--- a/modules/snowrudder_serving/request/RoutedRequest.h
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -3,6 +3,7 @@
 #include "../configuration/RoutingConfiguration.h"
 
 #include "snowrudder_net/snowrudder_net.h"
+#include "snowrudder_requests/crashes/RequestFingerprint.h"
 #include "snowrudder_routing/snowrudder_routing.h"
 
 #include <algorithm>
@@ -51,6 +52,7 @@
     std::string service;
     /** Null on public routes. */
     std::shared_ptr<const RoutedAccount> account;
+    RequestFingerprint fingerprint;
     TimePoint accepted {};
     /** When the caller must have its final answer. */
     TimePoint end {};
@@ -58,6 +60,15 @@
     [[nodiscard]] auto accountName() const -> std::string { return account ? account->name : std::string(); }
 };
 
+/** @returns what makes a request the same as another. */
+inline auto contentOf (const RoutedRequest& request) -> RequestContent
+{
+    const auto& caller = request.caller;
+    return { request.account ? std::string_view (request.account->name) : std::string_view(),
+             toView (caller.message.method_string()), caller.host, toView (caller.message.target()),
+             caller.message.body() };
+}
+
 /** @returns how urgent a request is to a replica, from 0 to 9 with 0 first: its account's priority goes before its route's. */
 inline auto urgencyOf (const RoutedRequest& request) -> std::uint32_t
 {
