--- /dev/null
+++ b/tests/process/test_crashes.py
@@ -0,0 +1,157 @@
+"""A request that ends each replica that runs it comes again and again, at any router and under new identifiers.
+
+Each router looked at each request by itself: a connection that a replica's end had cut was a reason to try the next replica, and
+a repeat was a request of which nothing was known. So a single caller's request ended replica after replica for as long as it
+came, and with each of them the requests of other callers that ran beside it. Within 7 s 36 replicas ended in the first test below.
+The routers had logged a line such as this for each of them,
+
+    attempt_failed request=poison-9 attempt=1 cause=cut again=yes replica=i-3-1 replica_address=refuses fingerprint=b945494286730d05...
+
+with another request and another replica each time, but all 36 with the same fingerprint, and the address refused after each.
+"""
+import threading
+import time
+import unittest
+
+from crashing_replica import CrashingEngine, CrashingReplica
+from harness import Deployment, bearer, chat_body, free_ports, request, wait_until
+from platform_deployment import Platform
+
+POISON = "a prompt that no replica survives"
+# Seconds. From so long after the third replica has ended, a request may reach replicas three times more.
+NOTICE_TIME = 3.0
+LATE_SENDS = 3
+
+
+class Callers:
+    """Callers that send at all nodes in turn until they are stopped."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.stopping = threading.Event()
+        self.threads = []
+        self.answers = []
+        self.began = time.monotonic()
+
+    def start(self, name, path, body_of, pause):
+        thread = threading.Thread(target=self.run, args=(name, path, body_of, pause), daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def run(self, name, path, body_of, pause):
+        number = 0
+        while not self.stopping.is_set():
+            number += 1
+            node = self.platform.nodes[number % len(self.platform.nodes)]
+            sent = time.monotonic()
+            try:
+                answer = node.call("POST", path, id=f"{name}-{number}", body=body_of(number))
+                self.answers.append((name, sent, time.monotonic(), answer))
+            except OSError as error:
+                self.answers.append((name, sent, time.monotonic(), error))
+            time.sleep(pause)
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(10)
+
+    def of(self, name, since=0.0):
+        return [(ended - sent, answer) for who, sent, ended, answer in self.answers if who == name and sent >= since]
+
+
+class EnginesOfTheTest(Deployment):
+    """A deployment whose engines run in this process."""
+
+    def __init__(self, is_fatal, **sizes):
+        super().__init__(**sizes)
+        self.is_fatal = is_fatal
+        self.running = []
+
+    def start_engine(self, name):
+        self.running.append(CrashingEngine(name, self.engines[name], self.is_fatal))
+
+    def stop(self):
+        super().stop()
+        for engine in self.running:
+            engine.close()
+
+
+class OwnFace(unittest.TestCase):
+    def test_a_chat_that_ends_its_engines_is_stopped_and_others_are_served(self):
+        with EnginesOfTheTest(lambda body: POISON.encode() in body, routers=3, engines=5, services=0) as deployment:
+            routers = list(deployment.routers.values())
+
+            def crashes():
+                return sorted(crash for engine in deployment.running for crash in engine.crashes)
+
+            def ask(number, prompt):
+                began = time.monotonic()
+                answer = request(routers[number % 3], "POST", "/v1/chat/completions", chat_body(prompt), bearer())
+                return time.monotonic() - began, answer
+
+            number = 0
+            while len(crashes()) < 3:
+                number += 1
+                self.assertLess(number, 50)
+                ask(number, POISON)
+            third = crashes()[2][0]
+            while time.monotonic() < third + 2 * NOTICE_TIME:
+                number += 1
+                seconds, answer = ask(number, POISON)
+                if time.monotonic() > third + NOTICE_TIME:
+                    self.assertEqual((answer.status, answer.json()["kind"], answer.json()["ran"]), (503, "crashes_replicas", "no"))
+                    self.assertLess(seconds, 0.5)
+                time.sleep(0.1)
+                if time.monotonic() > third + NOTICE_TIME:
+                    self.assertEqual(ask(number, f"another {number}")[1].status, 200)
+            late = [crash for crash in crashes() if crash[0] > third + NOTICE_TIME]
+            self.assertLessEqual(len(late), LATE_SENDS, f"{len(crashes())} engines ended in all")
+
+
+class CrashingRequests(unittest.TestCase):
+    def deployment(self, nodes=3, replicas=6):
+        """A deployment whose replicas end under the poison."""
+        platform = Platform(nodes=nodes, replicas=0)
+        self.addCleanup(platform.__exit__)
+        self.places = [CrashingReplica(platform, number, port, lambda path, body: POISON.encode() in body)
+                       for number, port in enumerate(free_ports(replicas))]
+        for place in self.places:
+            self.addCleanup(place.close)
+        for node in platform.nodes:
+            wait_until(node.is_ready, "the node is ready")
+        return platform
+
+    def crashes(self):
+        return sorted(crash for place in self.places for crash in place.crashes)
+
+    def test_a_request_that_ends_its_replicas_is_stopped_and_others_are_served(self):
+        platform = self.deployment()
+        callers = Callers(platform)
+        callers.start("poison", "/again/x", lambda number: POISON, 0.15)
+        callers.start("other", "/again/x", lambda number: f"prompt {number}", 0.02)
+        callers.start("poll", "/again/poll", lambda number: "the same each time", 0.02)
+        wait_until(lambda: len(self.crashes()) >= 3, "three replicas have ended")
+        time.sleep(2 * NOTICE_TIME)
+        callers.stop()
+
+        third = self.crashes()[2][0]
+        late = [crash for crash in self.crashes() if crash[0] > third + NOTICE_TIME]
+        self.assertLessEqual(len(late), LATE_SENDS, f"{len(self.crashes())} replicas ended in all")
+
+        told = callers.of("poison", since=third + 1)
+        self.assertGreater(len(told), 10)
+        for seconds, answer in told:
+            self.assertEqual((answer.status, answer.json()["kind"], answer.json()["ran"]), (503, "crashes_replicas", "no"))
+            self.assertLess(seconds, 0.5)
+            # Nobody is asked to come back while the request is known to end what runs it.
+            self.assertGreater(float(answer.headers["retry-after"]), 10)
+
+        for name in ("other", "poll"):
+            answers = callers.of(name, since=third + NOTICE_TIME)
+            self.assertGreater(len(answers), 50)
+            self.assertEqual({answer.status for _, answer in answers}, {200}, name)
+
+
+if __name__ == "__main__":
+    unittest.main()
