--- a/modules/snowrudder_core/errors/ErrorKind.cpp
+++ b/modules/snowrudder_core/errors/ErrorKind.cpp
@@ -76,6 +76,10 @@
                   "The platform's key-value service can't be reached; nothing was changed." },
     ErrorAnswer { ErrorKind::editUnknown, "edit_unknown", 503, Ran::unknown, seconds (5),
                   "The edit may be stored; ask again with the same edit identifier." },
+    ErrorAnswer {
+        ErrorKind::crashesReplicas, "crashes_replicas", 503, Ran::no, seconds (600),
+        "Replicas end when they run this request; it is not sent to any until it has not been seen for "
+        "a while." },
     ErrorAnswer { ErrorKind::internal, "internal", 500, Ran::unknown, noRetry,
                   "The router failed in a way that it should not." },
 };
--- a/modules/snowrudder_core/errors/ErrorKind.h
+++ b/modules/snowrudder_core/errors/ErrorKind.h
@@ -40,6 +40,7 @@
     settingsInvalid,
     platformUnavailable,
     editUnknown,
+    crashesReplicas,
     internal
 };
 
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
@@ -31,6 +31,8 @@
             return ErrorKind::upstreamInvalid;
         case FailureCause::deadline:
             return ErrorKind::deadlineExceeded;
+        case FailureCause::stopped:
+            return ErrorKind::crashesReplicas;
         case FailureCause::cut:
         case FailureCause::failed:
         case FailureCause::moved:
@@ -61,6 +63,8 @@
             return "moved";
         case FailureCause::abandoned:
             return "abandoned";
+        case FailureCause::stopped:
+            return "stopped";
         case FailureCause::deadline:
             break;
     }
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.h
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.h
@@ -26,7 +26,9 @@
     /** The router ended it: nobody wants the answer any more. */
     abandoned,
     /** The router ended it: the request's time is over. */
-    deadline
+    deadline,
+    /** The router did not send it: replicas end when they run the request. */
+    stopped
 };
 
 /** One attempt that failed. */
--- /dev/null
+++ b/modules/snowrudder_requests/crashes/CrashEvidence.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "RequestFingerprint.h"
+
+#include "snowrudder_core/snowrudder_core.h"
+
+#include <optional>
+#include <vector>
+
+namespace snowrudder
+{
+
+/** A replica that ended while it ran a request. */
+struct ReplicaCrash
+{
+    /** Hash of the replica, and of its start where the replica tells that. */
+    std::uint64_t replica = 0;
+    /** When its connection ended. */
+    TimePoint at {};
+};
+
+/** What is known of one request under which replicas ended. Nodes tell it each other; it may arrive late, twice and in any
+    order.
+*/
+struct CrashEvidence
+{
+    RequestFingerprint request;
+    /** Hash of its client account's name. */
+    std::uint32_t account = 0;
+    /** The earliest `mostCrashesKept`, in the order of their times. */
+    std::vector<ReplicaCrash> crashes;
+    /** When a replica last answered it whole and with success. */
+    std::optional<TimePoint> succeeded;
+    /** When a replica last ended under it, or a repeat of it was last stopped. */
+    TimePoint lastSeen {};
+};
+
+/** A request is stopped once it has ended so many replicas. */
+inline constexpr auto crashesToStop = std::size_t { 3 };
+
+/** Crashes kept of one request. With so many it is stopped, also where another one ran on all of the same replicas. */
+inline constexpr auto mostCrashesKept = std::size_t { 8 };
+
+/** Crashes closer to each other than this count once: what takes several replicas at the same moment is not a request. */
+inline constexpr auto crashSpacing = Duration (50ms);
+
+/** A success speaks for the request also in crashes up to this much later: a request that runs well elsewhere at the time did
+    not end its replica.
+*/
+inline constexpr auto successCovers = Duration (5s);
+
+/** Before a request is stopped, evidence of other nodes is waited for since its last deciding crash: it may show that another
+    request ended the same replicas and more.
+*/
+inline constexpr auto hearingTime = Duration (700ms);
+
+/** A replica that starts again under its name has not crashed a second time within less. */
+inline constexpr auto shortestRestart = Duration (1s);
+
+/** @returns whether two nodes told of the same end of a replica. */
+auto isSameCrash (const ReplicaCrash& first, const ReplicaCrash& second) -> bool;
+
+/** Takes over what another node knows of the same request.
+
+    @returns whether there was anything new in it
+*/
+auto mergeEvidence (CrashEvidence& known, const CrashEvidence& heard) -> bool;
+
+/** @returns the crashes that no success speaks against. */
+auto standingCrashes (const CrashEvidence& evidence) -> std::vector<ReplicaCrash>;
+
+/** @returns of the standing crashes those that count against a request: one for each moment. */
+auto countedCrashes (const CrashEvidence& evidence) -> std::vector<ReplicaCrash>;
+
+} // namespace snowrudder
--- /dev/null
+++ b/modules/snowrudder_requests/crashes/CrashTable.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "CrashEvidence.h"
+
+#include <map>
+#include <mutex>
+#include <unordered_map>
+
+namespace snowrudder
+{
+
+/** Whether a request may be sent to a replica. */
+enum class CrashVerdict
+{
+    /** Nothing speaks against it. */
+    clear,
+    /** Replicas ended under it; they may have ended for another reason. */
+    suspected,
+    /** It is about to be stopped, unless other nodes' evidence speaks for it. */
+    undecided,
+    /** It ends the replicas that run it: it is sent to none. */
+    stopped
+};
+
+/** A verdict with what it rests on. */
+struct CrashJudgement
+{
+    CrashVerdict verdict = CrashVerdict::clear;
+    /** Replicas that ended under the request and count against it. */
+    std::size_t crashes = 0;
+    /** The latest of those. */
+    TimePoint lastCrash {};
+};
+
+/** What this node knows of requests under which replicas ended, by the requests' content. Any thread may call it; one mutex
+    guards it.
+
+    It is bounded: beside the whole, each client account has a bound of its own, so that one account's requests push out no
+    other's.
+*/
+class CrashTable
+{
+public:
+    /** Notes that a replica ended while it ran a request of this node.
+
+        @param replica  names the replica's incarnation
+        @returns        whether that was not known
+    */
+    auto noteCrash (const RequestFingerprint& request,
+                    std::string_view account,
+                    std::uint64_t replica,
+                    TimePoint now) -> bool;
+
+    /** Notes that a replica answered a request whole and with success. */
+    auto noteSuccess (const RequestFingerprint& request, TimePoint now) -> void;
+
+    /** Notes that a repeat of a request was stopped. */
+    auto noteStopped (const RequestFingerprint& request, TimePoint now) -> void;
+
+    /** Takes in what another node told.
+
+        @param isToTell  whether this node hands on what is new
+        @returns         whether there was anything new
+    */
+    auto hear (const CrashEvidence& heard, bool isToTell, TimePoint now) -> bool;
+
+    /** @returns whether a request may be sent to a replica now. */
+    [[nodiscard]] auto judge (const RequestFingerprint& request, TimePoint now) const -> CrashJudgement;
+
+    /** @returns what is to be told to other nodes now; each news is told `timesTold` times, since messages get lost. */
+    auto takeToTell (std::size_t most) -> std::vector<CrashEvidence>;
+
+    /** @returns all that is known, the requests that are stopped first. */
+    [[nodiscard]] auto all (std::size_t most, TimePoint now) const -> std::vector<CrashEvidence>;
+
+    /** @returns a number that is the same at nodes that stop the same requests; zero where none is stopped. */
+    [[nodiscard]] auto digest (TimePoint now) const -> std::uint64_t;
+
+    /** Forgets what is older than `keepTime`. */
+    auto forgetOld (TimePoint now) -> void;
+
+    struct Sizes
+    {
+        std::size_t known = 0;
+        std::size_t stopped = 0;
+    };
+
+    [[nodiscard]] auto sizes (TimePoint now) const -> Sizes;
+
+    /** A request is forgotten when it was not seen for so long. One that goes on coming stays stopped. */
+    static constexpr auto keepTime = Duration (10min);
+
+    static constexpr auto mostRequests = std::size_t { 2048 };
+    static constexpr auto mostOfAccount = std::size_t { 256 };
+    static constexpr auto timesTold = std::uint32_t { 3 };
+
+private:
+    struct Entry
+    {
+        CrashEvidence evidence;
+        std::uint32_t tellsLeft = 0;
+    };
+
+    struct FingerprintHash
+    {
+        auto operator() (const RequestFingerprint& request) const -> std::size_t { return request.low; }
+    };
+
+    auto entryFor (const RequestFingerprint& request, std::uint32_t account, TimePoint now) -> Entry&;
+    auto takeSuccess (Entry& entry, TimePoint at) -> void;
+    auto recentSuccess (const RequestFingerprint& request, TimePoint now) const -> std::optional<TimePoint>;
+    auto keepSuccess (const RequestFingerprint& request, TimePoint now) -> void;
+    auto makeRoom (std::uint32_t account) -> void;
+    [[nodiscard]] auto isProven (const Entry& entry) const -> bool;
+    [[nodiscard]] auto judgeEntry (const Entry& entry, TimePoint now) const -> CrashJudgement;
+
+    using Successes = std::unordered_map<RequestFingerprint, TimePoint, FingerprintHash>;
+
+    mutable std::mutex mutex;
+    std::unordered_map<RequestFingerprint, Entry, FingerprintHash> entries;
+    std::map<std::uint32_t, std::size_t> countByAccount;
+    /** Requests that lately succeeded, in two generations of `successCovers` each. */
+    Successes successes;
+    Successes earlierSuccesses;
+    TimePoint generationBegan {};
+};
+
+} // namespace snowrudder
--- a/modules/snowrudder_requests/crashes/RequestFingerprint.cpp
+++ b/modules/snowrudder_requests/crashes/RequestFingerprint.cpp
@@ -53,8 +53,7 @@
 
     const auto context = keyedContext (secret);
 
-    for (const auto part :
-         { content.account, content.method, content.host, content.target, content.body })
+    for (const auto part : { content.account, content.method, content.host, content.target, content.body })
         feed (context.get(), part);
 
     std::array<unsigned char, fingerprintBytes> bytes {};
--- a/modules/snowrudder_requests/retry/RetryDecision.cpp
+++ b/modules/snowrudder_requests/retry/RetryDecision.cpp
@@ -30,7 +30,8 @@
     decision.kind = kindOf (outcome.cause);
     decision.ran = isProvedNotRun ? Ran::no : Ran::unknown;
 
-    if (outcome.cause == FailureCause::abandoned || outcome.cause == FailureCause::deadline)
+    if (outcome.cause == FailureCause::abandoned || outcome.cause == FailureCause::deadline ||
+        outcome.cause == FailureCause::stopped)
         return decision;
 
     if (! input.repeatable && ! isProvedNotRun)
--- a/modules/snowrudder_requests/snowrudder_requests.h
+++ b/modules/snowrudder_requests/snowrudder_requests.h
@@ -2,6 +2,7 @@
     snowrudder_requests: accepted requests, from acceptance to the end of their answers' keeping.
 
     - attempt/  what an attempt's failure proves about whether the request ran
+    - crashes/  requests that end the replicas that run them: evidence, its bounds, the verdict
     - retry/    whether a failed attempt is followed by another, and the budgets of that
     - once/     who may run a keyed call: slots of the key space, their owners' tables, leases
     - record/   the part of an answer made so far, kept for resuming; the table of all records
@@ -12,6 +13,8 @@
 #pragma once
 
 #include "attempt/AttemptOutcome.h"
+#include "crashes/CrashTable.h"
+#include "crashes/RequestFingerprint.h"
 #include "once/KeySlots.h"
 #include "once/KeyTable.h"
 #include "once/SlotRecord.h"
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -8,6 +8,7 @@
 #include "model/RequestHandover.h"
 #include "once/SlotHandover.h"
 #include "once/SlotKeeper.h"
+#include "peers/CrashExchange.h"
 #include "peers/TreeExchange.h"
 
 #include <csignal>
@@ -83,8 +84,11 @@
 auto Router::startBackground() -> void
 {
     auto& worker = workers.front();
+    const auto crashWake = std::make_shared<Signal> (worker.loop.get_executor());
+    state.crashes.onNews = [crashWake] { crashWake->notify(); };
     asio::co_spawn (worker.loop, followTree (state, worker), asio::detached);
     asio::co_spawn (worker.loop, spreadTree (state, worker), asio::detached);
+    asio::co_spawn (worker.loop, spreadCrashes (state, worker, crashWake), asio::detached);
     asio::co_spawn (worker.loop, followVmList (state, worker), asio::detached);
     asio::co_spawn (worker.loop, watchLoads (state, worker), asio::detached);
     asio::co_spawn (worker.loop, keepSlots (state, worker), asio::detached);
--- a/modules/snowrudder_router/background/Sweep.cpp
+++ b/modules/snowrudder_router/background/Sweep.cpp
@@ -95,6 +95,8 @@
         setWindows (state, now);
         countReplicas (state, now);
         state.requests.dropOld (now);
+        state.crashes.lookAgain (now);
+        state.crashes.table().forgetOld (now);
         state.counts.openRequests.set (static_cast<std::int64_t> (state.requests.openCount()));
         state.counts.keptBytes.set (static_cast<std::int64_t> (state.requests.keptBytes()));
 
--- a/modules/snowrudder_router/gateway/CallerScope.cpp
+++ b/modules/snowrudder_router/gateway/CallerScope.cpp
@@ -56,6 +56,20 @@
         state.accounts.leave (account);
 }
 
+auto stoppedAtOnce (RouterState& state, const RequestFingerprint& fingerprint, std::string_view requestId)
+    -> std::optional<Problem>
+{
+    const auto now = SteadyClock::now();
+    const auto judgement = state.crashes.judge (fingerprint, now);
+
+    if (judgement.verdict != CrashVerdict::stopped)
+        return {};
+
+    state.crashes.noteStopped (fingerprint, requestId, judgement, now);
+    const auto mayHaveRun = false;
+    return problemWhenStopped (mayHaveRun);
+}
+
 auto problemOf (const ServiceQueues::Place& place) -> Problem
 {
     auto problem = makeProblem (ErrorKind::overloaded);
--- a/modules/snowrudder_router/gateway/CallerScope.h
+++ b/modules/snowrudder_router/gateway/CallerScope.h
@@ -55,6 +55,10 @@
     bool admitted = false;
 };
 
+/** @returns why a request is refused as it comes, where it ended the replicas that ran it. */
+auto stoppedAtOnce (RouterState& state, const RequestFingerprint& fingerprint, std::string_view requestId)
+    -> std::optional<Problem>;
+
 /** @returns a problem for a request that got no place in the queue. */
 auto problemOf (const ServiceQueues::Place& place) -> Problem;
 
--- a/modules/snowrudder_router/model/ChatHandler.cpp
+++ b/modules/snowrudder_router/model/ChatHandler.cpp
@@ -90,6 +90,16 @@
     const auto run = std::make_shared<ModelRun> (state, worker, record, std::move (wanted.request),
                                                  scope.account, std::move (wanted.service));
 
+    const auto stopped = wanted.key.empty()
+                             ? stoppedAtOnce (state, run->requestFingerprint(), toString (scope.id))
+                             : std::nullopt;
+
+    if (stopped)
+    {
+        co_await respondProblem (state, exchange, *stopped, toString (scope.id));
+        co_return;
+    }
+
     if (const auto earlier = state.requests.add (record, wanted.key))
     {
         admitted.reset();
--- a/modules/snowrudder_router/model/ModelRun.cpp
+++ b/modules/snowrudder_router/model/ModelRun.cpp
@@ -11,6 +11,7 @@
 /** An engine faster than this has its tokens passed on a few at a time: each read and write is a system call. */
 constexpr auto shortestReadGap = 4ms;
 
+constexpr auto chatTarget = std::string_view ("/v1/chat/completions");
 constexpr auto longestEvent = std::size_t { 1024 * 1024 };
 constexpr auto cacheMoveTimeout = 500ms;
 constexpr auto largestCacheList = std::size_t { 4 * 1024 * 1024 };
@@ -53,6 +54,10 @@
     const auto prompt = promptText (request->body);
     blocks = promptBlocks (prompt, account->name);
     promptTokens = estimateTokens (prompt.size());
+    // As another router reads it that takes the request over.
+    const auto body = json::serialize (request->body);
+    fingerprint = fingerprintOf (state.settings.node_secret(),
+                                 { account->name, "POST", service->name, chatTarget, body });
     record->keepRequest (request);
 }
 
@@ -120,9 +125,14 @@
         if (! outcome)
             co_return;
 
+        const auto after = co_await replicaAfter (*outcome);
         const auto decision = afterFailure (*outcome);
 
-        attemptFailed (idText, attempts, *outcome, decision).info();
+        attemptFailed (idText, attempts, *outcome, decision)
+            .with ("replica", lastReplica.name)
+            .with ("replica_address", after)
+            .with ("fingerprint", toString (fingerprint))
+            .info();
 
         if (! decision.again)
         {
@@ -137,7 +147,17 @@
 auto ModelRun::attempt() -> Task<Outcome>
 {
     ++attempts;
+
+    const auto judgement = co_await waitForVerdict();
+
+    if (judgement.verdict == CrashVerdict::stopped)
+    {
+        state.crashes.noteStopped (fingerprint, idText, judgement, SteadyClock::now());
+        co_return AttemptOutcome { CallStage::planned, FailureCause::stopped };
+    }
+
     state.counts.attempts.add();
+    const CrashWatch::Running running (state.crashes, fingerprint);
 
     ChoiceInput input;
     input.blocks = blocks;
@@ -146,6 +166,10 @@
     isOverShare = state.queues.isOverShare (service->name, account->name);
     input.isOverShare = isOverShare;
     input.routers = state.routerCount();
+    const SuspectRanking ranking (fingerprint, promptTokens);
+
+    if (judgement.verdict != CrashVerdict::clear)
+        ranking.applyTo (input);
 
     auto taken = state.replicas.take (service->name, input, choiceWeights (*service), SteadyClock::now());
 
@@ -153,12 +177,15 @@
     {
         // All have been tried: the next attempt may try them again.
         tried.clear();
+        lastReplica = {};
         co_return AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
     }
 
     logDecision (idText, account->name, *taken, attempts);
     auto ticket = taken->ticket;
     tried.push_back (ticket.number);
+    lastNumber = ticket.number;
+    lastReplica = ticket.info;
     record->currentReplica = ticket.number;
     attemptTokens = 0;
     usageSeen = false;
@@ -181,6 +208,22 @@
     co_return outcome;
 }
 
+auto ModelRun::waitForVerdict() -> Task<CrashJudgement>
+{
+    return state.crashes.waitForVerdict (
+        worker.loop, fingerprint,
+        [this] { return interruptCause.has_value() || SteadyClock::now() >= record->identity().deadline; });
+}
+
+auto ModelRun::replicaAfter (const AttemptOutcome& outcome) -> Task<std::string_view>
+{
+    if (! mayShowCrash (outcome))
+        co_return "not_asked";
+
+    WatchedAttempt ended { fingerprint, idText, account->name, lastNumber, lastReplica, SteadyClock::now() };
+    co_return co_await state.crashes.examine (worker.probes, std::move (ended));
+}
+
 auto ModelRun::callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Outcome>
 {
     if (interruptCause)
@@ -279,6 +322,7 @@
     auto usage = firstUsage.value_or (Usage {});
     usage.completionTokens = earlierTokens + attemptTokens;
     record->finish (finishReason, usage);
+    state.crashes.table().noteSuccess (fingerprint, SteadyClock::now());
     return {};
 }
 
@@ -403,7 +447,10 @@
         return;
     }
 
-    record->fail (problemAfter (outcome, decision));
+    if (outcome.cause == FailureCause::stopped)
+        record->fail (problemWhenStopped (mayHaveRun));
+    else
+        record->fail (problemAfter (outcome, decision));
 }
 
 auto ModelRun::onInterrupt (FailureCause cause) -> void
@@ -421,7 +468,7 @@
 auto ModelRun::engineRequest() const -> HttpRequest
 {
     auto body = engineRequestBody (*request, enginePriority(), account->name, record->text(), earlierTokens);
-    auto call = makeRequest (http::verb::post, "/v1/chat/completions", std::move (body));
+    auto call = makeRequest (http::verb::post, chatTarget, std::move (body));
     call.set ("X-Request-Id", attemptName());
     return call;
 }
--- a/modules/snowrudder_router/model/ModelRun.h
+++ b/modules/snowrudder_router/model/ModelRun.h
@@ -41,12 +41,16 @@
     */
     auto start (std::shared_ptr<AdmittedRequest> admitted) -> void;
 
+    [[nodiscard]] auto requestFingerprint() const -> const RequestFingerprint& { return fingerprint; }
+
 private:
     using Outcome = std::optional<AttemptOutcome>;
 
     auto run (std::shared_ptr<AdmittedRequest> admitted) -> Task<void>;
     auto runAttempts() -> Task<void>;
     auto attempt() -> Task<Outcome>;
+    auto waitForVerdict() -> Task<CrashJudgement>;
+    auto replicaAfter (const AttemptOutcome& outcome) -> Task<std::string_view>;
     auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Outcome>;
     auto takeRefusal (UpstreamCall& call) -> Task<Outcome>;
     auto relayStream (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Outcome>;
@@ -73,6 +77,7 @@
     std::shared_ptr<const ServiceView> service;
 
     std::string idText;
+    RequestFingerprint fingerprint;
     std::vector<std::uint64_t> blocks;
     double promptTokens = 0.0;
     std::vector<ReplicaNumber> tried;
@@ -93,6 +98,9 @@
     /** Cache blocks that the replica left behind gave out, as JSON for the next one. */
     std::string exportedCache;
 
+    /** The replica of the present attempt. */
+    ReplicaNumber lastNumber = 0;
+    ReplicaInfo lastReplica;
     UpstreamCall* currentCall = nullptr;
     std::optional<FailureCause> interruptCause;
     /** An upstream's own words on a request that it can't take. */
--- a/modules/snowrudder_router/peers/InternalHandler.cpp
+++ b/modules/snowrudder_router/peers/InternalHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "../model/RequestHandover.h"
 #include "../once/SlotHandover.h"
+#include "CrashExchange.h"
 #include "PeerCalls.h"
 #include "TreeExchange.h"
 
@@ -17,6 +18,9 @@
     if (exchange.path() == treeTarget)
         return exchangeTree (state, exchange.request().body());
 
+    if (exchange.path() == crashesTarget)
+        return exchangeCrashes (state, exchange.request().body());
+
     return exchange.path() == statusTarget ? std::optional (routerStatus (state)) : std::nullopt;
 }
 
--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -52,6 +52,29 @@
     co_return answer;
 }
 
+auto waitForVerdict (RouterState& state, Worker& worker, const PlainCallInput& input) -> Task<CrashJudgement>
+{
+    return state.crashes.waitForVerdict (worker.loop, input.fingerprint,
+                                         [end = input.deadline] { return SteadyClock::now() >= end; });
+}
+
+/** @returns what became of the replica of an attempt, for the log. */
+auto replicaAfter (RouterState& state,
+                   Worker& worker,
+                   const PlainCallInput& input,
+                   const ReplicaTicket& ticket,
+                   const AttemptResult& result) -> Task<std::string_view>
+{
+    const auto* outcome = std::get_if<AttemptOutcome> (&result);
+
+    if (outcome == nullptr || ! mayShowCrash (*outcome))
+        co_return "not_asked";
+
+    WatchedAttempt ended { input.fingerprint, toString (input.id), input.account->name,
+                           ticket.number,     ticket.info,         SteadyClock::now() };
+    co_return co_await state.crashes.examine (worker.probes, std::move (ended));
+}
+
 } // namespace
 
 auto makeCallRecord (const PlainCallInput& input, std::uint64_t contentHash) -> std::shared_ptr<RequestRecord>
@@ -77,10 +100,25 @@
 
     for (retry.attempts = 1;; ++retry.attempts)
     {
+        const auto judgement = co_await waitForVerdict (state, worker, input);
+
+        if (judgement.verdict == CrashVerdict::stopped)
+        {
+            state.crashes.noteStopped (input.fingerprint, idText, judgement, SteadyClock::now());
+            co_return problemWhenStopped (retry.mayHaveRun);
+        }
+
         state.counts.attempts.add();
+        const CrashWatch::Running running (state.crashes, input.fingerprint);
         ChoiceInput choice;
         choice.tried = tried;
+        const SuspectRanking ranking (input.fingerprint, 0.0);
+
+        if (judgement.verdict != CrashVerdict::clear)
+            ranking.applyTo (choice);
+
         AttemptResult result = AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
+        std::string_view after = "not_asked";
 
         if (const auto taken = state.replicas.take (input.service->name, choice,
                                                     choiceWeights (*input.service), SteadyClock::now()))
@@ -88,6 +126,7 @@
             logDecision (idText, input.account->name, *taken, retry.attempts);
             tried.push_back (taken->ticket.number);
             result = co_await attemptOn (state, worker, input, taken->ticket);
+            after = co_await replicaAfter (state, worker, input, taken->ticket, result);
         }
         else
         {
@@ -105,7 +144,7 @@
         if (decision.again && decision.takesBudget)
             decision.again = state.retryBudgets.take (input.account->name, input.service->name);
 
-        attemptFailed (idText, retry.attempts, outcome, decision).info();
+        attemptFailed (idText, retry.attempts, outcome, decision).with ("replica_address", after).info();
 
         if (! decision.again)
             co_return problemAfter (outcome, decision);
--- a/modules/snowrudder_router/plain/PlainCall.h
+++ b/modules/snowrudder_router/plain/PlainCall.h
@@ -20,6 +20,7 @@
     HttpRequest request;
     bool repeatable = false;
     TimePoint deadline {};
+    RequestFingerprint fingerprint;
 };
 
 /** An upstream's answer, its header and the first part of its body read. Holds its place in the replica's count. */
--- a/modules/snowrudder_router/plain/PlainHandler.cpp
+++ b/modules/snowrudder_router/plain/PlainHandler.cpp
@@ -65,7 +65,8 @@
     return request;
 }
 
-auto readWanted (const Exchange& exchange, const CallerScope& scope) -> std::variant<WantedCall, Problem>
+auto readWanted (const RouterState& state, const Exchange& exchange, const CallerScope& scope)
+    -> std::variant<WantedCall, Problem>
 {
     const auto& received = exchange.request();
     const auto target = splitTarget (toView (received.target()));
@@ -94,6 +95,9 @@
         ! isTightened && isRepeatable (service->settings, toView (received.method_string()), path);
     wanted.input.deadline = SteadyClock::now() + scope.account->deadline;
     wanted.input.request = upstreamRequest (received, target.rest, toString (scope.id));
+    wanted.input.fingerprint =
+        fingerprintOf (state.settings.node_secret(), { scope.account->name, toView (received.method_string()),
+                                                       service->name, target.rest, received.body() });
     return wanted;
 }
 
@@ -137,6 +141,13 @@
                                worker.loop.get_executor());
 }
 
+/** Notes a call that a replica answered with success and whole, as far as its answer was read here. */
+auto noteAnswer (RouterState& state, const PlainCallInput& input, const UpstreamCall& call) -> void
+{
+    if (call.isDone() && http::to_status_class (call.status()) == http::status_class::successful)
+        state.crashes.table().noteSuccess (input.fingerprint, SteadyClock::now());
+}
+
 /** Keeps a small answer, so that its caller can ask for it by the request's identifier. */
 auto keepSmallAnswer (RouterState& state, const PlainCallInput& input, PlainAnswer& answer) -> void
 {
@@ -179,6 +190,7 @@
     auto& answer = *std::get<std::unique_ptr<PlainAnswer>> (result);
     keepSmallAnswer (state, input, answer);
     co_await relayAnswer (exchange, answer.upstream(), std::move (answer.body), idText);
+    noteAnswer (state, input, answer.upstream());
 }
 
 /** Makes a keyed call's answer apart from the caller's connection and keeps it for the key. */
@@ -218,6 +230,7 @@
     else
         record->finish (std::move (kept));
 
+    noteAnswer (state, input, call);
     state.requests.noteEnded (record, SteadyClock::now());
 }
 
@@ -285,7 +298,7 @@
 
 auto handlePlain (RouterState& state, Worker& worker, Exchange& exchange, CallerScope scope) -> Task<void>
 {
-    auto read = readWanted (exchange, scope);
+    auto read = readWanted (state, exchange, scope);
 
     if (const auto* problem = std::get_if<Problem> (&read))
     {
@@ -293,6 +306,19 @@
         co_return;
     }
 
+    auto& wanted = std::get<WantedCall> (read);
+
+    // A keyed call may have run before under its key: what its key says of that comes first.
+    const auto stopped = wanted.key.empty()
+                             ? stoppedAtOnce (state, wanted.input.fingerprint, toString (scope.id))
+                             : std::nullopt;
+
+    if (stopped)
+    {
+        co_await respondProblem (state, exchange, *stopped, toString (scope.id));
+        co_return;
+    }
+
     // The router that sent it on has counted it already.
     const auto isForwarded = signingPeer (state, exchange.request()).has_value();
     std::optional<Problem> notAdmitted;
@@ -306,7 +332,6 @@
     }
 
     const CallInProgress inProgress (state);
-    auto& wanted = std::get<WantedCall> (read);
 
     if (wanted.key.empty())
         co_await relayDirectly (state, worker, exchange, wanted.input);
--- a/modules/snowrudder_router/state/RouterState.h
+++ b/modules/snowrudder_router/state/RouterState.h
@@ -28,7 +28,7 @@
 {
     explicit RouterState (const schema::RouterSettings& routerSettings)
         : settings (routerSettings), timeouts (routerTimeouts (routerSettings)),
-          limits (serverLimits (routerSettings)), counts (metrics),
+          limits (serverLimits (routerSettings)), counts (metrics), crashes (metrics, replicas),
           requests (timeouts.keepAnswer,
                     routerSettings.has_kept_answer_bytes() ? routerSettings.kept_answer_bytes()
                                                            : usualKeptBytes),
@@ -96,6 +96,7 @@
     Metrics metrics;
     RouterMetrics counts;
     ReplicaTable replicas;
+    CrashWatch crashes;
     RequestTable requests;
     AccountLimiter accounts;
     ServiceQueues queues;
@@ -123,10 +124,14 @@
 /** What belongs to one worker's thread. */
 struct Worker
 {
-    explicit Worker (asio::io_context& eventLoop) : loop (eventLoop), pool (eventLoop.get_executor()) {}
+    explicit Worker (asio::io_context& eventLoop)
+        : loop (eventLoop), pool (eventLoop.get_executor()), probes (eventLoop, pool)
+    {
+    }
 
     asio::io_context& loop;
     ConnectionPool pool;
+    SharedProbes probes;
     std::shared_ptr<HttpServer> server;
 };
 
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -240,16 +240,29 @@
         noteHealth (*replica, AttemptHealth::unreachable, breaker, now);
 }
 
-auto ReplicaTable::isLeaving (ReplicaNumber number) const -> bool
+auto ReplicaTable::listing (ReplicaNumber number) const -> ReplicaListing
 {
     const std::lock_guard lock (mutex);
+    const ReplicaState* found = nullptr;
 
     for (const auto& [service, replicas] : services)
         for (const auto& replica : replicas)
             if (replica.number == number)
-                return replica.leavingSince.has_value();
+                found = &replica;
 
-    return true;
+    if (found == nullptr)
+        return ReplicaListing::gone;
+
+    if (found->leavingSince)
+        return ReplicaListing::leaving;
+
+    // The entry of a replica that crashed stands for seconds beside that of its successor.
+    for (const auto& [service, replicas] : services)
+        for (const auto& replica : replicas)
+            if (replica.number > number && replica.info.endpoint == found->info.endpoint)
+                return ReplicaListing::gone;
+
+    return ReplicaListing::listed;
 }
 
 auto ReplicaTable::capacity (const std::string& service, TimePoint now) const -> Capacity
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -41,6 +41,15 @@
     bool leaving = false;
 };
 
+/** How a replica stands in the lists that this router was given. */
+enum class ReplicaListing
+{
+    listed,
+    leaving,
+    /** No longer listed, or another one is listed at its address. */
+    gone
+};
+
 /** All replicas of all services that this router knows. Any thread may call it; one mutex guards it all, and nothing
     else is locked while it is held.
 */
@@ -109,8 +118,13 @@
     /** Notes that a replica's own face can't be reached, apart from any request. */
     auto noteUnreachable (ReplicaNumber number, TimePoint now) -> void;
 
+    [[nodiscard]] auto listing (ReplicaNumber number) const -> ReplicaListing;
+
     /** @returns whether a replica is leaving, or is no longer listed. */
-    [[nodiscard]] auto isLeaving (ReplicaNumber number) const -> bool;
+    [[nodiscard]] auto isLeaving (ReplicaNumber number) const -> bool
+    {
+        return listing (number) != ReplicaListing::listed;
+    }
 
     /** Calls a function with each replica, under the table's lock. */
     template <typename Visitor>
--- a/modules/snowrudder_serving/attempt/AttemptErrors.cpp
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.cpp
@@ -34,6 +34,7 @@
         case FailureCause::moved:
         case FailureCause::abandoned:
         case FailureCause::deadline:
+        case FailureCause::stopped:
             break;
     }
 
@@ -53,6 +54,13 @@
     return line;
 }
 
+auto problemWhenStopped (bool mayHaveRun) -> Problem
+{
+    // Only what surely has not run may be told so, and be asked to come back.
+    return makeProblem (mayHaveRun ? ErrorKind::upstreamFailed : ErrorKind::crashesReplicas,
+                        "replicas end when they run this request");
+}
+
 auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem
 {
     return makeProblem (decision.kind, decision.ran,
--- a/modules/snowrudder_serving/attempt/AttemptErrors.h
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.h
@@ -22,6 +22,12 @@
                     const AttemptOutcome& outcome,
                     const RetryDecision& decision) -> LogLine;
 
+/** @returns what the caller of a request is told that is not sent because it ends the replicas that run it.
+
+    @param mayHaveRun  whether an attempt before may have run
+*/
+auto problemWhenStopped (bool mayHaveRun) -> Problem;
+
 /** @returns what the caller is told after the last attempt. */
 auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem;
 
--- /dev/null
+++ b/modules/snowrudder_serving/crashes/CrashWatch.cpp
@@ -0,0 +1,216 @@
+#include "CrashWatch.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** An entry goes after three missed heartbeats, and a little later where the store is slow. */
+constexpr auto doubtTime = Duration (8s);
+
+/** Attempts in doubt that are kept: a replica's slots times the replicas of a failure domain. */
+constexpr auto mostDoubts = std::size_t { 512 };
+
+/** How often a waiting request looks for a verdict. */
+constexpr auto verdictLook = 10ms;
+
+/** From this many crashes on a request waits up to `longestPause` before it is sent again, so that not all nodes that have it
+    send it at once.
+*/
+constexpr auto crashesToPause = std::size_t { 2 };
+constexpr auto longestPause = Duration (250ms);
+
+/** @returns what names one incarnation of a replica. */
+auto incarnationHash (const ReplicaInfo& replica) -> std::uint64_t
+{
+    return hashBytes (replica.name, hashBytes (replica.endpoint, replica.born));
+}
+
+auto toString (CrashVerdict verdict) -> std::string_view
+{
+    switch (verdict)
+    {
+        case CrashVerdict::suspected:
+            return "suspected";
+        case CrashVerdict::undecided:
+            return "undecided";
+        case CrashVerdict::stopped:
+            return "stopped";
+        case CrashVerdict::clear:
+            break;
+    }
+
+    return "clear";
+}
+
+} // namespace
+
+CrashWatch::CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable)
+    : replicas (replicaTable), crashesSeen (metrics.counter ("snowrudder_crashes_under_requests_total")),
+      requestsStopped (metrics.counter ("snowrudder_requests_stopped_total"))
+{
+}
+
+auto CrashWatch::examine (SharedProbes& probes, WatchedAttempt attempt) -> Task<std::string_view>
+{
+    if (replicas.isLeaving (attempt.number))
+        co_return "leaving";
+
+    const auto state = co_await probes.probe (attempt.replica.endpoint);
+
+    // Listed as leaving meanwhile: a planned end.
+    if (replicas.listing (attempt.number) == ReplicaListing::leaving)
+        co_return "leaving";
+
+    if (state == EndpointState::refuses)
+        noteCrash (attempt, "connection_refused");
+    else
+        noteDoubt (std::move (attempt));
+
+    co_return snowrudder::toString (state);
+}
+
+auto CrashWatch::lookAgain (TimePoint now) -> void
+{
+    std::vector<WatchedAttempt> inDoubt;
+
+    {
+        const std::lock_guard lock (mutex);
+        inDoubt.swap (doubts);
+    }
+
+    for (auto& attempt : inDoubt)
+    {
+        const auto listing = replicas.listing (attempt.number);
+
+        if (listing == ReplicaListing::gone)
+            noteCrash (attempt, "entry_gone");
+        else if (listing == ReplicaListing::listed && now - attempt.ended <= doubtTime)
+            noteDoubt (std::move (attempt));
+    }
+}
+
+auto CrashWatch::hear (const std::vector<CrashEvidence>& heard,
+                       std::string_view from,
+                       bool isToTell,
+                       TimePoint now) -> void
+{
+    auto isNews = false;
+
+    for (const auto& evidence : heard)
+    {
+        if (! crashes.hear (evidence, isToTell, now))
+            continue;
+
+        isNews = true;
+        const auto judgement = crashes.judge (evidence.request, now);
+        LogLine ("crashes_heard")
+            .with ("fingerprint", snowrudder::toString (evidence.request))
+            .with ("from", from)
+            .with ("crashes", judgement.crashes)
+            .with ("age_milliseconds", inMilliseconds (now - evidence.lastSeen))
+            .with ("verdict", toString (judgement.verdict))
+            .info();
+    }
+
+    if (isNews && onNews)
+        onNews();
+}
+
+auto CrashWatch::noteStopped (const RequestFingerprint& request,
+                              std::string_view requestId,
+                              const CrashJudgement& judgement,
+                              TimePoint now) -> void
+{
+    crashes.noteStopped (request, now);
+    requestsStopped.add();
+    LogLine ("request_stopped")
+        .with ("request", requestId)
+        .with ("fingerprint", snowrudder::toString (request))
+        .with ("crashes", judgement.crashes)
+        .with ("last_crash_milliseconds", inMilliseconds (now - judgement.lastCrash))
+        .info();
+}
+
+auto CrashWatch::waitForVerdict (asio::io_context& loop,
+                                 RequestFingerprint request,
+                                 std::function<bool()> isOver) -> Task<CrashJudgement>
+{
+    auto judgement = crashes.judge (request, SteadyClock::now());
+
+    if (judgement.verdict == CrashVerdict::suspected && judgement.crashes >= crashesToPause)
+    {
+        co_await pauseFor (loop, std::chrono::duration_cast<Duration> (longestPause * drawJitter()));
+        judgement = crashes.judge (request, SteadyClock::now());
+    }
+
+    const auto mustWait = [&]
+    {
+        return judgement.verdict == CrashVerdict::undecided ||
+               (judgement.verdict == CrashVerdict::suspected && isRunning (request));
+    };
+
+    while (mustWait() && ! isOver())
+    {
+        co_await pauseFor (loop, verdictLook);
+        judgement = crashes.judge (request, SteadyClock::now());
+    }
+
+    co_return judgement;
+}
+
+CrashWatch::Running::Running (CrashWatch& crashWatch, const RequestFingerprint& request)
+    : watch (crashWatch), fingerprint (request)
+{
+    const std::lock_guard lock (watch.mutex);
+    ++watch.running[fingerprint];
+}
+
+CrashWatch::Running::~Running()
+{
+    const std::lock_guard lock (watch.mutex);
+    const auto found = watch.running.find (fingerprint);
+
+    if (--found->second == 0)
+        watch.running.erase (found);
+}
+
+auto CrashWatch::noteCrash (const WatchedAttempt& attempt, std::string_view proof) -> void
+{
+    const auto isNews = crashes.noteCrash (attempt.request, attempt.account,
+                                           incarnationHash (attempt.replica), attempt.ended);
+    const auto judgement = crashes.judge (attempt.request, SteadyClock::now());
+    crashesSeen.add();
+    LogLine ("crash_evidence")
+        .with ("request", attempt.requestId)
+        .with ("fingerprint", snowrudder::toString (attempt.request))
+        .with ("service", attempt.replica.service)
+        .with ("account", attempt.account)
+        .with ("replica", attempt.replica.name)
+        .with ("proof", proof)
+        .with ("crashes", judgement.crashes)
+        .with ("verdict", toString (judgement.verdict))
+        .info();
+
+    if (isNews && onNews)
+        onNews();
+}
+
+auto CrashWatch::noteDoubt (WatchedAttempt attempt) -> void
+{
+    const std::lock_guard lock (mutex);
+
+    if (attempt.request.isKnown() && doubts.size() < mostDoubts)
+        doubts.push_back (std::move (attempt));
+}
+
+auto CrashWatch::isRunning (const RequestFingerprint& request) const -> bool
+{
+    const std::lock_guard lock (mutex);
+    return running.contains (request);
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_serving/crashes/SharedProbes.cpp
+++ b/modules/snowrudder_serving/crashes/SharedProbes.cpp
@@ -21,9 +21,9 @@
 {
     const auto now = SteadyClock::now();
     const auto known = probes.find (endpoint);
-    const auto isUsable = known != probes.end() &&
-                          (! known->second->state || (known->second->state == EndpointState::refuses &&
-                                                      now - known->second->ended < refusalHolds));
+    const auto isUsable =
+        known != probes.end() && (! known->second->state || (known->second->state == EndpointState::refuses &&
+                                                             now - known->second->ended < refusalHolds));
 
     if (isUsable)
     {
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -52,6 +52,21 @@
     return caller.statesTokens ? caller.promptTokens + caller.answerTokens : account.plainTokens;
 }
 
+/** @returns why a request is not taken that ended the replicas that ran it. It takes nothing from its account's limit. */
+auto checkCrashes (ServingState& state,
+                   const CallerRequest& caller,
+                   const RequestFingerprint& fingerprint,
+                   TimePoint now) -> std::optional<Problem>
+{
+    const auto judgement = state.crashes.judge (fingerprint, now);
+
+    if (judgement.verdict != CrashVerdict::stopped)
+        return {};
+
+    state.crashes.noteStopped (fingerprint, caller.id, judgement, now);
+    return makeProblem (ErrorKind::crashesReplicas, "fingerprint " + toString (fingerprint));
+}
+
 auto checkQuota (ServingState& state,
                  const CallerRequest& caller,
                  const RoutedAccount& account,
@@ -182,6 +197,11 @@
 
     request.account = std::get<std::shared_ptr<const RoutedAccount>> (std::move (account));
 
+    request.fingerprint = fingerprintOf (state.fleetSecret, contentOf (caller, request.accountName()));
+
+    if (auto refusal = checkCrashes (state, caller, request.fingerprint, now))
+        return std::move (*refusal);
+
     if (request.account)
         if (auto refusal = checkQuota (state, caller, *request.account, isAskedAgain, now))
             return std::move (*refusal);
@@ -190,7 +210,6 @@
     request.end = arrived + std::min (patience, request.route->timeout);
     request.service = pickService (*request.route, drawJitter());
     request.caller = std::move (caller);
-    request.fingerprint = fingerprintOf (state.fleetSecret, contentOf (request));
     return request;
 }
 
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -39,6 +39,7 @@
     message.set_settled (report.isSettled);
     message.set_scope (static_cast<std::uint32_t> (report.scope));
     message.set_nodes (report.nodes);
+    message.set_crash_digest (report.crashDigest);
 
     for (const auto& [account, use] : report.admitted)
     {
@@ -154,6 +155,30 @@
     message.set_tokens (static_cast<std::uint32_t> (std::lround (notice.tokens)));
 }
 
+auto write (const CrashNotice& notice, TimePoint now, schema::CrashNotice& message) -> void
+{
+    message.set_node (notice.node);
+
+    for (const auto& evidence : notice.evidence)
+    {
+        auto* written = message.add_evidence();
+        written->set_high (evidence.request.high);
+        written->set_low (evidence.request.low);
+        written->set_account (evidence.account);
+        written->set_seen_milliseconds (asMilliseconds (now - evidence.lastSeen));
+
+        if (evidence.succeeded)
+            written->set_succeeded_milliseconds (asMilliseconds (now - *evidence.succeeded));
+
+        for (const auto& crash : evidence.crashes)
+        {
+            auto* told = written->add_crashes();
+            told->set_replica (crash.replica);
+            told->set_age_milliseconds (asMilliseconds (now - crash.at));
+        }
+    }
+}
+
 auto readScope (std::uint32_t number) -> ReportScope
 {
     if (number == static_cast<std::uint32_t> (ReportScope::nodesOfReader))
@@ -175,6 +200,7 @@
     report.isSettled = message.settled();
     report.scope = readScope (message.scope());
     report.nodes = message.nodes();
+    report.crashDigest = message.crash_digest();
 
     for (const auto& entry : message.use())
     {
@@ -217,6 +243,35 @@
     return notice;
 }
 
+auto read (const schema::CrashEvidence& message, TimePoint now) -> CrashEvidence
+{
+    using std::chrono::milliseconds;
+
+    CrashEvidence evidence;
+    evidence.request = { message.high(), message.low() };
+    evidence.account = message.account();
+    evidence.lastSeen = now - milliseconds (message.seen_milliseconds());
+
+    if (message.has_succeeded_milliseconds())
+        evidence.succeeded = now - milliseconds (message.succeeded_milliseconds());
+
+    for (const auto& crash : message.crashes())
+        evidence.crashes.push_back ({ crash.replica(), now - milliseconds (crash.age_milliseconds()) });
+
+    return evidence;
+}
+
+auto read (const schema::CrashNotice& message, TimePoint now) -> CrashNotice
+{
+    CrashNotice notice;
+    notice.node = message.node();
+
+    for (const auto& evidence : message.evidence())
+        notice.evidence.push_back (read (evidence, now));
+
+    return notice;
+}
+
 auto read (const schema::ReplicaLoads& message) -> std::vector<SharedLoad>
 {
     std::vector<SharedLoad> loads;
@@ -280,7 +335,24 @@
 
 } // namespace
 
-auto encodeMessage (const NodeMessage& message, std::string_view secret) -> std::string
+auto encodeCrashes (const CrashNotice& notice, TimePoint now) -> std::string
+{
+    schema::CrashNotice message;
+    write (notice, now, message);
+    return message.SerializeAsString();
+}
+
+auto decodeCrashes (std::string_view bytes, TimePoint now) -> std::optional<CrashNotice>
+{
+    schema::CrashNotice message;
+
+    if (! message.ParseFromArray (bytes.data(), static_cast<int> (bytes.size())) || message.node().empty())
+        return {};
+
+    return read (message, now);
+}
+
+auto encodeMessage (const NodeMessage& message, std::string_view secret, TimePoint now) -> std::string
 {
     schema::NodeDatagram datagram;
 
@@ -294,6 +366,8 @@
         write (*prompt, *datagram.mutable_prompt());
     else if (const auto* usage = std::get_if<UsageNotice> (&message))
         write (*usage, *datagram.mutable_usage());
+    else if (const auto* crashes = std::get_if<CrashNotice> (&message))
+        write (*crashes, now, *datagram.mutable_crashes());
     else
         write (std::get<LoadNotice> (message), *datagram.mutable_loads());
 
@@ -301,7 +375,8 @@
     return keyedDigest (secret, text) + text;
 }
 
-auto decodeMessage (std::string_view datagram, std::string_view secret) -> std::optional<NodeMessage>
+auto decodeMessage (std::string_view datagram, std::string_view secret, TimePoint now)
+    -> std::optional<NodeMessage>
 {
     if (datagram.size() < digestLength || datagram.size() > largestDatagram)
         return {};
@@ -335,6 +410,9 @@
     if (message.has_loads() && ! message.loads().node().empty())
         return LoadNotice { message.loads().node(), read (message.loads().loads()) };
 
+    if (message.has_crashes() && ! message.crashes().node().empty())
+        return read (message.crashes(), now);
+
     return {};
 }
 
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashNotice.h"
 #include "News.h"
 #include "PeerReport.h"
 #include "UsageNotice.h"
@@ -18,15 +19,25 @@
 inline constexpr auto largestDatagram = std::size_t { 8 * 1024 };
 
 /** What nodes tell each other directly. */
-using NodeMessage = std::variant<PeerReport, NewsQuestion, NewsAnswer, LoadNotice, PromptNotice, UsageNotice>;
+using NodeMessage =
+    std::variant<PeerReport, NewsQuestion, NewsAnswer, LoadNotice, PromptNotice, UsageNotice, CrashNotice>;
+
+/** @returns a notice of crashes as bytes. Times are told as ages, which count from `now`. */
+auto encodeCrashes (const CrashNotice& notice, TimePoint now) -> std::string;
+
+/** @returns the notice of some bytes, or nothing where they are none. */
+auto decodeCrashes (std::string_view bytes, TimePoint now) -> std::optional<CrashNotice>;
 
 /** @returns a message as a datagram: a signature over the rest, then the serialized message.
 
     @param secret  the fleet's own
+    @param now     from which ages are told
 */
-auto encodeMessage (const NodeMessage& message, std::string_view secret) -> std::string;
+auto encodeMessage (const NodeMessage& message, std::string_view secret, TimePoint now = SteadyClock::now())
+    -> std::string;
 
 /** @returns the message of a datagram, or nothing when it is malformed or not signed with the fleet's secret. */
-auto decodeMessage (std::string_view datagram, std::string_view secret) -> std::optional<NodeMessage>;
+auto decodeMessage (std::string_view datagram, std::string_view secret, TimePoint now = SteadyClock::now())
+    -> std::optional<NodeMessage>;
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -2,6 +2,8 @@
 
 #include "../store/StoreTransactions.h"
 
+#include <algorithm>
+
 namespace snowrudder
 {
 
@@ -224,6 +226,7 @@
 {
     readersOfDomain.clear();
     readersElsewhere.clear();
+    membersOfDomain.clear();
     auto isReader = false;
 
     for (const auto& [domain, names] : chooseReaders (members))
@@ -235,6 +238,11 @@
             else
                 readersElsewhere.push_back (endpoints.at (name));
 
+    for (const auto& [name, endpoint] : endpoints)
+        if (members.at (name).failureDomain == state.settings.failureDomain &&
+            std::ranges::find (readersOfDomain, endpoint) == readersOfDomain.end())
+            membersOfDomain.push_back (endpoint);
+
     if (isReader != state.news.isReader)
         LogLine (isReader ? "store_reader" : "store_read_by_others")
             .with ("readers", readersOfDomain.size())
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -47,6 +47,9 @@
     [[nodiscard]] auto ownReaders() const -> const std::vector<Endpoint>& { return readersOfDomain; }
     [[nodiscard]] auto otherReaders() const -> const std::vector<Endpoint>& { return readersElsewhere; }
 
+    /** The other nodes of this node's failure domain that don't read the store. */
+    [[nodiscard]] auto ownMembers() const -> const std::vector<Endpoint>& { return membersOfDomain; }
+
 private:
     auto refresh() -> Task<bool>;
     auto readShared() -> Task<void>;
@@ -66,6 +69,7 @@
     std::vector<Endpoint> endpointsOfOthers;
     std::vector<Endpoint> readersOfDomain;
     std::vector<Endpoint> readersElsewhere;
+    std::vector<Endpoint> membersOfDomain;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -24,6 +24,17 @@
 */
 constexpr auto keepTellingUsage = Duration (5s);
 
+/** Between two tellings of crashes. What is new is told at once and then twice more: evidence must be everywhere before a request
+    is stopped, also where datagrams are lost.
+*/
+constexpr auto crashInterval = 60ms;
+
+/** How long the loop that tells of crashes waits where nothing wakes it. */
+constexpr auto idleCrashWait = 60s;
+
+/** A node tells all that it knows of crashes to one that knows less, at most this often. */
+constexpr auto allCrashesInterval = Duration (100ms);
+
 /** An account that a node had no request of for so long is left out of its reports: its rate has faded to a tenth. */
 constexpr auto idleAccountTime = Duration (5s);
 
@@ -36,8 +47,10 @@
 
 PeerExchange::PeerExchange (ServingState& servingState, const Membership& known)
     : state (servingState), membership (known), socket (servingState.loop),
-      incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count()))
+      incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count())),
+      crashWake (std::make_shared<Signal> (servingState.loop.get_executor()))
 {
+    state.crashes.onNews = [wake = crashWake] { wake->notify(); };
 }
 
 auto PeerExchange::start() -> std::error_code
@@ -60,6 +73,7 @@
     asio::co_spawn (state.loop, sendLoop(), asio::detached);
     asio::co_spawn (state.loop, newsLoop(), asio::detached);
     asio::co_spawn (state.loop, usageLoop(), asio::detached);
+    asio::co_spawn (state.loop, crashLoop(), asio::detached);
     return {};
 }
 
@@ -108,6 +122,9 @@
             state.replicas.notePromptHeard (prompt->replica, prompt->tokens, SteadyClock::now());
         else if (const auto* usage = std::get_if<UsageNotice> (&*message))
             state.usageOfOthers.note (*usage);
+        else if (const auto* crashes = std::get_if<CrashNotice> (&*message))
+            state.crashes.hear (crashes->evidence, crashes->node, state.role() == ReportRole::reader,
+                                SteadyClock::now());
         else
             takeLoads (std::get<LoadNotice> (*message).loads, false);
     }
@@ -121,8 +138,12 @@
         return;
 
     const auto now = SteadyClock::now();
+    const auto isFirst = state.peers.isFirst (report);
+
+    if (isFirst || report.crashDigest != state.crashes.table().digest (now))
+        tellAllCrashes (sender, now);
 
-    if (const auto scope = scopeToAnswer (own, report.scope, state.peers.isFirst (report)))
+    if (const auto scope = scopeToAnswer (own, report.scope, isFirst))
         send (encodeMessage (makeReport (*scope, report.node, now), membership.secret()), sender);
 
     if (noteConfigurationHeard (state.news, state.configuration, report.configurationRevision))
@@ -234,6 +255,64 @@
         sendToReaders (encodeMessage (notice, membership.secret()));
 }
 
+auto PeerExchange::crashLoop() -> Task<void>
+{
+    for (;;)
+    {
+        if (! knowsOthers() || ! tellCrashes (SteadyClock::now()))
+            co_await crashWake->wait (SteadyClock::now() + idleCrashWait);
+        else
+            co_await pauseFor (state.loop, crashInterval);
+    }
+}
+
+auto PeerExchange::tellCrashes (TimePoint now) -> bool
+{
+    CrashNotice notice { state.settings.node, state.crashes.table().takeToTell (mostEvidenceTold) };
+
+    if (notice.evidence.empty())
+        return false;
+
+    const auto datagram = encodeMessage (notice, membership.secret(), now);
+
+    for (const auto& target : hearersOfCrashes())
+        send (datagram, target);
+
+    return true;
+}
+
+auto PeerExchange::tellAllCrashes (const Endpoint& target, TimePoint now) -> void
+{
+    if (now - toldAllCrashes < allCrashesInterval)
+        return;
+
+    CrashNotice notice { state.settings.node, state.crashes.table().all (mostEvidenceTold, now) };
+
+    if (notice.evidence.empty())
+        return;
+
+    toldAllCrashes = now;
+    send (encodeMessage (notice, membership.secret(), now), target);
+}
+
+auto PeerExchange::hearersOfCrashes() const -> std::vector<Endpoint>
+{
+    switch (state.role())
+    {
+        case ReportRole::direct:
+            return membership.others();
+        case ReportRole::member:
+            return membership.ownReaders().empty() ? membership.otherReaders() : membership.ownReaders();
+        case ReportRole::reader:
+            break;
+    }
+
+    auto hearers = membership.ownReaders();
+    hearers.insert (hearers.end(), membership.otherReaders().begin(), membership.otherReaders().end());
+    hearers.insert (hearers.end(), membership.ownMembers().begin(), membership.ownMembers().end());
+    return hearers;
+}
+
 auto PeerExchange::newsLoop() -> Task<void>
 {
     for (;;)
@@ -359,6 +438,8 @@
     report.isSettled = isSettled (state.sharing, state.peers, now);
     report.configurationRevision = newestConfigurationKnown (state.news, state.configuration);
 
+    report.crashDigest = state.crashes.table().digest (now);
+
     if (state.configuration.current)
         report.proofAge = now - state.configuration.provenAt;
 
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -42,6 +42,10 @@
     auto newsLoop() -> Task<void>;
     auto usageLoop() -> Task<void>;
     auto tellUsage (TimePoint now) -> void;
+    auto crashLoop() -> Task<void>;
+    auto tellCrashes (TimePoint now) -> bool;
+    auto tellAllCrashes (const Endpoint& target, TimePoint now) -> void;
+    [[nodiscard]] auto hearersOfCrashes() const -> std::vector<Endpoint>;
     auto takeLoads (const std::vector<SharedLoad>& loads, bool isToTell) -> void;
     auto tellLoads (TimePoint now) -> void;
     auto send (const std::string& datagram, const Endpoint& target) -> void;
@@ -61,6 +65,9 @@
     bool hasGreeted = false;
     /** Whether this node told all others directly in the last round. */
     bool wasDirect = true;
+    /** Ends the wait for crashes to tell of. */
+    std::shared_ptr<Signal> crashWake;
+    TimePoint toldAllCrashes {};
     ReportRoute route;
     PromptBudget promptBudget;
     /** Places from which the next round goes on. */
--- a/modules/snowrudder_serving/members/PeerReport.h
+++ b/modules/snowrudder_serving/members/PeerReport.h
@@ -69,6 +69,8 @@
     bool leaving = false;
     /** Whether it has been there long enough to know what the others admit. */
     bool isSettled = false;
+    /** Of the requests that it stops; zero where there are none. */
+    std::uint64_t crashDigest = 0;
     /** An account that is left out has the total that was last told, and was not asked for lately. */
     AdmittedByAccount admitted;
     /** By service. */
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -146,6 +146,9 @@
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
 
+        state.crashes.lookAgain (now);
+        state.crashes.table().forgetOld (now);
+
         if (state.configuration.current)
             state.pool.setMostIdle (mostIdleConnections (*state.configuration.current, state.memberCount()));
 
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -2,7 +2,7 @@
 
 #include "../capacity/WorkMeter.h"
 #include "../configuration/ConfigurationState.h"
-#include "../crashes/SharedProbes.h"
+#include "../crashes/CrashWatch.h"
 #include "../directory/ReplicaDirectory.h"
 #include "../duties/Leadership.h"
 #include "../duties/UsageGathering.h"
@@ -31,8 +31,8 @@
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
           probes (eventLoop, pool),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
-          usage (servingSettings.usageWindow), usageOfOthers (servingSettings.failureDomain),
-          quota (sharing.startTime), peers (sharing.startTime),
+          crashes (metrics, replicas), usage (servingSettings.usageWindow),
+          usageOfOthers (servingSettings.failureDomain), quota (sharing.startTime), peers (sharing.startTime),
           configurationWake (std::make_shared<Signal> (eventLoop.get_executor()))
     {
     }
@@ -83,6 +83,7 @@
     const FreshnessBounds freshness;
     ReplicaDirectory directory;
     ReplicaTable replicas;
+    CrashWatch crashes;
     ServiceQueues queues;
     RetryBudgets retryBudgets;
     UsageWindows usage;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -1,6 +1,7 @@
 #include "RoutedRun.h"
 
 #include "../attempt/AttemptErrors.h"
+#include "../crashes/SuspectRanking.h"
 #include "../queue/PlaceGuard.h"
 #include "AnswerRelay.h"
 
@@ -26,6 +27,13 @@
 /** Of the latency target, the part that waiting for a place may take. */
 constexpr auto queueShareOfTarget = 0.6;
 
+auto isSuccess (unsigned status) -> bool
+{
+    constexpr auto firstSuccess = 200U;
+    constexpr auto firstRedirect = 300U;
+    return status >= firstSuccess && status < firstRedirect;
+}
+
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
@@ -123,12 +131,17 @@
 
 auto RoutedRun::attempt() -> Task<Failure>
 {
-    const auto began = SteadyClock::now();
-    auto taken = state.replicas.take (request.service,
-                                      choiceInput (prompt, tried, state.nodeCount (began), drawNumber()),
-                                      routedWeights(), began);
+    const auto judgement = co_await waitForVerdict();
     ++sends;
 
+    if (judgement.verdict == CrashVerdict::stopped)
+    {
+        state.crashes.noteStopped (request.fingerprint, request.caller.id, judgement, SteadyClock::now());
+        co_return AttemptOutcome { CallStage::planned, FailureCause::stopped };
+    }
+
+    auto taken = takeReplica (judgement);
+
     if (! taken)
     {
         lastReplica = {};
@@ -143,6 +156,7 @@
 
     state.announcePrompt ({ {}, replicaHash (ticket.info.name), ticket.expectedTokens });
 
+    lastNumber = ticket.number;
     lastReplica = ticket.info;
     const auto& chosen = taken->choice.candidates.front();
     const auto loadAge = taken->choice.loadAge;
@@ -160,6 +174,7 @@
         .with ("usable", taken->choice.usable)
         .info();
 
+    const CrashWatch::Running running (state.crashes, request.fingerprint);
     UpstreamCall call (state.pool, parseEndpoint (ticket.info.endpoint), timeouts());
     currentCall = &call;
     const auto outcome = co_await callReplica (call, ticket);
@@ -255,7 +270,13 @@
     const auto status = call.status();
     co_await relayAnswer (exchange, call, std::move (body), keepUpstreamsOwn);
     state.counts.wholeAnswer.add (SteadyClock::now() - request.accepted);
+    noteWhole (call);
     logEnd (exchange.hasEnded() ? "answered" : "broken_off", status);
+
+    // The caller has a part of the answer and gets no other: what ended the connection says something of the request all the same.
+    if (! call.isDone() && ! isCallerGone)
+        co_await replicaAfter (failed (call, FailureCause::cut));
+
     co_return Failure {};
 }
 
@@ -286,6 +307,7 @@
         if (co_await exchange.writePiece (events.partialBytes()))
             co_return Failure {};
 
+    noteWhole (call);
     co_await exchange.endStream();
     state.counts.wholeAnswer.add (SteadyClock::now() - request.accepted);
     logEnd ("answered", call.status());
@@ -297,7 +319,28 @@
     if (! mayShowCrash (outcome))
         co_return "not_asked";
 
-    co_return toString (co_await state.probes.probe (lastReplica.endpoint));
+    WatchedAttempt ended { request.fingerprint, request.caller.id, request.accountName(),
+                           lastNumber,          lastReplica,       SteadyClock::now() };
+    co_return co_await state.crashes.examine (state.probes, std::move (ended));
+}
+
+auto RoutedRun::waitForVerdict() -> Task<CrashJudgement>
+{
+    return state.crashes.waitForVerdict (state.loop, request.fingerprint,
+                                         [this]
+                                         { return isCallerGone || SteadyClock::now() >= request.end; });
+}
+
+auto RoutedRun::takeReplica (const CrashJudgement& judgement) -> std::optional<TakenReplica>
+{
+    const auto now = SteadyClock::now();
+    const SuspectRanking ranking (request.fingerprint, prompt.tokens);
+    auto input = choiceInput (prompt, tried, state.nodeCount (now), drawNumber());
+
+    if (judgement.verdict != CrashVerdict::clear)
+        ranking.applyTo (input);
+
+    return state.replicas.take (request.service, input, routedWeights(), now);
 }
 
 auto RoutedRun::decide (const AttemptOutcome& outcome) -> RetryDecision
@@ -337,7 +380,9 @@
 
     auto problem = problemAfter (outcome, decision);
 
-    if (runs() == 0)
+    if (outcome.cause == FailureCause::stopped)
+        problem = problemWhenStopped (runs() > 0);
+    else if (runs() == 0)
     {
         const auto isRefused = outcome.cause == FailureCause::refused;
         const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
@@ -367,6 +412,12 @@
     state.usage.note (request.account->name, state.trueTime.now (SteadyClock::now()));
 }
 
+auto RoutedRun::noteWhole (const UpstreamCall& call) -> void
+{
+    if (call.isDone() && isSuccess (call.status()))
+        state.crashes.table().noteSuccess (request.fingerprint, SteadyClock::now());
+}
+
 auto RoutedRun::notePause() -> void
 {
     const auto now = SteadyClock::now();
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -33,6 +33,8 @@
     auto enterQueue() -> Task<ServiceQueues::Place>;
     auto runAttempts() -> Task<void>;
     auto attempt() -> Task<Failure>;
+    auto waitForVerdict() -> Task<CrashJudgement>;
+    auto takeReplica (const CrashJudgement& judgement) -> std::optional<TakenReplica>;
     auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>;
     auto takeHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
@@ -42,6 +44,7 @@
     auto fail (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
     auto refuse (Problem problem) -> Task<void>;
     auto noteBegun() -> void;
+    auto noteWhole (const UpstreamCall& call) -> void;
     auto notePause() -> void;
     auto onCallerGone() -> void;
     auto logEnd (std::string_view outcome, unsigned status) -> void;
@@ -63,6 +66,7 @@
     std::uint32_t sends = 0;
     std::uint32_t unrun = 0;
     /** The replica of the present attempt. */
+    ReplicaNumber lastNumber = 0;
     ReplicaInfo lastReplica;
     /** When the present attempt was sent. */
     TimePoint sent {};
--- a/modules/snowrudder_serving/request/RoutedRequest.h
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -60,12 +60,10 @@
     [[nodiscard]] auto accountName() const -> std::string { return account ? account->name : std::string(); }
 };
 
-/** @returns what makes a request the same as another. */
-inline auto contentOf (const RoutedRequest& request) -> RequestContent
+/** @returns what makes a request the same as another; refers to both arguments. */
+inline auto contentOf (const CallerRequest& caller, std::string_view account) -> RequestContent
 {
-    const auto& caller = request.caller;
-    return { request.account ? std::string_view (request.account->name) : std::string_view(),
-             toView (caller.message.method_string()), caller.host, toView (caller.message.target()),
+    return { account, toView (caller.message.method_string()), caller.host, toView (caller.message.target()),
              caller.message.body() };
 }
 
--- a/modules/snowrudder_serving/snowrudder_serving.h
+++ b/modules/snowrudder_serving/snowrudder_serving.h
@@ -5,6 +5,7 @@
     - request/        a caller's request once decoded, and what a face must tell of its upstreams' protocol
     - gateway/        from a decoded request to its admission or refusal
     - queue/          places before a service's upstreams
+    - crashes/        which requests ran on replicas as these crashed
     - attempt/        what a failed step of a call says of the attempt and of the replica
     - relay/          the run of one request: attempts, and the answer passed on
     - store/          the state store as the product needs it, and the followers of what it holds
@@ -20,6 +21,10 @@
 #pragma once
 
 #include "attempt/AttemptErrors.h"
+#include "crashes/CrashWatch.h"
+#include "crashes/SuspectRanking.h"
+#include "members/CrashNotice.h"
+#include "members/DatagramCodec.h"
 #include "queue/PlaceGuard.h"
 #include "queue/ServiceQueues.h"
 #include "relay/AnswerRelay.h"
--- /dev/null
+++ b/tests/unit/CrashTests.cpp
@@ -0,0 +1,337 @@
+#include "snowrudder_requests/crashes/CrashTable.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace snowrudder;
+
+namespace
+{
+
+/** Any point in time but the clock's first. */
+const auto start = TimePoint() + std::chrono::hours (1);
+
+auto requestNamed (std::string_view body) -> RequestFingerprint
+{
+    return fingerprintOf ("secret", { "alpha", "POST", "one.example", "/x", body });
+}
+
+/** Nodes that tell each other what is new, each message with a delay and some of them lost. */
+class Fleet
+{
+public:
+    Fleet (std::size_t size, double share, unsigned seed) : nodes (size), lost (share), random (seed) {}
+
+    auto node (std::size_t index) -> CrashTable& { return nodes[index]; }
+    auto size() const -> std::size_t { return nodes.size(); }
+
+    /** Plays what is told and heard up to a point in time. */
+    auto playUntil (TimePoint end) -> void
+    {
+        for (; now < end; now += step)
+        {
+            for (std::size_t from = 0; from < nodes.size(); ++from)
+                tell (from);
+
+            while (! onTheWay.empty() && onTheWay.begin()->first <= now)
+            {
+                const auto& [to, evidence] = onTheWay.begin()->second;
+                const auto isToTell = false;
+                nodes[to].hear (evidence, isToTell, now);
+                onTheWay.erase (onTheWay.begin());
+            }
+        }
+    }
+
+    auto time() const -> TimePoint { return now; }
+
+    auto stoppedAt (const RequestFingerprint& request) -> std::size_t
+    {
+        return static_cast<std::size_t> (
+            std::ranges::count_if (nodes, [&] (const CrashTable& table)
+                                   { return table.judge (request, now).verdict == CrashVerdict::stopped; }));
+    }
+
+private:
+    auto tell (std::size_t from) -> void
+    {
+        for (const auto& evidence : nodes[from].takeToTell (100))
+            for (std::size_t to = 0; to < nodes.size(); ++to)
+                if (to != from && std::uniform_real_distribution (0.0, 1.0) (random) >= lost)
+                    onTheWay.emplace (now + 1ms * std::uniform_int_distribution (1, 90) (random),
+                                      std::pair (to, evidence));
+    }
+
+    static constexpr auto step = Duration (20ms);
+
+    std::vector<CrashTable> nodes;
+    double lost = 0.0;
+    std::mt19937 random;
+    TimePoint now = start;
+    std::multimap<TimePoint, std::pair<std::size_t, CrashEvidence>> onTheWay;
+};
+
+} // namespace
+
+TEST_CASE ("A fingerprint names what a request asks for and nothing else")
+{
+    const RequestContent content { "alpha", "POST", "one.example", "/x?y=1", "body" };
+    const auto fingerprint = fingerprintOf ("secret", content);
+
+    CHECK (fingerprint.isKnown());
+    CHECK (fingerprint == fingerprintOf ("secret", content));
+    CHECK (fingerprint != fingerprintOf ("another", content));
+    CHECK_FALSE (fingerprintOf ("", content).isKnown());
+    CHECK (toString (fingerprint).size() == 32);
+
+    // A part's end can't pass for the next one's begin.
+    CHECK (fingerprint != fingerprintOf ("secret", { "alpha", "POST", "one.example", "/x?y=1b", "ody" }));
+    CHECK (fingerprint != fingerprintOf ("secret", { "beta", "POST", "one.example", "/x?y=1", "body" }));
+    CHECK (fingerprint != fingerprintOf ("secret", { "alpha", "POST", "one.example", "/x?y=2", "body" }));
+}
+
+TEST_CASE ("Nodes that saw one crash each agree on three, and one crash told by two counts once")
+{
+    const auto nodes = GENERATE (std::size_t { 7 }, std::size_t { 77 }, std::size_t { 295 });
+    const auto request = requestNamed ("fatal");
+    Fleet fleet (nodes, 0.05, 1);
+
+    fleet.node (0).noteCrash (request, "alpha", 11, fleet.time());
+    fleet.node (1).noteCrash (request, "alpha", 11, fleet.time());
+    fleet.playUntil (start + 200ms);
+    fleet.node (2).noteCrash (request, "alpha", 12, fleet.time());
+    fleet.playUntil (start + 2s);
+    CHECK (fleet.stoppedAt (request) == 0);
+    CHECK (fleet.node (5).judge (request, fleet.time()).crashes == 2);
+
+    fleet.node (3).noteCrash (request, "alpha", 13, fleet.time());
+    fleet.playUntil (start + 2s + 800ms);
+    CHECK (fleet.stoppedAt (request) == nodes);
+
+    for (std::size_t index = 1; index < nodes; ++index)
+        CHECK (fleet.node (index).digest (fleet.time()) == fleet.node (0).digest (fleet.time()));
+}
+
+TEST_CASE ("Evidence merges in any order, late and twice, and comes to the same")
+{
+    std::vector<CrashEvidence> told;
+    const auto request = requestNamed ("fatal");
+
+    for (const auto number : { 1, 2, 3, 4 })
+    {
+        CrashEvidence evidence;
+        evidence.request = request;
+        evidence.crashes.push_back ({ static_cast<std::uint64_t> (number), start + number * 100ms });
+        evidence.lastSeen = evidence.crashes.back().at;
+        told.push_back (evidence);
+    }
+
+    told.push_back (told.front());
+    std::mt19937 random (7);
+
+    for (auto round = 0; round < 20; ++round)
+    {
+        std::ranges::shuffle (told, random);
+        CrashTable table;
+
+        for (const auto& evidence : told)
+            table.hear (evidence, false, start + 1s);
+
+        const auto judged = table.judge (request, start + 2s);
+        CHECK (judged.verdict == CrashVerdict::stopped);
+        CHECK (judged.crashes == 4);
+        CHECK (judged.lastCrash == start + 400ms);
+    }
+}
+
+TEST_CASE ("A request that many programs repeat and that succeeds is not stopped by crashes beside it")
+{
+    const auto poll = requestNamed ("status");
+    Fleet fleet (7, 0.05, 3);
+    fleet.node (6).noteSuccess (poll, fleet.time());
+
+    // A failure domain's replicas end within a second, each with the poll running on it.
+    for (const auto replica : { 1, 2, 3, 4, 5 })
+    {
+        fleet.playUntil (start + replica * 200ms);
+        fleet.node (static_cast<std::size_t> (replica)).noteCrash (poll, "alpha", replica, fleet.time());
+    }
+
+    fleet.playUntil (start + 3s);
+    CHECK (fleet.stoppedAt (poll) == 0);
+    CHECK (fleet.node (1).judge (poll, fleet.time()).verdict == CrashVerdict::clear);
+}
+
+TEST_CASE ("A success after the crashes clears a request at all nodes, also where it was stopped")
+{
+    const auto request = requestNamed ("unlucky");
+    Fleet fleet (7, 0.05, 4);
+
+    for (const auto replica : { 1, 2, 3 })
+    {
+        fleet.playUntil (start + replica * 1s);
+        fleet.node (0).noteCrash (request, "alpha", replica, fleet.time());
+    }
+
+    fleet.playUntil (start + 4s);
+    REQUIRE (fleet.stoppedAt (request) == 7);
+
+    // An attempt that was on its way before the verdict.
+    fleet.node (4).noteSuccess (request, fleet.time());
+    fleet.playUntil (start + 5s);
+    CHECK (fleet.stoppedAt (request) == 0);
+}
+
+TEST_CASE ("Replicas that end at the same moment count once")
+{
+    CrashTable table;
+    const auto request = requestNamed ("repeated");
+
+    for (const auto replica : { 1, 2, 3, 4 })
+        table.noteCrash (request, "alpha", replica, start + replica * 5ms);
+
+    CHECK (table.judge (request, start + 1s).crashes == 1);
+    CHECK (table.judge (request, start + 1s).verdict == CrashVerdict::suspected);
+}
+
+TEST_CASE ("A request that ran beside one that ends its replicas is not taken for it")
+{
+    const auto fatal = requestNamed ("fatal");
+    const auto beside = requestNamed ("beside");
+    CrashTable table;
+
+    SECTION ("it ran there on three of them")
+    {
+        for (const auto replica : { 1, 2, 3, 4 })
+            table.noteCrash (fatal, "alpha", replica, start + replica * 100ms);
+
+        for (const auto replica : { 1, 2, 3 })
+            table.noteCrash (beside, "beta", replica, start + replica * 100ms);
+
+        CHECK (table.judge (fatal, start + 2s).verdict == CrashVerdict::stopped);
+        CHECK (table.judge (beside, start + 2s).verdict == CrashVerdict::suspected);
+    }
+
+    SECTION ("where both ran on the same ones, both may run on until one is told from the other")
+    {
+        for (const auto replica : { 1, 2, 3 })
+        {
+            table.noteCrash (fatal, "alpha", replica, start + replica * 100ms);
+            table.noteCrash (beside, "beta", replica, start + replica * 100ms);
+        }
+
+        CHECK (table.judge (fatal, start + 2s).verdict == CrashVerdict::suspected);
+        CHECK (table.judge (beside, start + 2s).verdict == CrashVerdict::suspected);
+
+        table.noteSuccess (beside, start + 2s);
+        CHECK (table.judge (fatal, start + 2s).verdict == CrashVerdict::stopped);
+        CHECK (table.judge (beside, start + 2s).verdict == CrashVerdict::clear);
+    }
+}
+
+TEST_CASE ("Requests run at random beside a fatal one that goes on at another replica are never stopped")
+{
+    constexpr auto replicas = std::uint_fast32_t { 9 };
+    constexpr auto seeds = 200U;
+    auto stopped = 0U;
+    auto crashesInAll = 0U;
+
+    for (auto seed = 0U; seed < seeds; ++seed)
+    {
+        std::mt19937 random (seed);
+        CrashTable table;
+        const auto fatal = requestNamed ("fatal");
+        std::map<unsigned, std::uint_fast32_t> places;
+        auto crashes = 0U;
+
+        for (auto caller = 0U; caller < 60; ++caller)
+            places[caller] = random() % replicas;
+
+        auto now = start;
+
+        // Each crash ends its replica's other requests too, and they go on at replicas drawn anew.
+        while (table.judge (fatal, now).verdict != CrashVerdict::stopped && crashes < 20)
+        {
+            now += 150ms;
+            const auto hit = random() % replicas;
+            const auto incarnation = std::uint64_t { 1000 } * ++crashes + hit;
+
+            table.noteCrash (fatal, "alpha", incarnation, now);
+
+            for (auto& [caller, place] : places)
+                if (place == hit)
+                {
+                    table.noteCrash (requestNamed ("caller " + std::to_string (caller)), "beta", incarnation,
+                                     now);
+                    place = random() % replicas;
+                }
+
+            now += hearingTime;
+        }
+
+        crashesInAll += crashes;
+
+        for (auto caller = 0U; caller < 60; ++caller)
+            if (table.judge (requestNamed ("caller " + std::to_string (caller)), now).verdict ==
+                CrashVerdict::stopped)
+                ++stopped;
+    }
+
+    CHECK (stopped == 0);
+    CHECK (crashesInAll <= seeds * 4);
+}
+
+TEST_CASE ("A verdict lasts while the request goes on coming, and is forgotten when it has not for long")
+{
+    CrashTable table;
+    const auto request = requestNamed ("fatal");
+
+    for (const auto replica : { 1, 2, 3 })
+        table.noteCrash (request, "alpha", replica, start + replica * 1s);
+
+    table.noteStopped (request, start + 9min);
+    table.forgetOld (start + 18min);
+    CHECK (table.judge (request, start + 18min).verdict == CrashVerdict::stopped);
+    table.forgetOld (start + 20min);
+    CHECK (table.judge (request, start + 20min).verdict == CrashVerdict::clear);
+    CHECK (table.sizes (start + 20min).known == 0);
+}
+
+TEST_CASE ("An account with a thousand requests of the kind pushes out no other account's")
+{
+    CrashTable table;
+    const auto other = requestNamed ("of another account");
+
+    for (const auto replica : { 1, 2, 3 })
+        table.noteCrash (other, "beta", replica, start + replica * 1s);
+
+    for (auto number = 0; number < 5000; ++number)
+        table.noteCrash (requestNamed (std::to_string (number)), "alpha", 100 + number, start + 5s);
+
+    CHECK (table.sizes (start + 6s).known == CrashTable::mostOfAccount + 1);
+    CHECK (table.judge (other, start + 6s).verdict == CrashVerdict::stopped);
+}
+
+TEST_CASE ("A node that missed all of it learns it from one that knows")
+{
+    CrashTable knows;
+    CrashTable started;
+    const auto request = requestNamed ("fatal");
+
+    for (const auto replica : { 1, 2, 3 })
+        knows.noteCrash (request, "alpha", replica, start + replica * 1s);
+
+    const auto now = start + 1min;
+    CHECK (knows.digest (now) != started.digest (now));
+
+    for (const auto& evidence : knows.all (40, now))
+        started.hear (evidence, false, now);
+
+    CHECK (started.judge (request, now).verdict == CrashVerdict::stopped);
+    CHECK (knows.digest (now) == started.digest (now));
+    CHECK (started.takeToTell (40).empty());
+}
