A request held for a verdict is not sent when its caller has left

A request waits up to 0.7 s while the verdict on it is open. The wait also ends when the caller leaves or the request's time is over, and the attempt went on to choose a replica and send: work for nobody, on a replica that it may end.

The attempt ends after such a wait.

--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -140,6 +140,11 @@
         co_return AttemptOutcome { CallStage::planned, FailureCause::stopped };
     }
 
+    // The wait for a verdict may have outlasted the caller or the request's time.
+    if (isCallerGone || SteadyClock::now() >= request.end)
+        co_return AttemptOutcome { CallStage::planned,
+                                   isCallerGone ? FailureCause::abandoned : FailureCause::deadline };
+
     auto taken = takeReplica (judgement);
 
     if (! taken)
--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -9,6 +9,7 @@
 
 with another request and another replica each time, but all 36 with the same fingerprint, and the address refused after each.
 """
+import socket
 import threading
 import time
 import unittest
@@ -152,6 +153,24 @@
             self.assertGreater(len(answers), 50)
             self.assertEqual({answer.status for _, answer in answers}, {200}, name)
 
+    def test_a_held_request_whose_caller_leaves_is_not_sent(self):
+        """A request that waits for a verdict went on to a replica when its wait ended early because its caller had left: the line
+        `route request=left-front-1 ... reason=cached` came at the same moment as `request_ended ... outcome=caller_gone`.
+        """
+        platform = self.deployment()
+        callers = Callers(platform)
+        callers.start("poison", "/again/x", lambda number: POISON, 0.05)
+        wait_until(lambda: len(self.crashes()) >= 3, "three replicas have ended", pause=0.002)
+        callers.stopping.set()
+        for node in platform.nodes:
+            with socket.create_connection(("127.0.0.1", node.front)) as caller:
+                caller.sendall(f"POST /again/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: left-{node.name}\r\n"
+                               f"X-Api-Key: key-alpha\r\nContent-Length: {len(POISON)}\r\n\r\n{POISON}".encode())
+                time.sleep(0.1)
+        time.sleep(1)
+        callers.stop()
+        self.assertEqual([node.name for node in platform.nodes if f"route request=left-{node.name}" in node.log.read_text()], [])
+
 
 if __name__ == "__main__":
     unittest.main()
