Gauges of requests under which replicas ended

On-call sees how many requests have crashes against them and how many are stopped without reading logs: `snowrudder_requests_with_crashes{verdict}`.

--- a/modules/snowrudder_router/background/Sweep.cpp
+++ b/modules/snowrudder_router/background/Sweep.cpp
@@ -97,6 +97,7 @@
         state.requests.dropOld (now);
         state.crashes.lookAgain (now);
         state.crashes.table().forgetOld (now);
+        noteSizes (state.metrics, state.crashes.table().sizes (now));
         state.counts.openRequests.set (static_cast<std::int64_t> (state.requests.openCount()));
         state.counts.keptBytes.set (static_cast<std::int64_t> (state.requests.keptBytes()));
 
--- a/modules/snowrudder_serving/crashes/CrashWatch.cpp
+++ b/modules/snowrudder_serving/crashes/CrashWatch.cpp
@@ -178,6 +178,14 @@
         watch.running.erase (found);
 }
 
+auto noteSizes (Metrics& metrics, const CrashTable::Sizes& sizes) -> void
+{
+    metrics.gauge ("snowrudder_requests_with_crashes", "verdict=\"any\"")
+        .set (static_cast<std::int64_t> (sizes.known));
+    metrics.gauge ("snowrudder_requests_with_crashes", "verdict=\"stopped\"")
+        .set (static_cast<std::int64_t> (sizes.stopped));
+}
+
 auto CrashWatch::noteCrash (const WatchedAttempt& attempt, std::string_view proof) -> void
 {
     const auto isNews = crashes.noteCrash (attempt.request, attempt.account,
--- a/modules/snowrudder_serving/crashes/CrashWatch.h
+++ b/modules/snowrudder_serving/crashes/CrashWatch.h
@@ -108,4 +108,7 @@
     std::map<RequestFingerprint, std::size_t> running;
 };
 
+/** Sets the gauges of requests under which replicas ended. */
+auto noteSizes (Metrics& metrics, const CrashTable::Sizes& sizes) -> void;
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -116,6 +116,7 @@
 
 auto ServingNode::answerMetrics (Exchange& exchange) -> Task<void>
 {
+    noteSizes (state.metrics, state.crashes.table().sizes (SteadyClock::now()));
     co_await exchange.respond (http::status::ok, "text/plain; version=0.0.4", state.metrics.text());
 }
 
