The soak plays a request that ends its replicas

Checked: no more than three runs later than the contact time after the third crash, and nobody else is told `crashes_replicas`.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -84,6 +84,16 @@
         self.send("r-2", fault="a success without a signature")
         self.assert_breach("without a signature")
 
+    def test_a_request_that_goes_on_ending_replicas(self):
+        self.ledger.crashes["fatal 1"] = [1.0, 1.2, 1.4, 20.0]
+        for number, at in enumerate((1.0, 1.2, 1.4, 20.0, 21.0, 22.0)):
+            self.send(f"r-{number}", "fatal 1", at, at + 0.1, 502)
+            self.run_at(f"r-{number}", at=at)
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+        self.send("r-9", "fatal 1", 23.0, 23.1, 502)
+        self.run_at("r-9", at=23.0)
+        self.assert_breach("ran 4 times more after it had ended three replicas, 4 in all")
+
     def test_duties_done_twice_or_out_of_turn(self):
         twice = [(1.0, "/usage", "a", 5, {"window_id": 1, "counts": {"x": 1}}),
                  (2.0, "/usage", "a", 5, {"window_id": 1, "counts": {"x": 2}})]
