Tests of what nodes tell each other of crashes: 27 nodes with readers, a late start, the store away

With 27 nodes that report to readers all answer `crashes_replicas` 1.5 s after the third crash, and a node that is killed and starts again knows it a second after it is ready. With the store silent three nodes agree as well.

--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -16,7 +16,7 @@
 
 from crashing_replica import CrashingEngine, CrashingReplica
 from harness import Deployment, bearer, chat_body, free_ports, request, wait_until
-from platform_deployment import Platform
+from platform_deployment import Platform, configuration
 
 POISON = "a prompt that no replica survives"
 # Seconds. From so long after the third replica has ended, a request may reach replicas three times more.
@@ -111,9 +111,9 @@
 
 
 class CrashingRequests(unittest.TestCase):
-    def deployment(self, nodes=3, replicas=6):
+    def deployment(self, nodes=3, replicas=6, first=None):
         """A deployment whose replicas end under the poison."""
-        platform = Platform(nodes=nodes, replicas=0)
+        platform = Platform(nodes=nodes, replicas=0, first=first or configuration())
         self.addCleanup(platform.__exit__)
         self.places = [CrashingReplica(platform, number, port, lambda path, body: POISON.encode() in body)
                        for number, port in enumerate(free_ports(replicas))]
@@ -153,6 +153,48 @@
             self.assertGreater(len(answers), 50)
             self.assertEqual({answer.status for _, answer in answers}, {200}, name)
 
+    def end_three(self, node, path):
+        """Sends the poison to one node until three replicas have ended, and waits until all nodes can know."""
+        number = 0
+        while len(self.crashes()) < 3:
+            number += 1
+            self.assertLess(number, 50)
+            node.call("POST", path, id=f"poison-{number}", body=POISON)
+        time.sleep(1.5)
+        return len(self.crashes())
+
+    def assert_stopped(self, nodes, path):
+        for node in nodes:
+            answer = node.call("POST", path, id=f"again-{node.name}", body=POISON)
+            self.assertEqual((node.name, answer.status, answer.json()["kind"]), (node.name, 503, "crashes_replicas"))
+
+    def test_nodes_that_report_to_readers_all_know_and_so_does_one_that_starts_later(self):
+        platform = self.deployment(nodes=27)
+        wait_until(lambda: sum("reports_to_reader" in node.log.read_text() for node in platform.nodes) >= 25,
+                   "all but the two readers report")
+        ended = self.end_three(platform.first, "/again/x")
+        self.assert_stopped(platform.nodes, "/again/x")
+        late = platform.nodes[5]
+        late.process.kill()
+        late.process.wait()
+        late.start()
+        wait_until(late.is_ready, "ready again")
+        time.sleep(1)
+        self.assert_stopped([late], "/again/x")
+        self.assertEqual(len(self.crashes()), ended)
+
+    def test_nodes_know_while_the_store_is_away(self):
+        # Public: requests with keys are refused while no configuration can be proved.
+        first = configuration()
+        first["routes"].append({**first["routes"][0], "name": "open", "path_prefix": "/open/", "public": True})
+        platform = self.deployment(first=first)
+        wait_until(lambda: all("members=3" in node.log.read_text() or "now=3" in node.log.read_text() for node in platform.nodes),
+                   "all are known")
+        platform.store.silent = True
+        ended = self.end_three(platform.first, "/open/x")
+        self.assert_stopped(platform.nodes, "/open/x")
+        self.assertEqual(len(self.crashes()), ended)
+
     def test_a_held_request_whose_caller_leaves_is_not_sent(self):
         """A request that waits for a verdict went on to a replica when its wait ended early because its caller had left: the line
         `route request=left-front-1 ... reason=cached` came at the same moment as `request_ended ... outcome=caller_gone`.
