--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -72,6 +72,12 @@
     [[nodiscard]] auto status() const -> unsigned { return parser->get().result_int(); }
     [[nodiscard]] auto isDone() const -> bool { return reached == CallStage::finished; }
 
+    /** @returns whether the whole answer is here and is a success. */
+    [[nodiscard]] auto hasSucceeded() const -> bool
+    {
+        return isDone() && http::to_status_class (status()) == http::status_class::successful;
+    }
+
     /** @returns the body's length when the header states it. */
     [[nodiscard]] auto contentLength() const -> std::optional<std::uint64_t>;
 
--- a/modules/snowrudder_requests/crashes/CrashTable.h
+++ b/modules/snowrudder_requests/crashes/CrashTable.h
@@ -101,11 +101,6 @@
         std::uint32_t tellsLeft = 0;
     };
 
-    struct FingerprintHash
-    {
-        auto operator() (const RequestFingerprint& request) const -> std::size_t { return request.low; }
-    };
-
     auto entryFor (const RequestFingerprint& request, std::uint32_t account, TimePoint now) -> Entry&;
     auto takeSuccess (Entry& entry, TimePoint at) -> void;
     auto recentSuccess (const RequestFingerprint& request, TimePoint now) const -> std::optional<TimePoint>;
--- a/modules/snowrudder_requests/crashes/RequestFingerprint.h
+++ b/modules/snowrudder_requests/crashes/RequestFingerprint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,11 +16,17 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=> (const RequestFingerprint&) const = default;
+    auto operator== (const RequestFingerprint&) const -> bool = default;
 
     [[nodiscard]] auto isKnown() const -> bool { return high != 0 || low != 0; }
 };
 
+/** For tables by fingerprint: each part of one is a hash already. */
+struct FingerprintHash
+{
+    auto operator() (const RequestFingerprint& request) const -> std::size_t { return request.low; }
+};
+
 /** What makes two requests the same. */
 struct RequestContent
 {
--- a/modules/snowrudder_router/plain/PlainHandler.cpp
+++ b/modules/snowrudder_router/plain/PlainHandler.cpp
@@ -144,7 +144,7 @@
 /** Notes a call that a replica answered with success and whole, as far as its answer was read here. */
 auto noteAnswer (RouterState& state, const PlainCallInput& input, const UpstreamCall& call) -> void
 {
-    if (call.isDone() && http::to_status_class (call.status()) == http::status_class::successful)
+    if (call.hasSucceeded())
         state.crashes.table().noteSuccess (input.fingerprint, SteadyClock::now());
 }
 
--- a/modules/snowrudder_serving/crashes/CrashWatch.h
+++ b/modules/snowrudder_serving/crashes/CrashWatch.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace snowrudder
@@ -105,7 +106,7 @@
     CrashTable crashes;
     mutable std::mutex mutex;
     std::vector<WatchedAttempt> doubts;
-    std::map<RequestFingerprint, std::size_t> running;
+    std::unordered_map<RequestFingerprint, std::size_t, FingerprintHash> running;
 };
 
 /** Sets the gauges of requests under which replicas ended. */
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -27,13 +27,6 @@
 /** Of the latency target, the part that waiting for a place may take. */
 constexpr auto queueShareOfTarget = 0.6;
 
-auto isSuccess (unsigned status) -> bool
-{
-    constexpr auto firstSuccess = 200U;
-    constexpr auto firstRedirect = 300U;
-    return status >= firstSuccess && status < firstRedirect;
-}
-
 /** When to come back after a refusal that a replica or a connection caused: another node or replica may do. */
 constexpr auto shortRetry = 100ms;
 
@@ -419,7 +412,7 @@
 
 auto RoutedRun::noteWhole (const UpstreamCall& call) -> void
 {
-    if (call.isDone() && isSuccess (call.status()))
+    if (call.hasSucceeded())
         state.crashes.table().noteSuccess (request.fingerprint, SteadyClock::now());
 }
 
