A success that clears a request is told to the other nodes at once

A request that other nodes suspected, or had stopped, stayed so there for up to a minute after a success had cleared it at one node: callers were held back or refused for nothing. The loop that tells of crashes slept until a crash woke it, and a success wakes nothing. It now looks every 200 ms.

--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -29,8 +29,8 @@
 */
 constexpr auto crashInterval = 60ms;
 
-/** How long the loop that tells of crashes waits where nothing wakes it. */
-constexpr auto idleCrashWait = 60s;
+/** How long the loop that tells of crashes waits where nothing wakes it: a success that clears a request does not. */
+constexpr auto idleCrashWait = 200ms;
 
 /** A node tells all that it knows of crashes to one that knows less, at most this often. */
 constexpr auto allCrashesInterval = Duration (100ms);
--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -115,7 +115,8 @@
         """A deployment whose replicas end under the poison."""
         platform = Platform(nodes=nodes, replicas=0, first=first or configuration())
         self.addCleanup(platform.__exit__)
-        self.places = [CrashingReplica(platform, number, port, lambda path, body: POISON.encode() in body)
+        self.is_fatal = True
+        self.places = [CrashingReplica(platform, number, port, lambda path, body: self.is_fatal and POISON.encode() in body)
                        for number, port in enumerate(free_ports(replicas))]
         for place in self.places:
             self.addCleanup(place.close)
@@ -195,6 +196,20 @@
         self.assert_stopped(platform.nodes, "/open/x")
         self.assertEqual(len(self.crashes()), ended)
 
+    def test_a_success_clears_a_request_at_the_other_nodes_too(self):
+        """The success was told only when something else woke the telling, up to a minute later."""
+        platform = self.deployment()
+        first, second, third = platform.nodes
+        first.call("POST", "/again/x", id="ends-two", body=POISON)
+        wait_until(lambda: all("crashes=2 " in node.log.read_text() for node in platform.nodes), "all know of two crashes")
+        # The news is told three times, and the telling has come to rest.
+        time.sleep(1)
+        self.is_fatal = False
+        self.assertEqual(second.call("POST", "/again/x", id="succeeds", body=POISON).status, 200)
+        time.sleep(1)
+        for node in (first, third):
+            self.assertRegex(node.log.read_text(), r"crashes_heard .*from=front-1 crashes=0 .*verdict=clear")
+
     def test_a_held_request_whose_caller_leaves_is_not_sent(self):
         """A request that waits for a verdict went on to a replica when its wait ended early because its caller had left: the line
         `route request=left-front-1 ... reason=cached` came at the same moment as `request_ended ... outcome=caller_gone`.
