--- a/tests/unit/CrashTests.cpp
+++ b/tests/unit/CrashTests.cpp
@@ -20,6 +20,16 @@
     return fingerprintOf ("secret", { "alpha", "POST", "one.example", "/x", body });
 }
 
+/** Notes a crash of the replica with a number. */
+auto crash (CrashTable& table,
+            const RequestFingerprint& request,
+            std::string_view account,
+            int replica,
+            TimePoint now) -> void
+{
+    table.noteCrash (request, account, static_cast<std::uint64_t> (replica), now);
+}
+
 /** Nodes that tell each other what is new, each message with a delay and some of them lost. */
 class Fleet
 {
@@ -100,15 +110,15 @@
     const auto request = requestNamed ("fatal");
     Fleet fleet (nodes, 0.05, 1);
 
-    fleet.node (0).noteCrash (request, "alpha", 11, fleet.time());
-    fleet.node (1).noteCrash (request, "alpha", 11, fleet.time());
+    crash (fleet.node (0), request, "alpha", 11, fleet.time());
+    crash (fleet.node (1), request, "alpha", 11, fleet.time());
     fleet.playUntil (start + 200ms);
-    fleet.node (2).noteCrash (request, "alpha", 12, fleet.time());
+    crash (fleet.node (2), request, "alpha", 12, fleet.time());
     fleet.playUntil (start + 2s);
     CHECK (fleet.stoppedAt (request) == 0);
     CHECK (fleet.node (5).judge (request, fleet.time()).crashes == 2);
 
-    fleet.node (3).noteCrash (request, "alpha", 13, fleet.time());
+    crash (fleet.node (3), request, "alpha", 13, fleet.time());
     fleet.playUntil (start + 2s + 800ms);
     CHECK (fleet.stoppedAt (request) == nodes);
 
@@ -158,7 +168,7 @@
     for (const auto replica : { 1, 2, 3, 4, 5 })
     {
         fleet.playUntil (start + replica * 200ms);
-        fleet.node (static_cast<std::size_t> (replica)).noteCrash (poll, "alpha", replica, fleet.time());
+        crash (fleet.node (static_cast<std::size_t> (replica)), poll, "alpha", replica, fleet.time());
     }
 
     fleet.playUntil (start + 3s);
@@ -174,7 +184,7 @@
     for (const auto replica : { 1, 2, 3 })
     {
         fleet.playUntil (start + replica * 1s);
-        fleet.node (0).noteCrash (request, "alpha", replica, fleet.time());
+        crash (fleet.node (0), request, "alpha", replica, fleet.time());
     }
 
     fleet.playUntil (start + 4s);
@@ -192,7 +202,7 @@
     const auto request = requestNamed ("repeated");
 
     for (const auto replica : { 1, 2, 3, 4 })
-        table.noteCrash (request, "alpha", replica, start + replica * 5ms);
+        crash (table, request, "alpha", replica, start + replica * 5ms);
 
     CHECK (table.judge (request, start + 1s).crashes == 1);
     CHECK (table.judge (request, start + 1s).verdict == CrashVerdict::suspected);
@@ -207,10 +217,10 @@
     SECTION ("it ran there on three of them")
     {
         for (const auto replica : { 1, 2, 3, 4 })
-            table.noteCrash (fatal, "alpha", replica, start + replica * 100ms);
+            crash (table, fatal, "alpha", replica, start + replica * 100ms);
 
         for (const auto replica : { 1, 2, 3 })
-            table.noteCrash (beside, "beta", replica, start + replica * 100ms);
+            crash (table, beside, "beta", replica, start + replica * 100ms);
 
         CHECK (table.judge (fatal, start + 2s).verdict == CrashVerdict::stopped);
         CHECK (table.judge (beside, start + 2s).verdict == CrashVerdict::suspected);
@@ -220,8 +230,8 @@
     {
         for (const auto replica : { 1, 2, 3 })
         {
-            table.noteCrash (fatal, "alpha", replica, start + replica * 100ms);
-            table.noteCrash (beside, "beta", replica, start + replica * 100ms);
+            crash (table, fatal, "alpha", replica, start + replica * 100ms);
+            crash (table, beside, "beta", replica, start + replica * 100ms);
         }
 
         CHECK (table.judge (fatal, start + 2s).verdict == CrashVerdict::suspected);
@@ -291,7 +301,7 @@
     const auto request = requestNamed ("fatal");
 
     for (const auto replica : { 1, 2, 3 })
-        table.noteCrash (request, "alpha", replica, start + replica * 1s);
+        crash (table, request, "alpha", replica, start + replica * 1s);
 
     table.noteStopped (request, start + 9min);
     table.forgetOld (start + 18min);
@@ -307,10 +317,10 @@
     const auto other = requestNamed ("of another account");
 
     for (const auto replica : { 1, 2, 3 })
-        table.noteCrash (other, "beta", replica, start + replica * 1s);
+        crash (table, other, "beta", replica, start + replica * 1s);
 
     for (auto number = 0; number < 5000; ++number)
-        table.noteCrash (requestNamed (std::to_string (number)), "alpha", 100 + number, start + 5s);
+        crash (table, requestNamed (std::to_string (number)), "alpha", 100 + number, start + 5s);
 
     CHECK (table.sizes (start + 6s).known == CrashTable::mostOfAccount + 1);
     CHECK (table.judge (other, start + 6s).verdict == CrashVerdict::stopped);
@@ -323,7 +333,7 @@
     const auto request = requestNamed ("fatal");
 
     for (const auto replica : { 1, 2, 3 })
-        knows.noteCrash (request, "alpha", replica, start + replica * 1s);
+        crash (knows, request, "alpha", replica, start + replica * 1s);
 
     const auto now = start + 1min;
     CHECK (knows.digest (now) != started.digest (now));
