--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -432,6 +432,29 @@
             self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
             self.assertEqual(self.counted(platform), 25)
 
+    def test_windows_without_requests_are_reported_while_nodes_are_restarted_in_turn(self):
+        # The holder of the duties stops just before it reports windows in which nobody sent a request. Its successor has started
+        # after their end and knows of no count in them: it left them out.
+        with Platform(nodes=2) as platform:
+            wait_until(lambda: len(platform.cloud.of("/usage")) >= 3, "usage is reported")
+            for _ in range(3):
+                reports = platform.cloud.of("/usage")
+                holder = next(node for node in platform.nodes if node.name == reports[-1][1])
+                other = next(node for node in platform.nodes if node is not holder)
+                other.process.send_signal(signal.SIGTERM)
+                self.assertEqual(other.process.wait(15), 0)
+                other.start()
+                wait_until(other.is_ready, "it is back")
+                holder.process.send_signal(signal.SIGTERM)
+                wait_until(lambda other=other: platform.cloud.of("/usage")[-1][1] == other.name, "the other has the duties")
+                self.assertEqual(holder.process.wait(15), 0)
+                holder.start()
+                wait_until(holder.is_ready, "it is back")
+            until = platform.cloud.of("/usage")[-1][3]["window_id"] + 2
+            wait_until(lambda: platform.cloud.of("/usage")[-1][3]["window_id"] >= until, "it reports on")
+            windows = sorted({entry[3]["window_id"] for entry in platform.cloud.of("/usage")})
+            self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
 
 class Starts(unittest.TestCase):
     def first_answer(self, node, **traits):
--- a/tests/unit/UsageScheduleTests.cpp
+++ b/tests/unit/UsageScheduleTests.cpp
@@ -1,6 +1,7 @@
 #include "ServingFixtures.h"
 
 #include "snowrudder_serving/duties/UsageSchedule.h"
+#include "snowrudder_serving/members/DatagramCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -75,6 +76,28 @@
     CHECK (windowsDue (schedule, own, others, later) == std::vector<std::uint64_t> { 100, 101 });
 }
 
+TEST_CASE ("a holder that started after the end of a window without requests reports it as well")
+{
+    // A holder stops before it has reported the last windows, in which nobody sent a request. Its successor, started after their
+    // end, began at the first window in which it knew of a count, so that nobody reported them: windows ..759 and ..760 were
+    // missing, in a run in which the requests before them all fell into ..758.
+    UsageNotice idle;
+    idle.node = "other";
+    idle.incarnation = 1;
+    idle.counts[98];
+    idle.counts[99];
+
+    const auto message = decodeMessage (encodeMessage (idle, "secret"), "secret");
+    REQUIRE (message);
+    UsageGathering others ("hall-a");
+    others.note (std::get<UsageNotice> (*message));
+
+    const UsageWindows own (windowLength);
+    UsageSchedule schedule;
+    schedule.started = middle;
+    CHECK (windowsDue (schedule, own, others, middle + 3s) == std::vector<std::uint64_t> { 98, 99 });
+}
+
 TEST_CASE ("a window is due two seconds after its end, and for twenty seconds")
 {
     const UsageWindows own (windowLength);
