Fatal requests beside each other: crashes are weighed for all requests together, and the latest are kept

Callers saw: with two requests at once that end their replicas, one was stopped and the other was not; 52 to 75 replicas ended in 16 s and others got 0.57 to 0.87 of their answers.

Cause: the record of a request's crashes kept the earliest eight and took no newer ones. Where those were shared with another request that had as many, they counted as explained for good, and the later ones, at which the other one no longer ran, were never looked at. Two crashes less than 50 ms apart counted once, so that the way out for requests that always ran together (eight of eight) was shut too.

Now the latest 16 are kept, and all requests are weighed together (findFatalRequests): who is found fatal explains the crashes that it shares, crashes that another one may have caused count by half, explained ones by a quarter, so that a request that never succeeds does not stay innocent for ever. A replica that names one start ends once, whenever its address cuts connections later. Suspects pause longer the more of them there are, and wait while under half of a service's replicas are left. Doubts drop their oldest in place of the newest.

Evidence: the test of the record ended at suspected, now stopped.

--- a/modules/snowrudder_requests/crashes/CrashEvidence.cpp
+++ b/modules/snowrudder_requests/crashes/CrashEvidence.cpp
@@ -13,16 +13,26 @@
 
 auto addCrash (std::vector<ReplicaCrash>& crashes, const ReplicaCrash& crash) -> bool
 {
-    if (std::ranges::any_of (crashes, [&crash] (const auto& known) { return isSameCrash (known, crash); }))
+    const auto same =
+        std::ranges::find_if (crashes, [&crash] (const auto& known) { return isSameCrash (known, crash); });
+
+    if (same != crashes.end())
+    {
+        same->at = std::min (same->at, crash.at);
+        std::ranges::sort (crashes, {}, &ReplicaCrash::at);
         return false;
+    }
 
     const auto place = std::ranges::upper_bound (crashes, crash.at, {}, &ReplicaCrash::at);
 
-    if (place == crashes.end() && crashes.size() >= mostCrashesKept)
+    if (place == crashes.begin() && crashes.size() >= mostCrashesKept)
         return false;
 
     crashes.insert (place, crash);
-    crashes.resize (std::min (crashes.size(), mostCrashesKept));
+
+    if (crashes.size() > mostCrashesKept)
+        crashes.erase (crashes.begin());
+
     return true;
 }
 
@@ -30,7 +40,11 @@
 
 auto isSameCrash (const ReplicaCrash& first, const ReplicaCrash& second) -> bool
 {
-    return first.replica == second.replica && std::chrono::abs (first.at - second.at) < shortestRestart;
+    if (first.replica != second.replica)
+        return false;
+
+    return (first.namesOneStart && second.namesOneStart) ||
+           std::chrono::abs (first.at - second.at) < shortestRestart;
 }
 
 auto mergeEvidence (CrashEvidence& known, const CrashEvidence& heard) -> bool
--- a/modules/snowrudder_requests/crashes/CrashEvidence.h
+++ b/modules/snowrudder_requests/crashes/CrashEvidence.h
@@ -17,6 +17,8 @@
     std::uint64_t replica = 0;
     /** When its connection ended. */
     TimePoint at {};
+    /** Whether the hash names one start of the replica, which ends once: a connection that its address cut later is the same end. */
+    bool namesOneStart = false;
 };
 
 /** What is known of one request under which replicas ended. Nodes tell it each other; it may arrive late, twice and in any
@@ -27,7 +29,7 @@
     RequestFingerprint request;
     /** Hash of its client account's name. */
     std::uint32_t account = 0;
-    /** The earliest `mostCrashesKept`, in the order of their times. */
+    /** The latest `mostCrashesKept`, in the order of their times. */
     std::vector<ReplicaCrash> crashes;
     /** When a replica last answered it whole and with success. */
     std::optional<TimePoint> succeeded;
@@ -35,11 +37,8 @@
     TimePoint lastSeen {};
 };
 
-/** A request is stopped once it has ended so many replicas. */
-inline constexpr auto crashesToStop = std::size_t { 3 };
-
-/** Crashes kept of one request. With so many it is stopped, also where another one ran on all of the same replicas. */
-inline constexpr auto mostCrashesKept = std::size_t { 8 };
+/** Crashes kept of one request, the latest: those after another request was stopped tell most. */
+inline constexpr auto mostCrashesKept = std::size_t { 16 };
 
 /** Crashes closer to each other than this count once: what takes several replicas at the same moment is not a request. */
 inline constexpr auto crashSpacing = Duration (50ms);
--- a/modules/snowrudder_requests/crashes/CrashTable.cpp
+++ b/modules/snowrudder_requests/crashes/CrashTable.cpp
@@ -12,18 +12,11 @@
 /** Successes remembered in one generation: a node answers some hundred requests a second. */
 constexpr auto mostSuccesses = std::size_t { 8192 };
 
-auto holds (const std::vector<ReplicaCrash>& crashes, const ReplicaCrash& wanted) -> bool
-{
-    return std::ranges::any_of (crashes,
-                                [&wanted] (const auto& crash) { return isSameCrash (crash, wanted); });
-}
-
 } // namespace
 
 auto CrashTable::noteCrash (const RequestFingerprint& request,
                             std::string_view account,
-                            std::uint64_t replica,
-                            TimePoint now) -> bool
+                            const ReplicaCrash& crash) -> bool
 {
     if (! request.isKnown())
         return false;
@@ -31,10 +24,10 @@
     CrashEvidence seen;
     seen.request = request;
     seen.account = static_cast<std::uint32_t> (hashBytes (account));
-    seen.crashes.push_back ({ replica, now });
-    seen.lastSeen = now;
+    seen.crashes.push_back (crash);
+    seen.lastSeen = crash.at;
     const auto isToTell = true;
-    return hear (seen, isToTell, now);
+    return hear (seen, isToTell, crash.at);
 }
 
 auto CrashTable::noteSuccess (const RequestFingerprint& request, TimePoint now) -> void
@@ -65,6 +58,7 @@
     const std::lock_guard lock (mutex);
     auto& entry = entryFor (heard.request, heard.account, now);
     const auto isNews = mergeEvidence (entry.evidence, heard);
+    isToDecide = isToDecide || isNews;
 
     if (isNews && isToTell)
         entry.tellsLeft = timesTold;
@@ -132,6 +126,7 @@
 auto CrashTable::forgetOld (TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
+    isToDecide = true;
 
     std::erase_if (entries,
                    [this, now] (const auto& known)
@@ -180,9 +175,12 @@
     const auto before = countedCrashes (evidence).size();
     evidence.succeeded = std::max (evidence.succeeded.value_or (at), at);
 
+    if (countedCrashes (evidence).size() == before)
+        return;
+
     // Told only where it changes something: a request that runs everywhere succeeds all the time.
-    if (countedCrashes (evidence).size() < before)
-        entry.tellsLeft = timesTold;
+    entry.tellsLeft = timesTold;
+    isToDecide = true;
 }
 
 auto CrashTable::recentSuccess (const RequestFingerprint& request, TimePoint now) const
@@ -231,45 +229,29 @@
 
     --countByAccount[from];
     entries.erase (oldest);
+    isToDecide = true;
 }
 
-auto CrashTable::isProven (const Entry& entry) const -> bool
+auto CrashTable::decide() const -> void
 {
-    if (entry.evidence.crashes.size() < crashesToStop)
-        return false;
+    if (! std::exchange (isToDecide, false))
+        return;
 
-    const auto own = countedCrashes (entry.evidence);
+    std::vector<const CrashEvidence*> known;
+    known.reserve (entries.size());
 
-    if (own.size() < crashesToStop)
-        return false;
+    for (const auto& [request, entry] : entries)
+        known.push_back (&entry.evidence);
 
-    // A crash says little of a request beside which another one ran that ended as many replicas or more.
-    std::vector<bool> explained (own.size(), false);
-    std::vector<bool> shared (own.size(), false);
+    const auto decided = findFatalRequests (known);
+    auto next = decided.begin();
+    suspects = 0;
 
-    for (const auto& [request, other] : entries)
+    for (auto& [request, entry] : entries)
     {
-        if (&other == &entry || other.evidence.crashes.size() < own.size())
-            continue;
-
-        const auto counted = countedCrashes (other.evidence).size();
-
-        if (counted < own.size())
-            continue;
-
-        const auto standing = standingCrashes (other.evidence);
-
-        for (std::size_t index = 0; index < own.size(); ++index)
-            if (holds (standing, own[index]))
-            {
-                shared[index] = true;
-                explained[index] = explained[index] || counted > own.size();
-            }
+        entry.decided = *next++;
+        suspects += ! entry.decided && countedCrashes (entry.evidence).size() > 1 ? 1 : 0;
     }
-
-    const auto unshared = static_cast<std::size_t> (std::ranges::count (shared, false));
-    const auto unexplained = static_cast<std::size_t> (std::ranges::count (explained, false));
-    return unshared >= crashesToStop || (own.size() >= mostCrashesKept && unexplained >= crashesToStop);
 }
 
 auto CrashTable::judgeEntry (const Entry& entry, TimePoint now) const -> CrashJudgement
@@ -279,12 +261,13 @@
     if (counted.empty())
         return {};
 
-    CrashJudgement judgement { CrashVerdict::suspected, counted.size(), counted.back().at };
+    decide();
+    CrashJudgement judgement { CrashVerdict::suspected, counted.size(), counted.back().at, suspects };
 
-    if (! isProven (entry))
+    if (! entry.decided)
         return judgement;
 
-    const auto isHeard = now >= counted[crashesToStop - 1].at + hearingTime;
+    const auto isHeard = now >= *entry.decided + hearingTimeBeside (suspects);
     judgement.verdict = isHeard ? CrashVerdict::stopped : CrashVerdict::undecided;
     return judgement;
 }
--- a/modules/snowrudder_requests/crashes/CrashTable.h
+++ b/modules/snowrudder_requests/crashes/CrashTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CrashEvidence.h"
+#include "FatalRequests.h"
 
 #include <map>
 #include <mutex>
@@ -30,6 +30,8 @@
     std::size_t crashes = 0;
     /** The latest of those. */
     TimePoint lastCrash {};
+    /** Requests that may be fatal, this one included: several replicas ended under each, and none is stopped. */
+    std::size_t suspects = 0;
 };
 
 /** What this node knows of requests under which replicas ended, by the requests' content. Any thread may call it; one mutex
@@ -43,13 +45,10 @@
 public:
     /** Notes that a replica ended while it ran a request of this node.
 
-        @param replica  names the replica's incarnation
-        @returns        whether that was not known
+        @returns  whether that was not known
     */
-    auto noteCrash (const RequestFingerprint& request,
-                    std::string_view account,
-                    std::uint64_t replica,
-                    TimePoint now) -> bool;
+    auto noteCrash (const RequestFingerprint& request, std::string_view account, const ReplicaCrash& crash)
+        -> bool;
 
     /** Notes that a replica answered a request whole and with success. */
     auto noteSuccess (const RequestFingerprint& request, TimePoint now) -> void;
@@ -99,6 +98,8 @@
     {
         CrashEvidence evidence;
         std::uint32_t tellsLeft = 0;
+        /** When the crash happened that showed it to be fatal. */
+        std::optional<TimePoint> decided;
     };
 
     auto entryFor (const RequestFingerprint& request, std::uint32_t account, TimePoint now) -> Entry&;
@@ -106,13 +107,16 @@
     auto recentSuccess (const RequestFingerprint& request, TimePoint now) const -> std::optional<TimePoint>;
     auto keepSuccess (const RequestFingerprint& request, TimePoint now) -> void;
     auto makeRoom (std::uint32_t account) -> void;
-    [[nodiscard]] auto isProven (const Entry& entry) const -> bool;
+    auto decide() const -> void;
     [[nodiscard]] auto judgeEntry (const Entry& entry, TimePoint now) const -> CrashJudgement;
 
     using Successes = std::unordered_map<RequestFingerprint, TimePoint, FingerprintHash>;
 
     mutable std::mutex mutex;
-    std::unordered_map<RequestFingerprint, Entry, FingerprintHash> entries;
+    mutable std::unordered_map<RequestFingerprint, Entry, FingerprintHash> entries;
+    /** Whether the evidence has changed since requests were last decided on. */
+    mutable bool isToDecide = false;
+    mutable std::size_t suspects = 0;
     std::map<std::uint32_t, std::size_t> countByAccount;
     /** Requests that lately succeeded, in two generations of `successCovers` each. */
     Successes successes;
--- /dev/null
+++ b/modules/snowrudder_requests/crashes/FatalRequests.cpp
@@ -0,0 +1,172 @@
+#include "FatalRequests.h"
+
+#include <algorithm>
+#include <tuple>
+#include <unordered_map>
+
+namespace snowrudder
+{
+
+namespace
+{
+
+/** A request under which replicas ended, while it is judged. */
+struct Suspect
+{
+    const CrashEvidence* evidence = nullptr;
+    std::vector<ReplicaCrash> counted;
+    std::optional<TimePoint> decided;
+};
+
+/** Who ran on a replica as it ended. */
+struct Sharer
+{
+    std::size_t suspect = 0;
+    ReplicaCrash crash;
+};
+
+using SharersByReplica = std::unordered_map<std::uint64_t, std::vector<Sharer>>;
+
+/** What speaks against a request. */
+struct Weighing
+{
+    /** Crashes, those that another request may have caused as well for a part; none that a fatal request explains. */
+    double crashes = 0.0;
+    /** When there were enough crashes that nothing else explains, and when enough of all together. */
+    std::optional<TimePoint> byOwn;
+    std::optional<TimePoint> byAll;
+};
+
+auto weigh (std::size_t index, const std::vector<Suspect>& suspects, const SharersByReplica& sharers)
+    -> Weighing
+{
+    Weighing weighing;
+    const auto& own = suspects[index];
+    auto ownCrashes = std::size_t { 0 };
+
+    for (const auto& crash : own.counted)
+    {
+        auto isExplained = false;
+        auto isContested = false;
+
+        for (const auto& sharer : sharers.at (crash.replica))
+        {
+            if (sharer.suspect == index || ! isSameCrash (sharer.crash, crash))
+                continue;
+
+            const auto& other = suspects[sharer.suspect];
+            isExplained = isExplained || other.decided;
+            isContested = isContested || other.counted.size() >= own.counted.size();
+        }
+
+        const auto isOwn = ! isExplained && ! isContested;
+        ownCrashes += isOwn ? 1 : 0;
+        weighing.crashes += isOwn ? 1.0 : isExplained ? explainedShare : contestedShare;
+
+        if (! weighing.byOwn && ownCrashes >= crashesToStop)
+            weighing.byOwn = crash.at;
+
+        if (! weighing.byAll && weighing.crashes >= static_cast<double> (crashesToStop))
+            weighing.byAll = crash.at;
+    }
+
+    return weighing;
+}
+
+/** Decides all requests that have enough crashes of their own.
+
+    @returns whether there was one
+*/
+auto decideByOwn (std::vector<Suspect>& suspects, const SharersByReplica& sharers) -> bool
+{
+    std::vector<std::pair<std::size_t, TimePoint>> found;
+
+    for (std::size_t index = 0; index < suspects.size(); ++index)
+    {
+        if (suspects[index].decided || suspects[index].counted.size() < crashesToStop)
+            continue;
+
+        if (const auto weighing = weigh (index, suspects, sharers); weighing.byOwn)
+            found.emplace_back (index, *weighing.byOwn);
+    }
+
+    for (const auto& [index, decided] : found)
+        suspects[index].decided = decided;
+
+    return ! found.empty();
+}
+
+/** Decides the request against which most speaks, of those with enough crashes that others may have caused too.
+
+    @returns whether there was one
+*/
+auto decideWorst (std::vector<Suspect>& suspects, const SharersByReplica& sharers) -> bool
+{
+    const auto rankOf = [] (const Suspect& suspect, const Weighing& weighing)
+    {
+        const auto& request = suspect.evidence->request;
+        return std::tuple (weighing.crashes, request.high, request.low);
+    };
+    Suspect* worst = nullptr;
+    Weighing worstWeighing;
+
+    for (std::size_t index = 0; index < suspects.size(); ++index)
+    {
+        auto& suspect = suspects[index];
+
+        if (suspect.decided || suspect.counted.size() < crashesToStop)
+            continue;
+
+        const auto weighing = weigh (index, suspects, sharers);
+
+        if (! weighing.byAll)
+            continue;
+
+        if (worst == nullptr || rankOf (suspect, weighing) > rankOf (*worst, worstWeighing))
+        {
+            worst = &suspect;
+            worstWeighing = weighing;
+        }
+    }
+
+    if (worst != nullptr)
+        worst->decided = worstWeighing.byAll;
+
+    return worst != nullptr;
+}
+
+} // namespace
+
+auto hearingTimeBeside (std::size_t suspects) -> Duration
+{
+    constexpr auto timeEach = Duration (250ms);
+    constexpr auto longest = Duration (750ms);
+    return hearingTime + std::min (longest, timeEach * static_cast<std::int64_t> (suspects));
+}
+
+auto findFatalRequests (std::span<const CrashEvidence* const> requests)
+    -> std::vector<std::optional<TimePoint>>
+{
+    std::vector<Suspect> suspects;
+    SharersByReplica sharers;
+
+    for (const auto* evidence : requests)
+    {
+        for (const auto& crash : standingCrashes (*evidence))
+            sharers[crash.replica].push_back ({ suspects.size(), crash });
+
+        suspects.push_back ({ evidence, countedCrashes (*evidence), {} });
+    }
+
+    while (decideByOwn (suspects, sharers) || decideWorst (suspects, sharers))
+        continue;
+
+    std::vector<std::optional<TimePoint>> decided;
+
+    for (const auto& suspect : suspects)
+        decided.push_back (suspect.decided);
+
+    return decided;
+}
+
+} // namespace snowrudder
--- a/modules/snowrudder_requests/snowrudder_requests.h
+++ b/modules/snowrudder_requests/snowrudder_requests.h
@@ -14,6 +14,7 @@
 
 #include "attempt/AttemptOutcome.h"
 #include "crashes/CrashTable.h"
+#include "crashes/SuspectPacing.h"
 #include "crashes/RequestFingerprint.h"
 #include "once/KeySlots.h"
 #include "once/KeyTable.h"
--- a/modules/snowrudder_router/model/ModelRun.cpp
+++ b/modules/snowrudder_router/model/ModelRun.cpp
@@ -211,7 +211,7 @@
 auto ModelRun::waitForVerdict() -> Task<CrashJudgement>
 {
     return state.crashes.waitForVerdict (
-        worker.loop, fingerprint,
+        worker.loop, fingerprint, record->identity().service,
         [this] { return interruptCause.has_value() || SteadyClock::now() >= record->identity().deadline; });
 }
 
--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -54,7 +54,7 @@
 
 auto waitForVerdict (RouterState& state, Worker& worker, const PlainCallInput& input) -> Task<CrashJudgement>
 {
-    return state.crashes.waitForVerdict (worker.loop, input.fingerprint,
+    return state.crashes.waitForVerdict (worker.loop, input.fingerprint, input.service->name,
                                          [end = input.deadline] { return SteadyClock::now() >= end; });
 }
 
--- a/modules/snowrudder_router/state/RouterState.h
+++ b/modules/snowrudder_router/state/RouterState.h
@@ -28,7 +28,7 @@
 {
     explicit RouterState (const schema::RouterSettings& routerSettings)
         : settings (routerSettings), timeouts (routerTimeouts (routerSettings)),
-          limits (serverLimits (routerSettings)), counts (metrics), crashes (metrics, replicas),
+          limits (serverLimits (routerSettings)), counts (metrics), crashes (metrics, replicas, ReplicaNaming::places),
           requests (timeouts.keepAnswer,
                     routerSettings.has_kept_answer_bytes() ? routerSettings.kept_answer_bytes()
                                                            : usualKeptBytes),
--- a/modules/snowrudder_serving/crashes/CrashWatch.cpp
+++ b/modules/snowrudder_serving/crashes/CrashWatch.cpp
@@ -14,15 +14,6 @@
 /** Attempts in doubt that are kept: a replica's slots times the replicas of a failure domain. */
 constexpr auto mostDoubts = std::size_t { 512 };
 
-/** How often a waiting request looks for a verdict. */
-constexpr auto verdictLook = 10ms;
-
-/** From this many crashes on a request waits up to `longestPause` before it is sent again, so that not all nodes that have it
-    send it at once.
-*/
-constexpr auto crashesToPause = std::size_t { 2 };
-constexpr auto longestPause = Duration (250ms);
-
 /** @returns what names one incarnation of a replica. */
 auto incarnationHash (const ReplicaInfo& replica) -> std::uint64_t
 {
@@ -48,8 +39,9 @@
 
 } // namespace
 
-CrashWatch::CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable)
-    : replicas (replicaTable), crashesSeen (metrics.counter ("snowrudder_crashes_under_requests_total")),
+CrashWatch::CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable, ReplicaNaming replicaNaming)
+    : replicas (replicaTable), naming (replicaNaming),
+      crashesSeen (metrics.counter ("snowrudder_crashes_under_requests_total")),
       requestsStopped (metrics.counter ("snowrudder_requests_stopped_total"))
 {
 }
@@ -137,23 +129,20 @@
 
 auto CrashWatch::waitForVerdict (asio::io_context& loop,
                                  RequestFingerprint request,
+                                 std::string service,
                                  std::function<bool()> isOver) -> Task<CrashJudgement>
 {
     auto judgement = crashes.judge (request, SteadyClock::now());
 
-    if (judgement.verdict == CrashVerdict::suspected && judgement.crashes >= crashesToPause)
+    if (mustPause (judgement))
     {
-        co_await pauseFor (loop, std::chrono::duration_cast<Duration> (longestPause * drawJitter()));
+        co_await pauseFor (loop,
+                           std::chrono::duration_cast<Duration> (pauseBound (judgement) * drawJitter()));
         judgement = crashes.judge (request, SteadyClock::now());
     }
 
-    const auto mustWait = [&]
-    {
-        return judgement.verdict == CrashVerdict::undecided ||
-               (judgement.verdict == CrashVerdict::suspected && isRunning (request));
-    };
-
-    while (mustWait() && ! isOver())
+    while (judgement.verdict != CrashVerdict::clear &&
+           mustWait (judgement, surroundings (request, service)) && ! isOver())
     {
         co_await pauseFor (loop, verdictLook);
         judgement = crashes.judge (request, SteadyClock::now());
@@ -188,8 +177,9 @@
 
 auto CrashWatch::noteCrash (const WatchedAttempt& attempt, std::string_view proof) -> void
 {
-    const auto isNews = crashes.noteCrash (attempt.request, attempt.account,
-                                           incarnationHash (attempt.replica), attempt.ended);
+    const ReplicaCrash crash { incarnationHash (attempt.replica), attempt.ended,
+                               naming == ReplicaNaming::starts };
+    const auto isNews = crashes.noteCrash (attempt.request, attempt.account, crash);
     const auto judgement = crashes.judge (attempt.request, SteadyClock::now());
     crashesSeen.add();
     LogLine ("crash_evidence")
@@ -211,14 +201,27 @@
 {
     const std::lock_guard lock (mutex);
 
-    if (attempt.request.isKnown() && doubts.size() < mostDoubts)
-        doubts.push_back (std::move (attempt));
+    if (! attempt.request.isKnown())
+        return;
+
+    // The latest tell most: the oldest are about to be given up.
+    if (doubts.size() >= mostDoubts)
+        doubts.erase (doubts.begin());
+
+    doubts.push_back (std::move (attempt));
 }
 
-auto CrashWatch::isRunning (const RequestFingerprint& request) const -> bool
+auto CrashWatch::surroundings (const RequestFingerprint& request, const std::string& service) const
+    -> SuspectSurroundings
 {
+    SuspectSurroundings around;
+    constexpr auto scarceShare = 0.5;
+    around.isScarce =
+        replicas.capacity (service, SteadyClock::now()).slots < scarceShare * replicas.totals (service).slots;
+
     const std::lock_guard lock (mutex);
-    return running.contains (request);
+    around.isRunning = running.contains (request);
+    return around;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/crashes/CrashWatch.h
+++ b/modules/snowrudder_serving/crashes/CrashWatch.h
@@ -28,13 +28,22 @@
     TimePoint ended {};
 };
 
+/** What a replica's name names. */
+enum class ReplicaNaming
+{
+    /** A place, in which it may start again. */
+    places,
+    /** One start: a replica that starts again has another name. */
+    starts
+};
+
 /** Finds out which requests ran on replicas as these crashed, and keeps what that says against them. An end of a connection
     alone proves no crash: answers get lost, links are reset, and replicas end after a planned drain. Any thread may call it.
 */
 class CrashWatch
 {
 public:
-    CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable);
+    CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable, ReplicaNaming replicaNaming);
 
     /** Looks whether the replica of an attempt whose connection ended has crashed, and notes the evidence.
 
@@ -70,10 +79,13 @@
     /** Waits until a request may be sent or is stopped: a suspected one runs once at a time here, and after several crashes
         it lets other nodes' evidence arrive first.
 
-        @param isOver  whether nobody waits for the answer any more
+        @param service  that would run it
+        @param isOver   whether nobody waits for the answer any more
     */
-    auto waitForVerdict (asio::io_context& loop, RequestFingerprint request, std::function<bool()> isOver)
-        -> Task<CrashJudgement>;
+    auto waitForVerdict (asio::io_context& loop,
+                         RequestFingerprint request,
+                         std::string service,
+                         std::function<bool()> isOver) -> Task<CrashJudgement>;
 
     [[nodiscard]] auto table() -> CrashTable& { return crashes; }
 
@@ -98,9 +110,11 @@
 private:
     auto noteCrash (const WatchedAttempt& attempt, std::string_view proof) -> void;
     auto noteDoubt (WatchedAttempt attempt) -> void;
-    [[nodiscard]] auto isRunning (const RequestFingerprint& request) const -> bool;
+    [[nodiscard]] auto surroundings (const RequestFingerprint& request, const std::string& service) const
+        -> SuspectSurroundings;
 
     const ReplicaTable& replicas;
+    const ReplicaNaming naming;
     Counter& crashesSeen;
     Counter& requestsStopped;
     CrashTable crashes;
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -175,6 +175,7 @@
             auto* told = written->add_crashes();
             told->set_replica (crash.replica);
             told->set_age_milliseconds (asMilliseconds (now - crash.at));
+            told->set_names_one_start (crash.namesOneStart);
         }
     }
 }
@@ -235,10 +236,13 @@
     notice.domain = message.failure_domain();
 
     for (const auto& entry : message.usage())
+    {
+        auto& counts = notice.counts[entry.window()];
+
         for (const auto& figure : entry.counts())
             if (isAmount (figure.amount()))
-                notice.counts[entry.window()][figure.account()] =
-                    static_cast<std::uint64_t> (figure.amount());
+                counts[figure.account()] = static_cast<std::uint64_t> (figure.amount());
+    }
 
     return notice;
 }
@@ -256,7 +260,8 @@
         evidence.succeeded = now - milliseconds (message.succeeded_milliseconds());
 
     for (const auto& crash : message.crashes())
-        evidence.crashes.push_back ({ crash.replica(), now - milliseconds (crash.age_milliseconds()) });
+        evidence.crashes.push_back (
+            { crash.replica(), now - milliseconds (crash.age_milliseconds()), crash.names_one_start() });
 
     return evidence;
 }
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -31,7 +31,7 @@
         : loop (eventLoop), settings (servingSettings), pool (eventLoop.get_executor()),
           probes (eventLoop, pool),
           counts (metrics), freshness { servingSettings.revocation, FreshnessBounds().margin },
-          crashes (metrics, replicas), usage (servingSettings.usageWindow),
+          crashes (metrics, replicas, ReplicaNaming::starts), usage (servingSettings.usageWindow),
           usageOfOthers (servingSettings.failureDomain), quota (sharing.startTime), peers (sharing.startTime),
           configurationWake (std::make_shared<Signal> (eventLoop.get_executor()))
     {
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -324,7 +324,7 @@
 
 auto RoutedRun::waitForVerdict() -> Task<CrashJudgement>
 {
-    return state.crashes.waitForVerdict (state.loop, request.fingerprint,
+    return state.crashes.waitForVerdict (state.loop, request.fingerprint, request.service,
                                          [this]
                                          { return isCallerGone || SteadyClock::now() >= request.end; });
 }
--- a/tests/unit/CrashTests.cpp
+++ b/tests/unit/CrashTests.cpp
@@ -27,7 +27,7 @@
             int replica,
             TimePoint now) -> void
 {
-    table.noteCrash (request, account, static_cast<std::uint64_t> (replica), now);
+    table.noteCrash (request, account, { static_cast<std::uint64_t> (replica), now });
 }
 
 /** Nodes that tell each other what is new, each message with a delay and some of them lost. */
@@ -270,13 +270,13 @@
             const auto hit = random() % replicas;
             const auto incarnation = std::uint64_t { 1000 } * ++crashes + hit;
 
-            table.noteCrash (fatal, "alpha", incarnation, now);
+            table.noteCrash (fatal, "alpha", { incarnation, now });
 
             for (auto& [caller, place] : places)
                 if (place == hit)
                 {
-                    table.noteCrash (requestNamed ("caller " + std::to_string (caller)), "beta", incarnation,
-                                     now);
+                    table.noteCrash (requestNamed ("caller " + std::to_string (caller)), "beta",
+                                     { incarnation, now });
                     place = random() % replicas;
                 }
 
--- a/tests/unit/CrashWorld.cpp
+++ b/tests/unit/CrashWorld.cpp
@@ -128,8 +128,9 @@
                        if (proof.at > now)
                            return false;
 
-                       tables[proof.node].noteCrash (proof.request, proof.account, proof.replica,
-                                                     proof.ended);
+                       const auto namesOneStart = true;
+                       tables[proof.node].noteCrash (proof.request, proof.account,
+                                                     { proof.replica, proof.ended, namesOneStart });
                        return true;
                    });
 }
@@ -199,9 +200,8 @@
 auto CrashWorld::beginAttempt (Caller& caller) -> void
 {
     const auto judgement = tables[caller.node].judge (caller.request, now);
-    const auto mustPause = judgement.verdict == CrashVerdict::suspected && judgement.crashes >= 2;
-    caller.phase = mustPause ? Phase::pausing : Phase::waiting;
-    caller.until = now + draw (250ms);
+    caller.phase = mustPause (judgement) ? Phase::pausing : Phase::waiting;
+    caller.until = now + draw (pauseBound (judgement));
 }
 
 auto CrashWorld::send (Caller& caller) -> void
@@ -218,8 +218,7 @@
         return;
     }
 
-    if (judgement.verdict == CrashVerdict::undecided ||
-        (judgement.verdict == CrashVerdict::suspected && isRunning (caller)))
+    if (mustWait (judgement, { isRunning (caller), isScarce (caller.node) }))
         return;
 
     const auto place = choosePlace (caller, judgement);
@@ -332,6 +331,13 @@
                                 });
 }
 
+auto CrashWorld::isScarce (std::size_t node) const -> bool
+{
+    const auto left = std::ranges::count_if (places, [&] (const Incarnation& place)
+                                             { return ! knownDead[node].contains (place.id); });
+    return 2 * static_cast<std::size_t> (left) < places.size();
+}
+
 auto CrashWorld::draw (Duration most) -> Duration
 {
     return Duration (std::uniform_int_distribution<Duration::rep> (0, most.count()) (random));
--- a/tests/unit/CrashWorld.h
+++ b/tests/unit/CrashWorld.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "snowrudder_requests/crashes/CrashTable.h"
+#include "snowrudder_requests/crashes/SuspectPacing.h"
 
 #include <map>
 #include <optional>
@@ -123,6 +123,7 @@
     auto cut (Caller& caller, const Incarnation& ended) -> void;
     auto finish (Caller& caller, bool isServed) -> void;
     auto isRunning (const Caller& asking) const -> bool;
+    auto isScarce (std::size_t node) const -> bool;
     auto draw (Duration most) -> Duration;
     auto isDrawn (double share) -> bool;
 
--- a/tests/unit/CrashWorldTests.cpp
+++ b/tests/unit/CrashWorldTests.cpp
@@ -24,7 +24,7 @@
 auto noteCrash (CrashTable& table, const RequestFingerprint& request, std::uint64_t replica, TimePoint now)
     -> void
 {
-    table.noteCrash (request, "alpha", replica, now);
+    table.noteCrash (request, "alpha", { replica, now });
 }
 
 /** What came of all seeds. */
