Usage windows without requests are reported also where their holder stops before them

The holder of the duties stopped just before it reported windows in which nobody had sent a request. Its successor, started after their end, began at the first window in which it knew of a count.

Now nodes tell of windows in which they ran, with or without counts; a successor reads from the store which window was settled last and begins there (one list a takeover); a window is settled only when the one before it is reported; a stopping node that knows no others looks for them while it drains, so that its counts reach who has just started.

The test waited for three windows after the successor's first report, which now repeats the last one settled and so may lie before the requests: it waits for the window after its last request instead, which is as strict.

--- a/modules/snowrudder_serving/duties/UsageGathering.h
+++ b/modules/snowrudder_serving/duties/UsageGathering.h
@@ -37,7 +37,7 @@
     */
     [[nodiscard]] auto recentOfDomain (const UsageWindows& own, Duration time) const -> CountsByWindow;
 
-    /** @returns the oldest window in which another node is known to have counted something. */
+    /** @returns the oldest window in which another node is known to have run. */
     [[nodiscard]] auto oldestWindow() const -> std::optional<std::uint64_t>;
 
     /** Forgets windows before one. */
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <charconv>
+
 namespace snowrudder
 {
 
@@ -70,12 +73,12 @@
 }
 
 auto reportWindow (ServingState& state, const StateStore& store, const DutyCalls& calls, std::uint64_t window)
-    -> Task<bool>
+    -> Task<StoreOutcome>
 {
     const auto counts = co_await settleCounts (state, store, window);
 
     if (! counts || ! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
-        co_return false;
+        co_return StoreOutcome::unknown;
 
     const DutyHolder holder { state.settings.node, state.leadership.fence };
     const auto outcome = co_await calls.reportUsage (holder, window, *counts);
@@ -85,7 +88,30 @@
         .with ("fence", holder.fence)
         .with ("outcome", toString (outcome))
         .info();
-    co_return outcome == StoreOutcome::done;
+    co_return outcome;
+}
+
+/** Looks up which windows earlier holders settled.
+
+    @returns whether the store answered
+*/
+auto readSettled (UsageSchedule& schedule, const StateStore& store) -> Task<bool>
+{
+    const auto listed = co_await store.list (std::string (usagePrefix), ReadAge::newest);
+
+    if (listed.outcome != StoreOutcome::done)
+        co_return false;
+
+    for (const auto& item : listed.items)
+    {
+        auto window = std::uint64_t { 0 };
+        const auto* const end = item.key.data() + item.key.size();
+
+        if (std::from_chars (item.key.data() + usagePrefix.size(), end, window).ptr == end)
+            schedule.settledBefore = std::max (schedule.settledBefore.value_or (window), window);
+    }
+
+    co_return true;
 }
 
 } // namespace
@@ -93,25 +119,38 @@
 auto reportUsage (ServingState& state, const StateStore& store, const DutyCalls& calls) -> Task<void>
 {
     UsageSchedule schedule;
+    auto fence = std::uint64_t { 0 };
     schedule.started = state.trueTime.now (SteadyClock::now());
+    state.usage.noteRunning (schedule.started);
 
     for (;;)
     {
         co_await pauseFor (state.loop, tick);
 
         const auto now = state.trueTime.now (SteadyClock::now());
+        state.usage.noteRunning (now);
         const auto oldestKept = state.usage.windowOf (now - keepTime);
         state.usage.dropBefore (oldestKept);
         state.usageOfOthers.dropBefore (oldestKept);
         schedule.reported.erase (schedule.reported.begin(), schedule.reported.lower_bound (oldestKept));
 
+        if (mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()) &&
+            state.leadership.fence != fence && co_await readSettled (schedule, store))
+            fence = state.leadership.fence;
+
         for (const auto window : windowsDue (schedule, state.usage, state.usageOfOthers, now))
         {
             if (! mayAct (state.leadership, state.leadershipTimes, SteadyClock::now()))
                 break;
 
-            if (co_await reportWindow (state, store, calls, window))
+            const auto outcome = co_await reportWindow (state, store, calls, window);
+
+            if (outcome == StoreOutcome::done)
                 schedule.reported.insert (window);
+
+            // Later windows wait: a successor takes those before the last one settled as reported.
+            if (! isAnswer (outcome))
+                break;
         }
     }
 }
--- a/modules/snowrudder_serving/duties/UsageSchedule.cpp
+++ b/modules/snowrudder_serving/duties/UsageSchedule.cpp
@@ -33,8 +33,9 @@
 
         // Before the first start of all nodes nothing was counted, and what nobody is left to know can't be reported.
         const auto isBeforeStart = own.endOf (window) <= schedule.started;
+        const auto first = schedule.settledBefore ? schedule.settledBefore : oldest;
 
-        if (isBeforeStart && (! oldest || window < *oldest))
+        if (isBeforeStart && (! first || window < *first))
             continue;
 
         due.push_back (window);
--- a/modules/snowrudder_serving/duties/UsageSchedule.h
+++ b/modules/snowrudder_serving/duties/UsageSchedule.h
@@ -20,13 +20,15 @@
     /** When this node's process started. */
     Duration started {};
     std::set<std::uint64_t> reported;
+    /** The latest window whose counts an earlier holder settled. It may have reported that one or not, and none after it. */
+    std::optional<std::uint64_t> settledBefore;
 };
 
 /** @returns the windows that a holder of the duties reports now, the oldest first.
 
-    Windows that ended before this node started belong to them from the first on in which others are known to have counted
-    something: each node that could have reported one may have been restarted since. With two nodes restarted in turn one or two windows of
-    a second were never reported.
+    Windows that ended before this node started belong to them too: each node that could have reported one may have been restarted
+    since. They begin with the last one that an earlier holder settled or, where none is known to have, with the first in which
+    others ran, whether or not they counted anything.
 
     @param own     counts of this node
     @param others  counts that others told it
--- a/modules/snowrudder_serving/duties/UsageWindows.h
+++ b/modules/snowrudder_serving/duties/UsageWindows.h
@@ -27,6 +27,9 @@
     */
     auto note (const std::string& account, Duration time) -> void { ++windows[windowOf (time)][account]; }
 
+    /** Notes that this node runs: it tells of a window also where nothing began to run in it. */
+    auto noteRunning (Duration time) -> void { windows.try_emplace (windowOf (time)); }
+
     /** @returns the number of the window in which a time falls. */
     [[nodiscard]] auto windowOf (Duration time) const -> std::uint64_t
     {
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -37,6 +37,17 @@
 {
 }
 
+auto Membership::lookForOthers() -> Task<void>
+{
+    if (! endpointsOfOthers.empty())
+        co_return;
+
+    const auto listed = co_await store.list (std::string (memberPrefix), ReadAge::newest);
+
+    if (listed.outcome == StoreOutcome::done)
+        takeMembers (listed.items);
+}
+
 auto Membership::leave() -> Task<void>
 {
     if (lease != 0)
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -34,6 +34,9 @@
     /** Enters this node and lists the others, for ever. */
     auto follow() -> Task<void>;
 
+    /** Lists the others once where this node knows none: one may have started since it last looked. */
+    auto lookForOthers() -> Task<void>;
+
     /** Takes this node out of the members. */
     auto leave() -> Task<void>;
 
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -16,6 +16,9 @@
 /** The balancer asks each second and takes a node out after two misses: callers keep coming for so long. */
 constexpr auto balancerTime = 2300ms;
 
+/** A stopping node that knows no others looks for them this often. */
+constexpr auto lookInterval = Duration (400ms);
+
 /** Kept back of the grace time, for the process to end by itself. */
 constexpr auto graceMargin = 700ms;
 
@@ -196,7 +199,13 @@
     // Before the wait: the store may be away, and the grace time does not wait for it.
     co_await membership.leave();
 
-    co_await pauseFor (state.loop, drainStart - SteadyClock::now());
+    // What this node counted is told while it drains, as soon as there is anybody to tell: another node may have just started.
+    while (SteadyClock::now() < drainStart)
+    {
+        co_await membership.lookForOthers();
+        co_await pauseFor (state.loop, std::min<Duration> (lookInterval, drainStart - SteadyClock::now()));
+    }
+
     state.isDrained = true;
     callers->drain();
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -424,9 +424,10 @@
             wait_until(other.is_ready, "it is back")
             for number in range(20, 25):
                 holder.call("GET", "/again/x", id=f"r-{number}")
+            # Windows are a second long and numbered from the start of 1970: this one comes after all requests.
+            until = int(time.time()) + 1
             holder.process.send_signal(signal.SIGTERM)
             wait_until(lambda: platform.cloud.of("/usage")[-1][1] == other.name, "the other has the duties")
-            until = platform.cloud.of("/usage")[-1][3]["window_id"] + 3
             wait_until(lambda: platform.cloud.of("/usage")[-1][3]["window_id"] >= until, "it reports on")
             windows = sorted({entry[3]["window_id"] for entry in platform.cloud.of("/usage")})
             self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
--- a/tests/unit/UsageScheduleTests.cpp
+++ b/tests/unit/UsageScheduleTests.cpp
@@ -98,6 +98,17 @@
     CHECK (windowsDue (schedule, own, others, middle + 3s) == std::vector<std::uint64_t> { 98, 99 });
 }
 
+TEST_CASE ("a holder that nobody told of the windows before it goes by what the store has of them")
+{
+    // The holder before it stopped without knowing of this node, and told it nothing. It had settled window 98.
+    const UsageWindows own (windowLength);
+    const UsageGathering others ("hall-a");
+    UsageSchedule schedule;
+    schedule.started = middle;
+    schedule.settledBefore = 98;
+    CHECK (windowsDue (schedule, own, others, middle + 3s) == std::vector<std::uint64_t> { 98, 99 });
+}
+
 TEST_CASE ("a window is due two seconds after its end, and for twenty seconds")
 {
     const UsageWindows own (windowLength);
