Who takes the duties over gives up no replicas that boot on the orders before

At 20.2 s the store had turned the holder of the duties away.

Now it asks for no less than serves until what was ordered before must have booted, where another node held the duties within 12 s.

--- a/modules/snowrudder_serving/capacity/CapacityMemory.cpp
+++ b/modules/snowrudder_serving/capacity/CapacityMemory.cpp
@@ -14,6 +14,9 @@
 /** An order is given again when what serves still differs from it after the boot time and this. */
 constexpr auto repeatPause = Duration (3s);
 
+/** From a replica's start until its entry is seen. */
+constexpr auto entryTime = Duration (1500ms);
+
 /** What is needed falls over this time: a swing of the day takes 40 s, and a replica that is given up takes some seconds to
     come back.
 */
@@ -113,6 +116,11 @@
 {
     const auto given = memory.given.find ({ order.service, order.failureDomain, order.isReclaimable });
 
+    const auto mayStillBoot = memory.takenOver && now - *memory.takenOver < bootTime + entryTime;
+
+    if (given == memory.given.end() && mayStillBoot && order.replicas <= serving)
+        return false;
+
     if (given == memory.given.end() || given->second.replicas < order.replicas)
         return true;
 
--- a/modules/snowrudder_serving/capacity/CapacityMemory.h
+++ b/modules/snowrudder_serving/capacity/CapacityMemory.h
@@ -5,6 +5,7 @@
 #include "snowrudder_core/snowrudder_core.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -37,6 +38,8 @@
     std::map<std::string, double> neededForSlots;
     /** The duty's fence that all this was learnt under. */
     std::uint64_t fence = 0;
+    /** When the duty was taken over from another node, whose orders are not known; nothing where there was none lately. */
+    std::optional<TimePoint> takenOver;
 };
 
 /** Notes what a service was measured to need, in replicas; it rises at once and falls slowly.
@@ -77,7 +80,8 @@
                       bool isReclaimable) -> std::uint32_t;
 
 /** @returns whether an order is to be given now: it asks for more, for clearly fewer, or what serves still differs from the
-    last one well after the boot time.
+    last one well after the boot time. Who has just taken the duty over asks for no less than serves: more may boot on the
+    orders of the node before it.
 */
 auto isDue (const CapacityMemory& memory,
             const CapacityOrder& order,
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -32,6 +32,9 @@
 */
 constexpr auto onDemandShare = 0.45;
 
+/** A holder that was seen within this was the one before: nodes that wait for the duties look at least every 8 s. */
+constexpr auto predecessorTime = Duration (12s);
+
 /** Replicas enter themselves in the store within their first two heartbeats (1.2 s each); what is found before
     is not all that there is.
 */
@@ -240,6 +243,10 @@
         {
             memory = CapacityMemory();
             memory.fence = state.leadership.fence;
+            const auto& otherSeen = state.leadership.otherSeen;
+
+            if (otherSeen && now - *otherSeen < predecessorTime)
+                memory.takenOver = now;
         }
 
         for (const auto& [name, service] : configuration->services)
--- a/modules/snowrudder_serving/duties/Leadership.h
+++ b/modules/snowrudder_serving/duties/Leadership.h
@@ -25,6 +25,8 @@
     std::uint64_t fence = 0;
     /** When it last held them. */
     std::optional<TimePoint> heldUntil;
+    /** When another node was last known to hold them. */
+    std::optional<TimePoint> otherSeen;
 };
 
 /** Bounds of holding. */
--- a/modules/snowrudder_serving/duties/LeadershipLoop.cpp
+++ b/modules/snowrudder_serving/duties/LeadershipLoop.cpp
@@ -79,6 +79,7 @@
 
     if (holder != nullptr)
     {
+        own.otherSeen = SteadyClock::now();
         const auto changed = co_await store.watch (std::string (leaderKey), read.revision, watchTime);
 
         if (changed.outcome != StoreOutcome::done)
--- a/tests/unit/CapacityTests.cpp
+++ b/tests/unit/CapacityTests.cpp
@@ -226,3 +226,23 @@
     noteOrder (memory, orderFor (2), StoreOutcome::done, start);
     CHECK (isDue (memory, orderFor (1), 2, boot, start));
 }
+
+TEST_CASE ("who takes the duty over takes back no replicas that boot on the orders before")
+{
+    // Reclaims go on at the peak of the load, and the store turns the holder of the duties away: another node follows. It knew of
+    // no order and ordered what its plan made of those that served: `capacity_ordered failure_domain=hall-c reclaimable=no
+    // replicas=0`, where 14 booted, and 21 again 0.6 s later, which served 4 s after that.
+    constexpr auto bootTime = Duration (4s);
+    const auto taken = start + 20s;
+    CapacityMemory memory;
+    memory.takenOver = taken;
+
+    CHECK_FALSE (isDue (memory, orderFor (0, false), 0, bootTime, taken));
+    CHECK_FALSE (isDue (memory, orderFor (28, false), 28, bootTime, taken + 5s));
+    CHECK (isDue (memory, orderFor (21, false), 0, bootTime, taken + 500ms));
+    CHECK (isDue (memory, orderFor (0, false), 14, bootTime, taken + 6s));
+
+    // Nothing boots on orders that nobody gave.
+    memory.takenOver.reset();
+    CHECK (isDue (memory, orderFor (0, false), 14, bootTime, taken));
+}
