--- a/modules/snowrudder_requests/crashes/FatalRequests.cpp
+++ b/modules/snowrudder_requests/crashes/FatalRequests.cpp
@@ -148,6 +148,7 @@
     -> std::vector<std::optional<TimePoint>>
 {
     std::vector<Suspect> suspects;
+    suspects.reserve (requests.size());
     SharersByReplica sharers;
 
     for (const auto* evidence : requests)
@@ -162,6 +163,7 @@
         continue;
 
     std::vector<std::optional<TimePoint>> decided;
+    decided.reserve (suspects.size());
 
     for (const auto& suspect : suspects)
         decided.push_back (suspect.decided);
