--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -154,6 +154,33 @@
             self.assertGreater(len(answers), 50)
             self.assertEqual({answer.status for _, answer in answers}, {200}, name)
 
+    def test_two_fatal_requests_at_once_are_both_stopped(self):
+        """The crashes of the second one were the first one's too, and its record took no later ones: of a run in which 72 replicas
+        ended, the second request stood at `crashes=7 verdict=suspected` to the end.
+        """
+        platform = self.deployment(nodes=5, replicas=12)
+        callers = Callers(platform)
+        for name in ("poison-a", "poison-b"):
+            callers.start(name, "/again/x", lambda number, name=name: f"{POISON} of {name}", 0.08)
+        callers.start("other", "/again/x", lambda number: f"prompt {number}", 0.02)
+        callers.start("poll", "/again/poll", lambda number: "the same each time", 0.02)
+        wait_until(lambda: len(self.crashes()) >= 6, "six replicas have ended")
+        time.sleep(3 * NOTICE_TIME)
+        callers.stop()
+
+        for name in ("poison-a", "poison-b"):
+            own = [moment for moment, request in self.crashes() if request.startswith(name)]
+            third = own[2] if len(own) > 2 else self.crashes()[-1][0]
+            self.assertEqual([moment for moment in own if moment > third + NOTICE_TIME], [], f"{len(own)} ended under {name}")
+            for _, answer in callers.of(name, since=callers.began + 2 * NOTICE_TIME):
+                # A node that the stand-in of the store keeps waiting for seconds refuses all with `no_replica`.
+                self.assertEqual((answer.status, answer.json()["ran"]), (503, "no"))
+                self.assertIn(answer.json()["kind"], ("crashes_replicas", "no_replica"))
+        for name in ("other", "poll"):
+            answers = callers.of(name, since=callers.began + 2 * NOTICE_TIME)
+            self.assertGreater(len(answers), 50)
+            self.assertEqual({answer.status for _, answer in answers}, {200}, name)
+
     def end_three(self, node, path):
         """Sends the poison to one node until three replicas have ended, and waits until all nodes can know."""
         number = 0
