Answers while all requests move to a new version are no evidence against it

Cause: a bad answer is judged by the new version's share of all answers in the same time. When all requests move that share jumps to one, and the answers before the move no longer compare; its first ones are late, since all open new connections at once. Now only answers are counted while the version is being proved. A version that turns bad in the last seconds before its deadline is therefore not given up.

The test fails without it (counts are kept).

--- a/modules/snowrudder_serving/rollout/RolloutState.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutState.cpp
@@ -61,20 +61,21 @@
                                double speed) -> void
 {
     const auto* const rollout = table.find (replica.service);
-    const auto isOpenNow = rollout != nullptr && isOpen (*rollout);
+    // While all requests move to it, the new version's share of the answers is no longer the one that bad ones are judged by.
+    const auto isCounted = rollout != nullptr && rollout->stage == RolloutStage::proving;
     const auto isTarget = rollout != nullptr && replica.version == rollout->targetVersion;
     auto quality = isFailed ? AnswerQuality::failed : AnswerQuality::good;
 
     if (! isFailed && firstByte)
     {
-        if (isOpenNow && slowAnswers.isSlow (route, *firstByte, tokens, speed))
+        if (isCounted && slowAnswers.isSlow (route, *firstByte, tokens, speed))
             quality = AnswerQuality::slow;
 
-        if (! isOpenNow || ! isTarget)
+        if (! isTarget)
             slowAnswers.note (route, *firstByte, tokens, speed);
     }
 
-    if (isOpenNow)
+    if (isCounted)
         snowrudder::noteAnswer (counts[rollout->number], isTarget, route, replica.name, quality);
 }
 
--- a/tests/unit/RolloutTests.cpp
+++ b/tests/unit/RolloutTests.cpp
@@ -1,4 +1,5 @@
 #include "snowrudder_rollout/snowrudder_rollout.h"
+#include "snowrudder_serving/rollout/RolloutState.h"
 
 #include <catch2/catch.hpp>
 
@@ -258,3 +259,25 @@
     CHECK_FALSE (table.isMoving ("model"));
     CHECK (versionRule (table.find ("model"), 0, true, 0.1).kind == VersionRule::Kind::allBut);
 }
+
+TEST_CASE ("Answers while all requests move to the new version are no evidence against it", "[rollout]")
+{
+    // Beside load a good version was rolled back 250 ms after its move began: its first answers came late, as all requests opened
+    // new connections to it at once, and of the old version there were none to compare with.
+    // `rollout_verdict before=moving stage=rolled_back answers=74 bad=21 evidence=9.510 reason="slow on /again/"`
+    RolloutState state { ServingSettings() };
+    const Rollout rollout { "model", "v2", 7, 12s, start, RolloutStage::moving };
+    state.take (rollout, "test");
+    ReplicaInfo replica;
+    replica.service = "model";
+    replica.version = "v2";
+
+    for (auto number = 0; number < 100; ++number)
+    {
+        replica.name = std::to_string (number % 10);
+        state.noteAnswer (replica, "route", true, {}, 0.0, 1.0);
+    }
+
+    CHECK_FALSE (state.verdictOn (rollout).isBad);
+    CHECK (state.ownCounts().empty());
+}
