A request goes on past stale entries until a replica takes it

Callers got 503 in place of 200 while entries of replicas that had crashed still stood in the store: an attempt that met nobody (a refused connection, or another replica at the address) counted against a request's attempts after the second one. Beside 40 different fatal requests of one account all 5 of 100 failures of other callers were such (`attempt_failed cause=refused` of a 421, or sends=1 with the retry budget spent on them).

What met nobody no longer counts and pauses nobody; each such attempt takes its entry out of the choice, so that the request ends when a replica takes it, its time is over or all were tried. An attempt that no replica has seen takes no retry from the budget on the own face either. Two things keep requests off stale entries from the start: an entry at whose address a later replica is listed gets nothing, and neither does a replica that this node or another found to have ended, until it is heard of again (3 s at most).

--- a/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
@@ -5,12 +5,18 @@
 
 auto ranAfter (const AttemptOutcome& outcome) -> Ran
 {
-    if (outcome.stage == CallStage::planned || outcome.cause == FailureCause::refused)
+    if (outcome.stage == CallStage::planned || outcome.cause == FailureCause::refused ||
+        outcome.cause == FailureCause::misdirected)
         return Ran::no;
 
     return Ran::unknown;
 }
 
+auto metNobody (const AttemptOutcome& outcome) -> bool
+{
+    return outcome.cause == FailureCause::connectFailed || outcome.cause == FailureCause::misdirected;
+}
+
 auto mayShowCrash (const AttemptOutcome& outcome) -> bool
 {
     const auto mayHaveBegun = outcome.stage == CallStage::sent || outcome.stage == CallStage::answering;
@@ -21,7 +27,9 @@
 {
     switch (cause)
     {
+        case FailureCause::noReplica:
         case FailureCause::connectFailed:
+        case FailureCause::misdirected:
             return ErrorKind::noReplica;
         case FailureCause::refused:
             return ErrorKind::upstreamRefused;
@@ -47,10 +55,14 @@
 {
     switch (cause)
     {
+        case FailureCause::noReplica:
+            return "no_replica";
         case FailureCause::connectFailed:
             return "connect_failed";
         case FailureCause::refused:
             return "refused";
+        case FailureCause::misdirected:
+            return "misdirected";
         case FailureCause::cut:
             return "cut";
         case FailureCause::timedOut:
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.h
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.h
@@ -9,10 +9,14 @@
 /** Why an attempt on one replica came to nothing. */
 enum class FailureCause
 {
+    /** No replica was usable. */
+    noReplica,
     /** The connection could not be made. */
     connectFailed,
     /** The upstream answered that it does not run the request. */
     refused,
+    /** Another replica has the upstream's address, and ran nothing. */
+    misdirected,
     /** The connection ended before the answer was whole. */
     cut,
     /** The upstream took longer than allowed. */
@@ -43,6 +47,9 @@
 */
 auto ranAfter (const AttemptOutcome& outcome) -> Ran;
 
+/** @returns whether a failed attempt met a replica that is no longer there: nothing listens at its address, or another has it. */
+auto metNobody (const AttemptOutcome& outcome) -> bool;
+
 /** @returns whether a failed attempt may have failed because its replica ended: its connection ended after the request was sent. */
 auto mayShowCrash (const AttemptOutcome& outcome) -> bool;
 
--- a/modules/snowrudder_requests/retry/RetryDecision.cpp
+++ b/modules/snowrudder_requests/retry/RetryDecision.cpp
@@ -43,16 +43,17 @@
         return decision;
     }
 
-    const auto pause = pauseAfter (input.attempts, input.jitter);
-    const auto isFree = input.answerBegun;
+    const auto pause = metNobody (outcome) ? Duration::zero() : pauseAfter (input.attempts, input.jitter);
+    // An attempt that no replica has seen adds nothing to their work.
+    const auto takesBudget = ! input.answerBegun && outcome.stage != CallStage::planned;
 
     if (input.attempts >= input.mostAttempts || now + pause >= input.deadline ||
-        (! isFree && ! input.budgetLeft))
+        (takesBudget && ! input.budgetLeft))
         return decision;
 
     decision.again = true;
     decision.pause = pause;
-    decision.takesBudget = ! isFree;
+    decision.takesBudget = takesBudget;
     return decision;
 }
 
--- a/modules/snowrudder_requests/retry/RetryDecision.h
+++ b/modules/snowrudder_requests/retry/RetryDecision.h
@@ -21,7 +21,7 @@
     bool mayHaveRun = false;
     /** Whether the caller has a part of the answer already. */
     bool answerBegun = false;
-    /** Attempts made, the failed one included; moves are not counted. */
+    /** Attempts that count, the failed one included: countedAttempts(). Moves don't. */
     std::uint32_t attempts = 1;
     /** Most attempts for the request. */
     std::uint32_t mostAttempts = usualMostAttempts;
--- a/modules/snowrudder_requests/snowrudder_requests.h
+++ b/modules/snowrudder_requests/snowrudder_requests.h
@@ -22,5 +22,6 @@
 #include "record/RequestRecord.h"
 #include "record/RequestTable.h"
 #include "record/StreamedAnswer.h"
+#include "retry/AttemptCount.h"
 #include "retry/RetryBudget.h"
 #include "retry/RetryDecision.h"
--- a/modules/snowrudder_router/background/Sweep.cpp
+++ b/modules/snowrudder_router/background/Sweep.cpp
@@ -68,7 +68,7 @@
             const auto use = useOf (replica, now);
             usable += use == ReplicaUse::usable ? 1 : 0;
             leaving += use == ReplicaUse::leaving ? 1 : 0;
-            suspended += use == ReplicaUse::suspended ? 1 : 0;
+            suspended += use == ReplicaUse::suspended || use == ReplicaUse::ended ? 1 : 0;
         });
 
     state.metrics.gauge ("snowrudder_replicas", "use=\"usable\"").set (usable);
--- a/modules/snowrudder_router/model/ModelRun.cpp
+++ b/modules/snowrudder_router/model/ModelRun.cpp
@@ -178,7 +178,7 @@
         // All have been tried: the next attempt may try them again.
         tried.clear();
         lastReplica = {};
-        co_return AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
+        co_return AttemptOutcome { CallStage::planned, FailureCause::noReplica };
     }
 
     logDecision (idText, account->name, *taken, attempts);
@@ -408,11 +408,14 @@
 
 auto ModelRun::afterFailure (const AttemptOutcome& outcome) -> RetryDecision
 {
+    if (outcome.cause != FailureCause::moved)
+        noteFailed (failures, outcome);
+
     RetryInput input;
     input.repeatable = true;
     input.mayHaveRun = mayHaveRun;
     input.answerBegun = record->eventCount() > 0;
-    input.attempts = outcome.cause == FailureCause::moved ? countedAttempts : ++countedAttempts;
+    input.attempts = countedAttempts (failures, 0);
     input.deadline = record->identity().deadline;
     input.jitter = drawJitter();
     input.budgetLeft = true;
--- a/modules/snowrudder_router/model/ModelRun.h
+++ b/modules/snowrudder_router/model/ModelRun.h
@@ -82,7 +82,7 @@
     double promptTokens = 0.0;
     std::vector<ReplicaNumber> tried;
     std::uint32_t attempts = 0;
-    std::uint32_t countedAttempts = 0;
+    AttemptCount failures;
     bool mayHaveRun = false;
     /** Whether the account had more than its share when the attempt began. */
     bool isOverShare = false;
--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -97,8 +97,9 @@
     RetryInput retry;
     retry.repeatable = input.repeatable;
     retry.deadline = input.deadline;
+    AttemptCount failures;
 
-    for (retry.attempts = 1;; ++retry.attempts)
+    for (auto attempt = std::uint32_t { 1 };; ++attempt)
     {
         const auto judgement = co_await waitForVerdict (state, worker, input);
 
@@ -117,13 +118,13 @@
         if (judgement.verdict != CrashVerdict::clear)
             ranking.applyTo (choice);
 
-        AttemptResult result = AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
+        AttemptResult result = AttemptOutcome { CallStage::planned, FailureCause::noReplica };
         std::string_view after = "not_asked";
 
         if (const auto taken = state.replicas.take (input.service->name, choice,
                                                     choiceWeights (*input.service), SteadyClock::now()))
         {
-            logDecision (idText, input.account->name, *taken, retry.attempts);
+            logDecision (idText, input.account->name, *taken, attempt);
             tried.push_back (taken->ticket.number);
             result = co_await attemptOn (state, worker, input, taken->ticket);
             after = co_await replicaAfter (state, worker, input, taken->ticket, result);
@@ -137,6 +138,8 @@
             co_return std::move (*answer);
 
         const auto outcome = std::get<AttemptOutcome> (result);
+        noteFailed (failures, outcome);
+        retry.attempts = countedAttempts (failures, 0);
         retry.jitter = drawJitter();
         auto decision = decideAfterFailure (outcome, retry, SteadyClock::now());
         retry.mayHaveRun = retry.mayHaveRun || ranAfter (outcome) != Ran::no;
@@ -144,7 +147,7 @@
         if (decision.again && decision.takesBudget)
             decision.again = state.retryBudgets.take (input.account->name, input.service->name);
 
-        attemptFailed (idText, retry.attempts, outcome, decision).with ("replica_address", after).info();
+        attemptFailed (idText, attempt, outcome, decision).with ("replica_address", after).info();
 
         if (! decision.again)
             co_return problemAfter (outcome, decision);
--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -51,7 +51,9 @@
     usable,
     leaving,
     /** Its breaker is open after failures. */
-    suspended
+    suspended,
+    /** It is known to have ended, or another one has its address: its entry is stale. */
+    ended
 };
 
 /** @returns a short name of a replica for messages between routers. */
@@ -60,6 +62,12 @@
     return static_cast<std::uint32_t> (hashBytes (name));
 }
 
+/** @returns what names one start of a replica in messages between routers. */
+inline auto incarnationHash (const ReplicaInfo& replica) -> std::uint64_t
+{
+    return hashBytes (replica.name, hashBytes (replica.endpoint, replica.born));
+}
+
 /** What was announced longer ago has run, also where the replica told nothing of its load since. */
 inline constexpr auto announcedTime = Duration (3s);
 
@@ -75,6 +83,15 @@
     /** The first sign that it leaves. It stays: a list that calls it live again is a late list. */
     std::optional<TimePoint> leavingSince;
 
+    /** From incarnationHash(). */
+    std::uint64_t incarnation = 0;
+    /** When it was last found to have ended. */
+    std::optional<TimePoint> endedAt;
+    /** Whether a replica that was started later is listed at its address. */
+    bool isReplaced = false;
+    /** The entry of a replica that ended goes after three heartbeats. One that was taken for ended wrongly is tried again then. */
+    static constexpr auto staleTime = Duration (3s);
+
     /** This router's requests on it now, and the prompt tokens of those that have not begun to answer. */
     std::uint32_t inFlight = 0;
     double ownPendingTokens = 0.0;
@@ -107,6 +124,9 @@
     if (replica.leavingSince)
         return ReplicaUse::leaving;
 
+    if (replica.isReplaced || (replica.endedAt && now - *replica.endedAt < ReplicaState::staleTime))
+        return ReplicaUse::ended;
+
     if (replica.openUntil && (now < *replica.openUntil || replica.probing))
         return ReplicaUse::suspended;
 
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -18,10 +18,24 @@
            first.born == second.born;
 }
 
+/** @returns whether a replica is known to have been started after another one. Of those that this router found listed at its start
+    nothing is known, unless they say so.
+*/
+auto isLater (const ReplicaState& replica, const ReplicaState& than) -> bool
+{
+    if (replica.info.born != 0 && than.info.born != 0 && replica.info.born != than.info.born)
+        return replica.info.born > than.info.born;
+
+    return replica.firstSeen > than.firstSeen;
+}
+
 /** @param sentSince  requests that this router has sent since the replica spoke */
 auto takeReport (ReplicaState& replica, const LoadReport& report, TimePoint heard, std::uint32_t sentSince)
     -> void
 {
+    if (replica.endedAt && heard > *replica.endedAt)
+        replica.endedAt.reset();
+
     replica.report = report;
     replica.reportTime = heard;
     replica.inFlightAtReport = replica.inFlight - std::min (replica.inFlight, sentSince);
@@ -55,6 +69,7 @@
             state.number = nextNumber++;
             state.info = entry.info;
             state.hash = replicaHash (entry.info.name);
+            state.incarnation = incarnationHash (entry.info);
             // What was there before this router needs no slow start.
             state.firstSeen = isFirstList ? TimePoint() : now;
         }
@@ -66,6 +81,7 @@
     }
 
     services = std::move (updated);
+    noteReplaced();
 }
 
 auto ReplicaTable::take (const std::string& service,
@@ -232,6 +248,16 @@
         replica->leavingSince = now;
 }
 
+auto ReplicaTable::noteEnded (std::uint64_t incarnation, TimePoint at) -> void
+{
+    const std::lock_guard lock (mutex);
+
+    for (auto& [service, replicas] : services)
+        for (auto& replica : replicas)
+            if (replica.incarnation == incarnation && (! replica.reportTime || *replica.reportTime <= at))
+                replica.endedAt = std::max (replica.endedAt.value_or (at), at);
+}
+
 auto ReplicaTable::noteUnreachable (ReplicaNumber number, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
@@ -256,13 +282,7 @@
     if (found->leavingSince)
         return ReplicaListing::leaving;
 
-    // The entry of a replica that crashed stands for seconds beside that of its successor.
-    for (const auto& [service, replicas] : services)
-        for (const auto& replica : replicas)
-            if (replica.number > number && replica.info.endpoint == found->info.endpoint)
-                return ReplicaListing::gone;
-
-    return ReplicaListing::listed;
+    return found->isReplaced ? ReplicaListing::replaced : ReplicaListing::listed;
 }
 
 auto ReplicaTable::capacity (const std::string& service, TimePoint now) const -> Capacity
@@ -305,6 +325,20 @@
     return totals;
 }
 
+auto ReplicaTable::noteReplaced() -> void
+{
+    std::map<std::string_view, const ReplicaState*> latest;
+
+    for (const auto& [service, replicas] : services)
+        for (const auto& replica : replicas)
+            if (auto& known = latest[replica.info.endpoint]; known == nullptr || isLater (replica, *known))
+                known = &replica;
+
+    for (auto& [service, replicas] : services)
+        for (auto& replica : replicas)
+            replica.isReplaced = isLater (*latest.at (replica.info.endpoint), replica);
+}
+
 auto ReplicaTable::find (ReplicaNumber number) -> ReplicaState*
 {
     for (auto& [service, replicas] : services)
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -46,7 +46,9 @@
 {
     listed,
     leaving,
-    /** No longer listed, or another one is listed at its address. */
+    /** Another replica is listed at its address. */
+    replaced,
+    /** No longer listed. */
     gone
 };
 
@@ -115,6 +117,13 @@
     /** Notes a first sign of leaving: the replica gets nothing new from here on. */
     auto noteLeaving (ReplicaNumber number, TimePoint now) -> void;
 
+    /** Notes that one start of a replica was found to have ended: it gets nothing while its entry may still stand, unless it is heard
+        of again.
+
+        @param incarnation  from incarnationHash()
+    */
+    auto noteEnded (std::uint64_t incarnation, TimePoint at) -> void;
+
     /** Notes that a replica's own face can't be reached, apart from any request. */
     auto noteUnreachable (ReplicaNumber number, TimePoint now) -> void;
 
@@ -159,6 +168,7 @@
 
 private:
     auto find (ReplicaNumber number) -> ReplicaState*;
+    auto noteReplaced() -> void;
 
     /** Calls a function with each replica whose name has a hash; the lock is held. */
     template <typename Visitor>
--- a/modules/snowrudder_serving/attempt/AttemptErrors.cpp
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.cpp
@@ -25,12 +25,14 @@
         case FailureCause::connectFailed:
             return AttemptHealth::unreachable;
         case FailureCause::refused:
+        case FailureCause::misdirected:
             return AttemptHealth::refused;
         case FailureCause::cut:
         case FailureCause::timedOut:
         case FailureCause::invalid:
         case FailureCause::failed:
             return AttemptHealth::failed;
+        case FailureCause::noReplica:
         case FailureCause::moved:
         case FailureCause::abandoned:
         case FailureCause::deadline:
--- a/modules/snowrudder_serving/crashes/CrashWatch.cpp
+++ b/modules/snowrudder_serving/crashes/CrashWatch.cpp
@@ -14,12 +14,6 @@
 /** Attempts in doubt that are kept: a replica's slots times the replicas of a failure domain. */
 constexpr auto mostDoubts = std::size_t { 512 };
 
-/** @returns what names one incarnation of a replica. */
-auto incarnationHash (const ReplicaInfo& replica) -> std::uint64_t
-{
-    return hashBytes (replica.name, hashBytes (replica.endpoint, replica.born));
-}
-
 auto toString (CrashVerdict verdict) -> std::string_view
 {
     switch (verdict)
@@ -39,7 +33,7 @@
 
 } // namespace
 
-CrashWatch::CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable, ReplicaNaming replicaNaming)
+CrashWatch::CrashWatch (Metrics& metrics, ReplicaTable& replicaTable, ReplicaNaming replicaNaming)
     : replicas (replicaTable), naming (replicaNaming),
       crashesSeen (metrics.counter ("snowrudder_crashes_under_requests_total")),
       requestsStopped (metrics.counter ("snowrudder_requests_stopped_total"))
@@ -78,7 +72,7 @@
     {
         const auto listing = replicas.listing (attempt.number);
 
-        if (listing == ReplicaListing::gone)
+        if (listing == ReplicaListing::gone || listing == ReplicaListing::replaced)
             noteCrash (attempt, "entry_gone");
         else if (listing == ReplicaListing::listed && now - attempt.ended <= doubtTime)
             noteDoubt (std::move (attempt));
@@ -98,6 +92,10 @@
             continue;
 
         isNews = true;
+
+        for (const auto& crash : evidence.crashes)
+            replicas.noteEnded (crash.replica, crash.at);
+
         const auto judgement = crashes.judge (evidence.request, now);
         LogLine ("crashes_heard")
             .with ("fingerprint", snowrudder::toString (evidence.request))
@@ -179,6 +177,7 @@
 {
     const ReplicaCrash crash { incarnationHash (attempt.replica), attempt.ended,
                                naming == ReplicaNaming::starts };
+    replicas.noteEnded (crash.replica, crash.at);
     const auto isNews = crashes.noteCrash (attempt.request, attempt.account, crash);
     const auto judgement = crashes.judge (attempt.request, SteadyClock::now());
     crashesSeen.add();
--- a/modules/snowrudder_serving/crashes/CrashWatch.h
+++ b/modules/snowrudder_serving/crashes/CrashWatch.h
@@ -43,7 +43,7 @@
 class CrashWatch
 {
 public:
-    CrashWatch (Metrics& metrics, const ReplicaTable& replicaTable, ReplicaNaming replicaNaming);
+    CrashWatch (Metrics& metrics, ReplicaTable& replicaTable, ReplicaNaming replicaNaming);
 
     /** Looks whether the replica of an attempt whose connection ended has crashed, and notes the evidence.
 
@@ -113,7 +113,7 @@
     [[nodiscard]] auto surroundings (const RequestFingerprint& request, const std::string& service) const
         -> SuspectSurroundings;
 
-    const ReplicaTable& replicas;
+    ReplicaTable& replicas;
     const ReplicaNaming naming;
     Counter& crashesSeen;
     Counter& requestsStopped;
--- a/modules/snowrudder_serving/relay/RoutedRun.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRun.cpp
@@ -18,8 +18,8 @@
 /** A connection inside the platform comes up within a few milliseconds; a VM without power never answers. */
 constexpr auto connectTime = 250ms;
 
-/** Attempts that no replica ran and that don't count against the route's own number. */
-constexpr auto freeAttempts = std::uint32_t { 2 };
+/** Attempts that a replica declined and that don't count against the route's own number. */
+constexpr auto freeDeclines = std::uint32_t { 2 };
 
 /** Requests of one account that may wait at this node. */
 constexpr auto mostQueued = std::uint32_t { 256 };
@@ -83,8 +83,8 @@
     {
         const auto outcome = co_await attempt();
 
-        if (outcome && ranAfter (*outcome) == Ran::no)
-            ++unrun;
+        if (outcome)
+            noteFailed (failures, *outcome);
 
         if (! outcome || isCallerGone)
             break;
@@ -144,7 +144,7 @@
     {
         lastReplica = {};
         tried.clear();
-        co_return AttemptOutcome { CallStage::planned, FailureCause::connectFailed };
+        co_return AttemptOutcome { CallStage::planned, FailureCause::noReplica };
     }
 
     state.counts.attempts.add();
@@ -236,7 +236,7 @@
         state.replicas.noteLeaving (ticket.number, now);
 
     if (answer.isNotRun)
-        return failed (call, FailureCause::refused);
+        return failed (call, answer.isOtherReplica ? FailureCause::misdirected : FailureCause::refused);
 
     // A replica that began and failed has begun all the same: counted only where its answer was passed on, a twelfth of a
     // window's requests was left out of the usage report while replicas failed 45% of theirs.
@@ -393,7 +393,7 @@
     RetryInput input;
     input.repeatable = request.route->isRepeatable();
     input.mayHaveRun = runs() > 0;
-    input.attempts = std::max (1U, runs() + (unrun > freeAttempts ? unrun - freeAttempts : 0));
+    input.attempts = countedAttempts (failures, freeDeclines);
     // An attempt that no replica ran leaves the route's number untouched, so that one more may be sent.
     input.mostAttempts = request.route->mostAttempts + (ranAfter (outcome) == Ran::no ? 1 : 0);
     input.deadline = request.end;
@@ -402,10 +402,7 @@
     auto decision = decideAfterFailure (outcome, input, SteadyClock::now());
     events.dropPartial();
 
-    // A connection that did not come up has reached no replica and takes nothing from the replicas' budget.
-    const auto hasArrived = outcome.stage != CallStage::planned;
-
-    if (decision.again && hasArrived && ! state.retryBudgets.take ({}, request.service))
+    if (decision.again && decision.takesBudget && ! state.retryBudgets.take ({}, request.service))
         decision.again = false;
 
     if (decision.again && exchange.hasBegun())
--- a/modules/snowrudder_serving/relay/RoutedRun.h
+++ b/modules/snowrudder_serving/relay/RoutedRun.h
@@ -54,7 +54,10 @@
     auto logEnd (std::string_view outcome, unsigned status) -> void;
 
     /** @returns attempts that may have run, the present one included. */
-    [[nodiscard]] auto runs() const -> std::uint32_t { return sends - unrun; }
+    [[nodiscard]] auto runs() const -> std::uint32_t
+    {
+        return sends - failures.declined - failures.metNobody;
+    }
     [[nodiscard]] auto attemptFields (const ReplicaTicket& ticket) const -> AttemptFields;
     [[nodiscard]] auto timeouts() const -> CallTimeouts;
     [[nodiscard]] auto mayRunAgain() const -> bool;
@@ -66,10 +69,10 @@
 
     RoutedPrompt prompt;
     std::vector<ReplicaNumber> tried;
-    /** Attempts, the present one included, and those of them that surely did not run. */
+    /** Attempts, the present one included. */
     std::uint32_t sends = 0;
-    std::uint32_t unrun = 0;
-    /** The replica of the present attempt. */
+    AttemptCount failures;
+    /** The replica of the present attempt; none where none was usable. */
     ReplicaNumber lastNumber = 0;
     ReplicaInfo lastReplica;
     /** When the present attempt was sent. */
--- a/tests/unit/ReplicaTableTests.cpp
+++ b/tests/unit/ReplicaTableTests.cpp
@@ -54,6 +54,62 @@
     CHECK (next->choice.believed == Approx (1.0));
 }
 
+// The entry of a replica that crashed stands for three heartbeats. Requests that went on to such entries were refused one after
+// the other.
+TEST_CASE ("an entry at whose address a later replica is listed gets nothing")
+{
+    ReplicaTable table;
+    auto before = listed ("before");
+    auto after = listed ("after");
+    after.info.endpoint = before.info.endpoint;
+    table.update ({ before }, now);
+    const auto first = table.take ("s", {}, {}, now);
+    REQUIRE (first);
+    table.update ({ after, before }, now + 1s);
+    CHECK (table.listing (first->ticket.number) == ReplicaListing::replaced);
+
+    for (auto count = 0; count < 20; ++count)
+        CHECK (table.take ("s", {}, {}, now + 1s)->ticket.info.name == "after");
+}
+
+TEST_CASE ("of replicas that a router finds listed at one address the one that was born later is used")
+{
+    ReplicaTable table;
+    auto stale = listed ("a");
+    auto alive = listed ("b");
+    alive.info.endpoint = stale.info.endpoint;
+    stale.info.born = 2000;
+    alive.info.born = 1000;
+    std::swap (stale.info.born, alive.info.born);
+    table.update ({ stale, alive }, now);
+
+    for (auto count = 0; count < 20; ++count)
+        CHECK (table.take ("s", {}, {}, now)->ticket.info.name == "b");
+}
+
+TEST_CASE (
+    "a replica that was found to have ended gets nothing until it is heard of again, or for three seconds")
+{
+    ReplicaTable table;
+    table.update ({ listed ("x") }, now);
+    const auto incarnation = incarnationHash (listed ("x").info);
+    table.noteEnded (incarnation, now);
+    table.noteEnded (incarnation + 1, now);
+    CHECK_FALSE (table.take ("s", {}, {}, now + 2900ms));
+    CHECK (table.take ("s", {}, {}, now + 3s));
+
+    table.noteEnded (incarnation, now + 4s);
+    CHECK_FALSE (table.take ("s", {}, {}, now + 5s));
+    table.noteLoadHeard (replicaHash ("x"), { 1, 0, 0.0, false }, now + 3900ms);
+    CHECK_FALSE (table.take ("s", {}, {}, now + 5s));
+    table.noteLoadHeard (replicaHash ("x"), { 1, 0, 0.0, false }, now + 4100ms);
+    CHECK (table.take ("s", {}, {}, now + 5s));
+
+    // Told late: it has spoken since.
+    table.noteEnded (incarnation, now + 4050ms);
+    CHECK (table.take ("s", {}, {}, now + 5s));
+}
+
 TEST_CASE ("a refused connection suspends a replica, a probe brings it back")
 {
     ReplicaTable table;
--- a/tests/unit/RequestTests.cpp
+++ b/tests/unit/RequestTests.cpp
@@ -122,6 +122,38 @@
     CHECK (decision.ran == Ran::no);
 }
 
+TEST_CASE ("attempts that met nobody leave a request's number of attempts and the budget untouched")
+{
+    const AttemptOutcome refusedConnection { CallStage::planned, FailureCause::connectFailed };
+    const AttemptOutcome misdirected { CallStage::answering, FailureCause::misdirected };
+    const AttemptOutcome declined { CallStage::answering, FailureCause::refused };
+    AttemptCount count;
+
+    for (auto attempt = 0; attempt < 100; ++attempt)
+        noteFailed (count, attempt % 2 == 0 ? refusedConnection : misdirected);
+
+    CHECK (countedAttempts (count, 0) == 1);
+    noteFailed (count, declined);
+    noteFailed (count, declined);
+    CHECK (countedAttempts (count, 0) == 2);
+    CHECK (countedAttempts (count, 2) == 1);
+    noteFailed (count, { CallStage::sent, FailureCause::cut });
+    noteFailed (count, { CallStage::sent, FailureCause::cut });
+    CHECK (countedAttempts (count, 2) == 2);
+
+    auto input = inputAt (false);
+    input.attempts = 1;
+    input.budgetLeft = false;
+    const auto decision = decideAfterFailure (refusedConnection, input, now);
+    CHECK (decision.again);
+    CHECK_FALSE (decision.takesBudget);
+    CHECK (decision.pause == Duration::zero());
+    // A replica did see this one.
+    CHECK_FALSE (decideAfterFailure (misdirected, input, now).again);
+    input.budgetLeft = true;
+    CHECK (decideAfterFailure (misdirected, input, now).takesBudget);
+}
+
 TEST_CASE ("retries are a share of requests")
 {
     RetryBudget budget;
