A node asks the store as soon as its proof of the configuration is overdue

It now looks at the moment at which news or proof become overdue, and asks again after 250 ms where an answer failed for the first time. A look that comes late, or whose answer does, is logged (configuration_check_late: who reads, age of proof and news, time of the call), so that the next such refusal can be traced.

The test of the time at which a proof is overdue needs a function that the code before doesn't have.

--- a/modules/snowrudder_serving/members/News.h
+++ b/modules/snowrudder_serving/members/News.h
@@ -95,6 +95,15 @@
     return news.isReader || now - news.provenAt > newsLimit;
 }
 
+/** @returns when a node's proof of its configuration is so old that it must ask the store, unless it has a younger one before. Asked only
+    at the next of its usual looks, the store's word came up to a look's interval later, after the proof's end.
+*/
+inline auto proofOverdueAt (const NewsState& news, const ConfigurationState& configuration) -> TimePoint
+{
+    const auto heardAt = std::max (news.provenAt, news.ownProvenAt);
+    return std::min (heardAt, configuration.provenAt) + newsLimit;
+}
+
 /** A reader's word of the members is good for so long: it lists them every 2 s. */
 inline constexpr auto membersWordTime = Duration (3s);
 
@@ -126,7 +135,8 @@
                                     TimePoint now) -> bool
 {
     const auto held = configuration.current ? configuration.current->revision : 0;
-    return asksStore (news, now) || held < news.newestConfiguration;
+    const auto isOverdue = configuration.current && now >= proofOverdueAt (news, configuration);
+    return asksStore (news, now) || isOverdue || held < news.newestConfiguration;
 }
 
 /** @returns whether the configuration that was heard of may be read from an answer that is seconds old. Others read the store for
@@ -137,7 +147,8 @@
                                      const ConfigurationState& configuration,
                                      TimePoint now) -> bool
 {
-    return mustCheckConfiguration (news, configuration, now) && ! asksStore (news, now);
+    const auto isOverdue = now >= proofOverdueAt (news, configuration);
+    return mustCheckConfiguration (news, configuration, now) && ! asksStore (news, now) && ! isOverdue;
 }
 
 /** Notes the revision of another node's configuration.
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -34,10 +34,13 @@
 */
 constexpr auto gatherTime = 400ms;
 
-/** @returns how long to wait after the store did not answer. */
-auto pauseAfterFailure (const NewsState& news) -> Duration
+/** @returns how long to wait after the store did not answer.
+
+    @param failures  in a row; the first of them may be a connection's own
+*/
+auto pauseAfterFailure (const NewsState& news, std::size_t failures) -> Duration
 {
-    return news.isReader ? Duration (failurePause) : followerPause;
+    return news.isReader || failures < 2 ? Duration (failurePause) : followerPause;
 }
 
 auto takeConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
@@ -79,6 +82,27 @@
     co_return read.outcome;
 }
 
+/** Logs a look at the configuration that came late, or whose answer did: whoever looks for the reason of a refusal sees here who was
+    asked, and how long the answer took.
+*/
+auto logLateCheck (const ServingState& state, TimePoint asked, StoreOutcome outcome) -> void
+{
+    const auto now = SteadyClock::now();
+    const auto hasConfiguration = state.configuration.current != nullptr;
+
+    if (! hasConfiguration || (isAnswer (outcome) && now < asked + newsLimit - checkInterval &&
+                               asked < state.configuration.provenAt + newsLimit))
+        return;
+
+    LogLine ("configuration_check_late")
+        .with ("outcome", toString (outcome))
+        .with ("reader", state.news.isReader ? "yes" : "no")
+        .with ("proof_milliseconds", inMilliseconds (asked - state.configuration.provenAt))
+        .with ("news_milliseconds", inMilliseconds (asked - state.news.provenAt))
+        .with ("call_milliseconds", inMilliseconds (now - asked))
+        .info();
+}
+
 /** Asks whether the configuration held is still the newest.
 
     @returns whether the store answered
@@ -115,6 +139,7 @@
     }
 
     noteStoreAnswer (state, outcome, "configuration");
+    logLateCheck (state, asked, outcome);
 
     if (! isAnswer (outcome))
         co_return false;
@@ -180,6 +205,18 @@
     state.publishDirectory (SteadyClock::now());
 }
 
+/** @returns when to look at the configuration next: at the usual time, or when its proof becomes overdue. */
+auto nextLook (const ServingState& state, Duration usualPause) -> TimePoint
+{
+    const auto now = SteadyClock::now();
+
+    if (state.news.isReader || ! state.configuration.current)
+        return now + usualPause;
+
+    const auto untilOverdue = proofOverdueAt (state.news, state.configuration) - now;
+    return now + std::min (usualPause, std::max<Duration> (failurePause, untilOverdue));
+}
+
 } // namespace
 
 auto noteStoreAnswer (ServingState& state, StoreOutcome outcome, std::string_view purpose) -> void
@@ -210,6 +247,7 @@
                           std::function<void()> onAdopted) -> Task<void>
 {
     auto wasFresh = false;
+    auto failures = std::size_t { 0 };
 
     for (;;)
     {
@@ -219,6 +257,8 @@
         if (mustCheckConfiguration (state.news, state.configuration, SteadyClock::now()))
             isAnswered = co_await checkConfiguration (state, store, formats);
 
+        failures = isAnswered ? 0 : failures + 1;
+
         if (state.configuration.current != before)
             onAdopted();
 
@@ -231,11 +271,11 @@
                 .warning();
 
         wasFresh = fresh;
-        const auto pause = ! isAnswered                  ? pauseAfterFailure (state.news)
+        const auto pause = ! isAnswered                  ? pauseAfterFailure (state.news, failures)
                            : state.configuration.current ? Duration (checkInterval)
                            : asksStore (state.news, now) ? emptyPause
                                                          : Duration (idlePause);
-        co_await state.configurationWake->wait (SteadyClock::now() + pause);
+        co_await state.configurationWake->wait (isAnswered ? nextLook (state, pause) : now + pause);
     }
 }
 
@@ -292,6 +332,7 @@
 auto followReplicas (ServingState& state, const StateStore& store, const StoreFormats& formats) -> Task<void>
 {
     auto reason = ListReason::afterGap;
+    auto failures = std::size_t { 0 };
 
     for (;;)
     {
@@ -307,10 +348,11 @@
 
         if (listed.outcome != StoreOutcome::done)
         {
-            co_await pauseFor (state.loop, pauseAfterFailure (state.news));
+            co_await pauseFor (state.loop, pauseAfterFailure (state.news, ++failures));
             continue;
         }
 
+        failures = 0;
         state.news.needsList = false;
         takeList (state, formats, listed, reason);
         reason = co_await watchReplicas (state, store, formats, asked);
--- a/tests/unit/NewsTests.cpp
+++ b/tests/unit/NewsTests.cpp
@@ -63,6 +63,27 @@
     CHECK (asker.configuration.provenAt == start - 1s);
 }
 
+// A node whose readers fell silent asked the store at its next usual look, up to 0.9 s late, and refused with a proof 2.9 s old.
+TEST_CASE (
+    "a proof is overdue at the same time as the news that it rests on, and a node's own word renews it")
+{
+    auto reader = knowing (true);
+    auto asker = knowing (false);
+    exchange (asker, reader, start);
+    CHECK (proofOverdueAt (asker.news, asker.configuration) == start + newsLimit);
+    CHECK_FALSE (mustCheckConfiguration (asker.news, asker.configuration, start + newsLimit - 1ms));
+    CHECK (mustCheckConfiguration (asker.news, asker.configuration, start + newsLimit));
+    CHECK_FALSE (mayReadOldConfiguration (asker.news, asker.configuration, start + newsLimit));
+
+    // News of replicas alone do not prove the configuration.
+    asker.news.provenAt = start + 1s;
+    CHECK (proofOverdueAt (asker.news, asker.configuration) == start + newsLimit);
+
+    asker.news.ownProvenAt = start + 2s;
+    asker.configuration.provenAt = start + 2s;
+    CHECK (proofOverdueAt (asker.news, asker.configuration) == start + 2s + newsLimit);
+}
+
 TEST_CASE ("a node asks the store itself when its readers are silent or have no news themselves")
 {
     auto reader = knowing (true);
