An entry that lapses is no crash: the address is asked, too

Whoever lost a connection to a replica and saw its entry go within 8 s took that for a crash, but entries go for many reasons: the store is away, the replica can't reach it, or it leaves without a word.

Now an entry that is gone proves a crash only together with its address: nothing listens there, or what listens closes what it accepts, or another replica is listed at it. A replica that lives keeps a connection open. What was found is logged (lapsed_replica_probed).

--- a/modules/snowrudder_net/client/ProbeEndpoint.cpp
+++ b/modules/snowrudder_net/client/ProbeEndpoint.cpp
@@ -1,6 +1,8 @@
 #include "ProbeEndpoint.h"
 
-#include "UpstreamCall.h"
+#include "../concurrency/AsioNames.h"
+
+#include <array>
 
 namespace snowrudder
 {
@@ -11,6 +13,8 @@
     {
         case EndpointState::accepts:
             return "accepts";
+        case EndpointState::closes:
+            return "closes";
         case EndpointState::refuses:
             return "refuses";
         case EndpointState::silent:
@@ -20,18 +24,22 @@
     return "silent";
 }
 
-auto probeEndpoint (ConnectionPool& pool, tcp::endpoint endpoint, Duration wait) -> Task<EndpointState>
+auto probeEndpoint (ConnectionPool& pool, tcp::endpoint endpoint, Duration wait, Duration look)
+    -> Task<EndpointState>
 {
-    CallTimeouts timeouts;
-    timeouts.connect = wait;
-    UpstreamCall call (pool, endpoint, timeouts);
-    const auto mayReuse = false;
-    const auto error = co_await call.connect (mayReuse);
+    const auto connection = pool.makeNew();
+    connection->deadline.start (wait);
+
+    if (const auto [error] = co_await connection->stream.async_connect (endpoint, asTuple); error)
+        co_return error == asio::error::connection_refused ? EndpointState::refuses : EndpointState::silent;
 
-    if (! error)
+    if (look == Duration::zero())
         co_return EndpointState::accepts;
 
-    co_return error == std::errc::connection_refused ? EndpointState::refuses : EndpointState::silent;
+    std::array<char, 1> byte {};
+    connection->deadline.start (look);
+    const auto [error, size] = co_await connection->stream.async_read_some (asio::buffer (byte), asTuple);
+    co_return error && ! connection->deadline.hasExpired() ? EndpointState::closes : EndpointState::accepts;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/crashes/CrashWatch.cpp
+++ b/modules/snowrudder_serving/crashes/CrashWatch.cpp
@@ -47,19 +47,25 @@
 
     const auto state = co_await probes.probe (attempt.replica.endpoint);
 
+    const auto listing = replicas.listing (attempt.number);
+
     // Listed as leaving meanwhile: a planned end.
-    if (replicas.listing (attempt.number) == ReplicaListing::leaving)
+    if (listing == ReplicaListing::leaving)
         co_return "leaving";
 
-    if (state == EndpointState::refuses)
-        noteCrash (attempt, "connection_refused");
+    if (const auto proof = crashProof (listing, state); ! proof.empty())
+    {
+        noteCrash (attempt, proof);
+    }
     else
+    {
         noteDoubt (std::move (attempt));
+    }
 
     co_return snowrudder::toString (state);
 }
 
-auto CrashWatch::lookAgain (TimePoint now) -> void
+auto CrashWatch::lookAgain (SharedProbes& probes, TimePoint now) -> void
 {
     std::vector<WatchedAttempt> inDoubt;
 
@@ -68,15 +74,42 @@
         inDoubt.swap (doubts);
     }
 
+    std::unordered_map<ReplicaNumber, std::vector<WatchedAttempt>> lapsed;
+
     for (auto& attempt : inDoubt)
     {
         const auto listing = replicas.listing (attempt.number);
 
-        if (listing == ReplicaListing::gone || listing == ReplicaListing::replaced)
-            noteCrash (attempt, "entry_gone");
+        if (const auto proof = crashProof (listing, EndpointState::accepts); ! proof.empty())
+            noteCrash (attempt, proof);
+        else if (listing == ReplicaListing::gone)
+            lapsed[attempt.number].push_back (std::move (attempt));
         else if (listing == ReplicaListing::listed && now - attempt.ended <= doubtTime)
             noteDoubt (std::move (attempt));
     }
+
+    for (auto& [number, attempts] : lapsed)
+        asio::co_spawn (probes.executor(), examineLapsed (probes, std::move (attempts)), asio::detached);
+}
+
+auto CrashWatch::examineLapsed (SharedProbes& probes, std::vector<WatchedAttempt> lapsed) -> Task<void>
+{
+    const auto& replica = lapsed.front().replica;
+    const auto address = co_await probes.probeListener (replica.endpoint);
+    const auto proof = crashProof (ReplicaListing::gone, address);
+
+    LogLine ("lapsed_replica_probed")
+        .with ("replica", replica.name)
+        .with ("address", snowrudder::toString (address))
+        .with ("attempts", lapsed.size())
+        .with ("crash", proof.empty() ? "no" : "yes")
+        .info();
+
+    if (proof.empty())
+        co_return;
+
+    for (const auto& attempt : lapsed)
+        noteCrash (attempt, proof);
 }
 
 auto CrashWatch::hear (const std::vector<CrashEvidence>& heard,
--- a/modules/snowrudder_serving/crashes/CrashWatch.h
+++ b/modules/snowrudder_serving/crashes/CrashWatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashProof.h"
 #include "SharedProbes.h"
 
 #include "snowrudder_requests/snowrudder_requests.h"
@@ -53,8 +54,10 @@
 
     /** Looks again at the replicas that could not be told to have crashed: their entries may have gone, or another replica may
         have their address. Call some times a second.
+
+        @param probes  of the loop that this is called on; the addresses of entries that are gone are asked in the background
     */
-    auto lookAgain (TimePoint now) -> void;
+    auto lookAgain (SharedProbes& probes, TimePoint now) -> void;
 
     /** Takes in what another node told.
 
@@ -110,6 +113,8 @@
 private:
     auto noteCrash (const WatchedAttempt& attempt, std::string_view proof) -> void;
     auto noteDoubt (WatchedAttempt attempt) -> void;
+    /** @param lapsed  attempts on one replica whose entry is gone */
+    auto examineLapsed (SharedProbes& probes, std::vector<WatchedAttempt> lapsed) -> Task<void>;
     [[nodiscard]] auto surroundings (const RequestFingerprint& request, const std::string& service) const
         -> SuspectSurroundings;
 
--- a/modules/snowrudder_serving/crashes/SharedProbes.cpp
+++ b/modules/snowrudder_serving/crashes/SharedProbes.cpp
@@ -9,6 +9,9 @@
 /** A connection inside the platform comes up within a few milliseconds; nodes on a part of a core run every 100 ms. */
 constexpr auto probeWait = 400ms;
 
+/** How long an accepted connection is looked at. What is left of a replica that ended closes it within a few milliseconds. */
+constexpr auto listenerLook = 200ms;
+
 /** How often requests that share a probe look whether it has ended. */
 constexpr auto probeLook = 2ms;
 
@@ -45,4 +48,9 @@
     co_return *own->state;
 }
 
+auto SharedProbes::probeListener (const std::string& endpoint) -> Task<EndpointState>
+{
+    return probeEndpoint (pool, parseEndpoint (endpoint), probeWait, listenerLook);
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/crashes/SharedProbes.h
+++ b/modules/snowrudder_serving/crashes/SharedProbes.h
@@ -26,6 +26,11 @@
     */
     auto probe (const std::string& endpoint) -> Task<EndpointState>;
 
+    /** Asks an address also whether what listens there keeps connections open. */
+    auto probeListener (const std::string& endpoint) -> Task<EndpointState>;
+
+    [[nodiscard]] auto executor() -> asio::io_context::executor_type { return loop.get_executor(); }
+
 private:
     struct Probe
     {
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -160,7 +160,7 @@
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
 
-        state.crashes.lookAgain (now);
+        state.crashes.lookAgain (state.probes, now);
         state.crashes.table().forgetOld (now);
 
         if (state.configuration.current)
--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -9,6 +9,8 @@
 
 with another request and another replica each time, but all 36 with the same fingerprint, and the address refused after each.
 """
+import contextlib
+import http.client
 import socket
 import threading
 import time
@@ -280,6 +282,47 @@
         self.assertEqual([node.name for node in platform.nodes if f"route request=left-{node.name}" in node.log.read_text()], [])
 
 
+class LapsedEntries(unittest.TestCase):
+    """Entries lapse for many reasons; replicas whose entries have lapsed live on."""
+
+    def lapse_beside_cut_answers(self, share):
+        """Streams that every caller sends alike are cut, then the entries of some replicas lapse and come back."""
+        with Platform(nodes=3, replicas=6) as platform:
+            for replica in platform.replicas:
+                replica.behave = ["break"] * 4
+            for number in range(6):
+                with contextlib.suppress(http.client.HTTPException):
+                    platform.nodes[number % 3].call("POST", "/resumed-stream/x", id=f"cut-{number}")
+            lapsed = platform.replicas[:max(1, int(share * len(platform.replicas)))]
+            for replica in lapsed:
+                platform.store.remove(f"servers/{replica.name}")
+            for node in platform.nodes:
+                wait_until(lambda node=node: all(f"replica_gone replica={replica.name} " in node.log.read_text()
+                                                 for replica in lapsed), "the entries are seen to be gone")
+            time.sleep(1)
+            for replica in platform.replicas:
+                replica.behave = []
+                platform.store.put(f"servers/{replica.name}", replica.entry("svc"))
+            for node in platform.nodes:
+                wait_until(lambda node=node: all(node.log.read_text().count(f"replica_seen replica={replica.name} ") == 2
+                                                 for replica in lapsed), "the entries are back")
+            answers = [node.call("POST", "/resumed-stream/x", id=f"again-{node.name}") for node in platform.nodes]
+            self.assertEqual([answer.status for answer in answers], [200] * 3, [answer.body for answer in answers])
+            self.assertEqual([node.name for node in platform.nodes if "proof=entry_gone" in node.log.read_text()], [])
+
+    def test_a_stream_that_every_caller_sends_is_served_after_all_entries_lapsed(self):
+        """Entries that are gone were taken for crashes: `proof=entry_gone crashes=3`, and the stream was refused at all nodes."""
+        self.lapse_beside_cut_answers(1)
+
+    def test_a_stream_that_every_caller_sends_is_served_after_half_of_the_entries_lapsed(self):
+        """The same where the others stay."""
+        self.lapse_beside_cut_answers(0.5)
+
+    def test_a_stream_that_every_caller_sends_is_served_after_one_entry_lapsed(self):
+        """The same for a replica that alone can't reach the store."""
+        self.lapse_beside_cut_answers(0)
+
+
 class StaleEntries(unittest.TestCase):
     def test_requests_are_served_while_all_replicas_but_one_are_gone_and_still_listed(self):
         """The third stale entry that a request met ended it: 503, though a sound replica was listed."""
