A plain call of the own face whose time ends while it waits for a verdict is not sent

The wait for a verdict ended early because the call's time was over, and the call went on to a replica all the same; the users' platform's face looked at that already. Found by reading; it has no test of its own.

--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -109,6 +109,11 @@
             co_return problemWhenStopped (retry.mayHaveRun);
         }
 
+        // The wait for a verdict may have outlasted the call's time.
+        if (SteadyClock::now() >= input.deadline)
+            co_return makeProblem (ErrorKind::deadlineExceeded, retry.mayHaveRun ? Ran::unknown : Ran::no,
+                                   {});
+
         state.counts.attempts.add();
         const CrashWatch::Running running (state.crashes, input.fingerprint);
         ChoiceInput choice;
