What is known of crashes is told to a node as soon as it is listed

News of crashes are told three times to the nodes listed at that time, and to a node whose first report comes; front-1 had reported before the crashes and was listed after them. Only verdicts are compared later, not suspicions.

A node that is listed now hears all that is known of crashes.

--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -301,8 +301,26 @@
 
 auto PeerExchange::crashLoop() -> Task<void>
 {
+    std::vector<Endpoint> knownHearers;
+
     for (;;)
     {
+        // A node that was not listed yet as something was told hears it when it is.
+        auto hearers = knowsOthers() ? hearersOfCrashes() : std::vector<Endpoint>();
+
+        for (const auto& hearer : hearers)
+            if (std::ranges::find (knownHearers, hearer) == knownHearers.end())
+            {
+                const auto now = SteadyClock::now();
+                const CrashNotice notice { state.settings.node,
+                                           state.crashes.table().all (mostEvidenceTold, now) };
+
+                if (! notice.evidence.empty())
+                    send (encodeMessage (notice, membership.secret(), now), hearer);
+            }
+
+        knownHearers = std::move (hearers);
+
         if (! knowsOthers() || ! tellCrashes (SteadyClock::now()))
             co_await crashWake->wait (SteadyClock::now() + idleCrashWait);
         else
