A few slow answers of one moment don't give a good version up

What slows one answer slows all that run beside it, and the bets take them for independent: three at one moment were enough.

A slow version is given up from eight slow answers on; failures are the version's own, three do as before.

--- a/modules/snowrudder_rollout/evidence/VersionTrial.cpp
+++ b/modules/snowrudder_rollout/evidence/VersionTrial.cpp
@@ -20,7 +20,10 @@
 /** The same for one route of many. */
 constexpr auto boundForRoute = 9.2;
 
-constexpr auto leastBad = std::uint64_t { 3 };
+constexpr auto leastFailed = std::uint64_t { 3 };
+
+/** What slows one answer slows all that run beside it, so that a few slow ones may be a single event. */
+constexpr auto leastSlow = std::uint64_t { 8 };
 
 /** A replica that gives this part of its answers badly speaks against its version. */
 constexpr auto badAnswerShare = 0.03;
@@ -99,6 +102,7 @@
             const VersionTallies& tallies,
             const std::array<double, Size>& factors,
             std::string_view kind,
+            std::uint64_t leastBad,
             BadOf badOf) -> void
 {
     if (! isSpread (tallies.replicas, badOf))
@@ -142,9 +146,10 @@
     const auto target = sumOf (tallies.target);
     verdict.answers = target.answers;
     verdict.bad = target.failed + target.slow;
-    judge (verdict, tallies, failureFactors, "failed",
+    judge (verdict, tallies, failureFactors, "failed", leastFailed,
            [] (const AnswerTally& tally) { return tally.failed; });
-    judge (verdict, tallies, slowFactors, "slow", [] (const AnswerTally& tally) { return tally.slow; });
+    judge (verdict, tallies, slowFactors, "slow", leastSlow,
+           [] (const AnswerTally& tally) { return tally.slow; });
     return verdict;
 }
 
--- a/tests/unit/RolloutTests.cpp
+++ b/tests/unit/RolloutTests.cpp
@@ -281,3 +281,23 @@
     CHECK_FALSE (state.verdictOn (rollout).isBad);
     CHECK (state.ownCounts().empty());
 }
+
+// A machine that was busy for a moment slowed three of the five answers that a good version had given: it was rolled back
+// (`rollout_verdict answers=5 bad=3 evidence=7.200 reason="slow on /again/"`).
+TEST_CASE ("a few slow answers of one moment don't give a good version up, more do")
+{
+    VersionTallies tallies;
+    tallies.others["/again/"] = { 300, 0, 1 };
+    tallies.target["/again/"] = { 5, 0, 3 };
+    tallies.replicas = { { "new-0", { 2, 0, 1 } }, { "new-1", { 2, 0, 1 } }, { "new-2", { 1, 0, 1 } } };
+    CHECK_FALSE (judgeVersion (tallies).isBad);
+
+    tallies.target["/again/"] = { 15, 0, 9 };
+    tallies.replicas = { { "new-0", { 6, 0, 3 } }, { "new-1", { 6, 0, 3 } }, { "new-2", { 3, 0, 3 } } };
+    CHECK (judgeVersion (tallies).isBad);
+
+    // Failures are a version's own.
+    tallies.target["/again/"] = { 5, 3, 0 };
+    tallies.replicas = { { "new-0", { 2, 1, 0 } }, { "new-1", { 2, 1, 0 } }, { "new-2", { 1, 1, 0 } } };
+    CHECK (judgeVersion (tallies).isBad);
+}
