--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -245,13 +245,17 @@
     Choice choice;
     const auto others = countedOthers (input.routers);
     const auto bound = longPromptBound (replicas, input, weights, now);
+    const auto isAnyVersionAllowed = input.onlyVersion.empty() && input.exceptVersion.empty();
     RankedFirst ranked (anchorOf (input, weights));
 
     for (auto index = std::size_t { 0 }; index < replicas.size(); ++index)
     {
         const auto& replica = replicas[index];
 
-        if (useOf (replica, now) != ReplicaUse::usable || ! hasAllowedVersion (input, replica))
+        if (useOf (replica, now) != ReplicaUse::usable)
+            continue;
+
+        if (! isAnyVersionAllowed && ! hasAllowedVersion (input, replica))
             continue;
 
         ++choice.usable;
