--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -167,7 +167,7 @@
             callers.start(name, "/again/x", lambda number, name=name: f"{POISON} of {name}", 0.08)
         callers.start("other", "/again/x", lambda number: f"prompt {number}", 0.02)
         callers.start("poll", "/again/poll", lambda number: "the same each time", 0.02)
-        wait_until(lambda: len(self.crashes()) >= 6, "six replicas have ended")
+        wait_until(lambda: all(self.is_stopped(callers, name) for name in ("poison-a", "poison-b")), "both are stopped")
         time.sleep(3 * NOTICE_TIME)
         callers.stop()
 
@@ -184,6 +184,11 @@
             self.assertGreater(len(answers), 50)
             self.assertEqual({answer.status for _, answer in answers}, {200}, name)
 
+    @staticmethod
+    def is_stopped(callers, name):
+        """Whether a caller's request was refused because it ends the replicas that run it."""
+        return any(getattr(answer, "status", 0) == 503 and answer.json()["kind"] == "crashes_replicas" for _, answer in callers.of(name))
+
     def test_many_different_fatal_requests_of_one_account_leave_the_others_served(self):
         """Each of an account's requests ends its replicas and none comes twice, so that no request gets three crashes of its own:
         of 12 replicas 86 ended within 16 s, and other callers got 0.17 of their answers.
