--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -43,6 +43,13 @@
     return endpoint.address().to_string() + ":" + std::to_string (endpoint.port());
 }
 
+/** @returns a message of all that is known of crashes; empty where nothing is. */
+auto allCrashes (ServingState& state, const Membership& membership, TimePoint now) -> std::string
+{
+    const CrashNotice notice { state.settings.node, state.crashes.table().all (mostEvidenceTold, now) };
+    return notice.evidence.empty() ? std::string() : encodeMessage (notice, membership.secret(), now);
+}
+
 } // namespace
 
 PeerExchange::PeerExchange (ServingState& servingState, const Membership& known)
@@ -310,14 +317,9 @@
 
         for (const auto& hearer : hearers)
             if (std::ranges::find (knownHearers, hearer) == knownHearers.end())
-            {
-                const auto now = SteadyClock::now();
-                const CrashNotice notice { state.settings.node,
-                                           state.crashes.table().all (mostEvidenceTold, now) };
-
-                if (! notice.evidence.empty())
-                    send (encodeMessage (notice, membership.secret(), now), hearer);
-            }
+                if (const auto datagram = allCrashes (state, membership, SteadyClock::now());
+                    ! datagram.empty())
+                    send (datagram, hearer);
 
         knownHearers = std::move (hearers);
 
@@ -348,13 +350,13 @@
     if (now - toldAllCrashes < allCrashesInterval)
         return;
 
-    CrashNotice notice { state.settings.node, state.crashes.table().all (mostEvidenceTold, now) };
+    const auto datagram = allCrashes (state, membership, now);
 
-    if (notice.evidence.empty())
+    if (datagram.empty())
         return;
 
     toldAllCrashes = now;
-    send (encodeMessage (notice, membership.secret(), now), target);
+    send (datagram, target);
 }
 
 auto PeerExchange::hearersOfCrashes() const -> std::vector<Endpoint>
