--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -200,9 +200,13 @@
         self.server = Server(port, self)
 
     def handle(self, call, body):
-        self.calls.append((call.path, call.headers["X-Duty-Holder"], int(call.headers["X-Fencing-Token"]), json.loads(body)))
+        self.calls.append(self.entry(call, body))
         call.answer(self.status, {})
 
+    def entry(self, call, body):
+        """What is kept of a call."""
+        return (call.path, call.headers["X-Duty-Holder"], int(call.headers["X-Fencing-Token"]), json.loads(body))
+
     def of(self, path):
         return [entry for entry in list(self.calls) if entry[0] == path]
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -56,9 +56,8 @@
 class TimedCloud(Cloud):
     """Notes when each call came."""
 
-    def handle(self, call, body):
-        super().handle(call, body)
-        self.calls[-1] = (time.monotonic(), *self.calls[-1])
+    def entry(self, call, body):
+        return (time.monotonic(), *super().entry(call, body))
 
 
 class World:
