Logs and metrics tell by which proof a request was admitted, and whether the VM was suspended

- request_ended has the age of the proof at admission; configuration_adopted has that of the version before, and which node it came from; freshness_lost and _regained too
- vm_suspended, with counters: the step between CLOCK_BOOTTIME and the clock that stands still meanwhile
- snowrudder_unmatched_store_updates_total: responses that answer no open query
- started has the VM's uptime

No decision changes.

--- a/modules/snowrudder_core/snowrudder_core.h
+++ b/modules/snowrudder_core/snowrudder_core.h
@@ -4,7 +4,7 @@
     - errors/      the error kinds, and the table of their responses
     - ids/         request identifiers, UUIDv7, hashes and signatures
     - json/        reading members of external JSON objects
-    - time/        clock and duration types, the current wall time
+    - time/        clock and duration types, the current wall time, detection of suspensions of the VM
     - log/         structured logging
     - metrics/     counters, gauges and histograms in Prometheus' text format
     - assertions/  invariants that are checked in every build
@@ -25,5 +25,7 @@
 #include "metrics/Metrics.h"
 #include "program/Program.h"
 #include "random/Jitter.h"
+#include "time/BootClock.h"
+#include "time/Suspension.h"
 #include "time/Time.h"
 #include "json/JsonFields.h"
--- a/modules/snowrudder_router/background/Sweep.cpp
+++ b/modules/snowrudder_router/background/Sweep.cpp
@@ -82,9 +82,11 @@
 auto sweepRequests (RouterState& state, Worker& worker) -> Task<void>
 {
     asio::steady_timer timer (worker.loop);
+    SuspensionWatch suspensions;
 
     for (;;)
     {
+        recordSuspension (suspensions, state.metrics);
         const auto now = SteadyClock::now();
 
         const auto open = state.requests.open();
--- a/modules/snowrudder_serving/configuration/ConfigurationState.h
+++ b/modules/snowrudder_serving/configuration/ConfigurationState.h
@@ -14,6 +14,8 @@
     /** The latest time at which the store is proved to have held nothing newer. It is taken before the query is sent.
     */
     TimePoint provenAt {};
+    /** The node that forwarded this proof; empty if the store itself gave it. */
+    std::string provenBy;
 };
 
 /** How long requests with an API key are accepted after a proof of freshness. */
@@ -25,6 +27,19 @@
     Duration margin = 200ms;
 };
 
+/** Records a proof that the current configuration was the newest at a time, if it is later than the proof so far.
+
+    @param by  the node that forwarded the proof; empty for the store itself
+*/
+inline auto recordProof (ConfigurationState& state, TimePoint at, std::string_view by) -> void
+{
+    if (at <= state.provenAt)
+        return;
+
+    state.provenAt = at;
+    state.provenBy = by;
+}
+
 /** Puts a configuration in force if it is newer than the current one.
 
     @returns whether it was newer
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -192,6 +192,7 @@
     RoutedRequest request;
     request.configuration = state.configuration.current;
     request.accepted = arrived;
+    request.proofAge = now - state.configuration.provenAt;
 
     // The request might not end within the grace time, so the caller is sent to another node at once.
     if (state.isDrained)
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -207,6 +207,9 @@
     const auto effect = applyStoreUpdateResponse (state.storeUpdates, state.configuration, state.directory,
                                                   std::move (response), now);
 
+    if (! effect.isMatched)
+        state.metrics.counter ("snowrudder_unmatched_store_updates_total").add();
+
     if (effect.directory)
         state.publishDirectory (now);
 
--- a/modules/snowrudder_serving/members/StoreUpdates.cpp
+++ b/modules/snowrudder_serving/members/StoreUpdates.cpp
@@ -125,13 +125,14 @@
     if (! sent)
         return effect;
 
+    effect.isMatched = true;
     const auto provenAt = *sent - response.proofAge;
     const auto directoryProvenAt = *sent - response.directoryAge;
     effect.newerConfiguration =
         recordPeerConfigurationRevision (storeUpdates, configuration, response.configurationRevision);
 
     if (configuration.current && configuration.current->revision == response.configurationRevision)
-        configuration.provenAt = std::max (configuration.provenAt, provenAt);
+        recordProof (configuration, provenAt, response.node);
 
     // Changes can't be applied before this node has a list of its own, and a responder that has just started has no
     // changes to send.
--- a/modules/snowrudder_serving/members/StoreUpdates.h
+++ b/modules/snowrudder_serving/members/StoreUpdates.h
@@ -201,6 +201,8 @@
 /** What a response changed. */
 struct StoreUpdateEffect
 {
+    /** Whether the response answered an open query; it changed nothing otherwise. */
+    bool isMatched = false;
     bool directory = false;
     bool newerConfiguration = false;
 };
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -54,6 +54,7 @@
         .with ("failure_domain", state.settings.failureDomain)
         .with ("listen", state.settings.listen)
         .with ("store", state.settings.store)
+        .with ("uptime_milliseconds", inMilliseconds (BootClock::now().time_since_epoch()))
         .info();
 
     state.loop.run();
@@ -149,8 +150,11 @@
 
 auto ServingNode::sweepLoop() -> Task<void>
 {
+    SuspensionWatch suspensions;
+
     for (;;)
     {
+        recordSuspension (suspensions, state.metrics);
         const auto now = SteadyClock::now();
         state.trueTime.compare (now, wallTimeNow().time_since_epoch());
         state.pool.closeExpired (now);
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -47,6 +47,12 @@
     return storeUpdates.isReader || failures < 2 ? Duration (failurePause) : followerPause;
 }
 
+/** @returns where the proof of the configuration came from, for the log. */
+auto proofSource (const ConfigurationState& configuration) -> std::string_view
+{
+    return configuration.provenBy.empty() ? std::string_view ("store") : configuration.provenBy;
+}
+
 auto applyConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
 {
     const auto read = formats.readConfiguration (item);
@@ -58,6 +64,7 @@
     }
 
     const auto before = state.configuration.current ? state.configuration.current->version : 0;
+    const auto proofAge = before != 0 ? SteadyClock::now() - state.configuration.provenAt : Duration (0);
 
     if (! adopt (state.configuration, read))
         return false;
@@ -65,6 +72,8 @@
     LogLine ("configuration_adopted")
         .with ("version", read->version)
         .with ("before", before)
+        .with ("before_proof_milliseconds", inMilliseconds (proofAge))
+        .with ("before_proof_from", proofSource (state.configuration))
         .with ("revision", read->revision)
         .with ("hosts", read->routes.size())
         .with ("accounts", read->accounts.size())
@@ -158,7 +167,7 @@
             isNewest = applyConfiguration (state, formats, item);
 
     if (isNewest)
-        state.configuration.provenAt = std::max (state.configuration.provenAt, sentAt);
+        recordProof (state.configuration, sentAt, {});
 
     co_return true;
 }
@@ -278,6 +287,7 @@
         if (fresh != wasFresh)
             LogLine (fresh ? "freshness_regained" : "freshness_lost")
                 .with ("proof_milliseconds", inMilliseconds (now - state.configuration.provenAt))
+                .with ("proof_from", proofSource (state.configuration))
                 .warning();
 
         wasFresh = fresh;
--- a/tests/unit/CoreTests.cpp
+++ b/tests/unit/CoreTests.cpp
@@ -63,3 +63,39 @@
     metrics.counter ("a_total", "kind=\"x\"").add (2);
     CHECK (metrics.text() == "# TYPE a_total counter\na_total{kind=\"x\"} 2\n");
 }
+
+namespace
+{
+
+/** @returns a reading of clocks that both began at zero, after a time awake and a time suspended. */
+auto readingAfter (std::chrono::milliseconds awake,
+                   std::chrono::milliseconds suspended,
+                   std::chrono::milliseconds readingTime = 0ms) -> ClockReading
+{
+    ClockReading reading;
+    reading.before += awake;
+    reading.boot += awake + suspended;
+    reading.after += awake + readingTime;
+    return reading;
+}
+
+} // namespace
+
+TEST_CASE ("a suspension is the step of the boot clock against the clock that stands still meanwhile")
+{
+    SuspensionWatch watch;
+    CHECK (takeSuspension (watch, readingAfter (1s, 5s)) == 0s);
+    CHECK (takeSuspension (watch, readingAfter (2s, 5s)) == 0s);
+    CHECK (takeSuspension (watch, readingAfter (2100ms, 8s)) == 3s);
+    CHECK (takeSuspension (watch, readingAfter (60s, 8s)) == 0s);
+}
+
+TEST_CASE ("a reading of the clocks that was interrupted is no suspension, and hides none")
+{
+    SuspensionWatch watch;
+    takeSuspension (watch, readingAfter (1s, 0s));
+    CHECK (takeSuspension (watch, readingAfter (2s, 30ms, 30ms)) == 0s);
+    CHECK (takeSuspension (watch, readingAfter (3s, 0s)) == 0s);
+    CHECK (takeSuspension (watch, readingAfter (4s, 4s, 30ms)) == 0s);
+    CHECK (takeSuspension (watch, readingAfter (5s, 4s)) == 4s);
+}
