Tests that fail: what nodes do with revoked keys, deadlines and leases after their VM was suspended

A small library of the tests' own is preloaded into the processes under test: while a process is stopped by signal, CLOCK_MONOTONIC and the waits timed by it stand still; CLOCK_BOOTTIME and the time of day go on.

Seven of eight fail on the code as it is and are listed. Of requests with a key revoked more than 2.5 s before, 10 of 34 ran at a node that was suspended for 4 s and 11 of 34 at a follower of eight nodes suspended together; they also ran where the store turned the node away, where a follower slept alone, and at a follower that never slept while its readers did. The node's log shows such a request admitted on a proof 308 ms old and vm_suspended milliseconds=4000 100 ms after it. A keyed call of the own face ran twice, and a request was answered 2.8 s after its deadline had passed. The eighth, duties with an older fence, passes and stays as a guard.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -13,6 +13,8 @@
 import tempfile
 import time
 
+from suspension import Suspension
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("SNOWRUDDER_BUILD", ROOT / "build"))
 MODEL = "test-model"
@@ -227,7 +229,8 @@
 class Deployment:
     """A small deployment: the fake platform, engines, plain services and routers, each as a process of its own."""
 
-    def __init__(self, routers=2, engines=2, services=2, tree=None, engine=None, router=None, slots=8, environment=None):
+    def __init__(self, routers=2, engines=2, services=2, tree=None, engine=None, router=None, slots=8, environment=None,
+                 suspendable=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-test-"))
         self.processes = {}
         ports = free_ports(2 + routers + engines + services)
@@ -242,6 +245,8 @@
         self.engine_settings = {"step_microseconds": 2000, "slots": slots, **(engine or {})}
         self.router_settings = router or {}
         self.environment = {**os.environ, **(environment or {})}
+        self.suspendable = suspendable
+        self.suspensions = {}
 
     def __enter__(self):
         try:
@@ -262,8 +267,12 @@
     def launch(self, name, program, settings):
         path = self.settings_file(name, settings)
         log = open(self.folder / f"{name}.log", "ab")
+        environment = dict(self.environment)
+        if self.suspendable:
+            self.suspensions[name] = Suspension(self.folder / f"{name}.suspended")
+            environment |= self.suspensions[name].environment(BUILD)
         self.processes[name] = subprocess.Popen([BUILD / program, "--settings", path], stdin=subprocess.DEVNULL,
-                                                stdout=log, stderr=log, env=self.environment)
+                                                stdout=log, stderr=log, env=environment)
         log.close()
 
     def vm_list(self):
--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -7,6 +7,7 @@
 
 from harness import BUILD, free_ports, request, wait_until
 from platform_stand_in import Cloud, Door, Replica, Store
+from suspension import Suspension
 
 
 def configuration(version=1, keys=("key-alpha",), **more):
@@ -25,7 +26,9 @@
 
 
 class Node:
-    def __init__(self, platform, name, store_port=None, zone="a", environment=None, settings=""):
+    """A router process. One that is suspendable can be suspended as if its VM were."""
+
+    def __init__(self, platform, name, store_port=None, zone="a", environment=None, settings="", suspendable=False):
         self.name = name
         self.front, self.readiness, self.peers, self.metrics = free_ports(4)
         self.settings = platform.folder / f"{name}.conf"
@@ -35,7 +38,8 @@
                                  f"cloud.address=127.0.0.1:{platform.cloud_port}\ncloud.duties=metered,autoscale\n"
                                  "bounds.revoke_ms=2500\nbounds.report_window_s=1\nbounds.grace_s=6\nbounds.lease_ms=3000\n" + settings)
         self.log = platform.folder / f"{name}.log"
-        self.environment = environment or {}
+        self.suspension = Suspension(platform.folder / f"{name}.suspended")
+        self.environment = {**(environment or {}), **(self.suspension.environment(BUILD) if suspendable else {})}
         self.start()
 
     def start(self):
@@ -46,6 +50,12 @@
                                             stdout=log, stderr=log,
                                             env={**os.environ, "SNOWRUDDER_BOOT": str(self.settings), **self.environment})
 
+    def suspend(self):
+        self.suspension.suspend(self.process)
+
+    def resume(self):
+        self.suspension.resume(self.process)
+
     def is_ready(self):
         try:
             return request(self.readiness, "GET", "/snowrudder/ready", timeout=2).status == 200
@@ -69,7 +79,7 @@
 class Platform:
     """The stand-ins of the platform, and the nodes under test."""
 
-    def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None, settings=""):
+    def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None, settings="", suspendable=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-platform-"))
         self.store_port, self.cloud_port, *ports = free_ports(2 + replicas)
         self.store, self.cloud = Store(self.store_port), Cloud(self.cloud_port)
@@ -78,7 +88,8 @@
             self.store.put("op/config", first)
         for replica in self.replicas:
             self.store.put(f"servers/{replica.name}", replica.entry("svc"))
-        self.nodes = [Node(self, f"front-{number}", environment=environment, settings=settings) for number in range(nodes)]
+        self.nodes = [Node(self, f"front-{number}", environment=environment, settings=settings, suspendable=suspendable)
+                      for number in range(nodes)]
         self.first = self.nodes[0]
         self.doors = []
 
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -7,6 +7,10 @@
 import time
 
 
+# Seconds until a replica answers, by how it behaves.
+WAITS = {"slow": 3, "hang": 12}
+
+
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
@@ -249,8 +253,8 @@
             call.wfile.flush()
         elif how == "fail":
             call.answer(500, {"by": self.name}, self.headers(call))
-        elif how == "slow":
-            time.sleep(3)
+        elif how in WAITS:
+            time.sleep(WAITS[how])
             call.answer(200, {"by": self.name}, self.headers(call))
         else:
             call.answer(200, {"by": self.name}, self.headers(call))
