--- a/modules/snowrudder_admin/api/EditHandler.cpp
+++ b/modules/snowrudder_admin/api/EditHandler.cpp
@@ -183,7 +183,7 @@
 
 auto runProcedure (AdminState& state, EditProcedure& procedure) -> Task<void>
 {
-    asio::steady_timer timer (state.loop);
+    BootTimer timer (state.loop);
 
     while (auto call = procedure.next())
     {
--- a/modules/snowrudder_admin/spread/TreeSpread.cpp
+++ b/modules/snowrudder_admin/spread/TreeSpread.cpp
@@ -51,7 +51,7 @@
     for (const auto& router : state.settings.routers())
         routerRevisions.push_back ({ router.failure_domain(), 0 });
 
-    const auto deadline = SteadyClock::now() + timeout;
+    const auto deadline = BootClock::now() + timeout;
 
     for (;;)
     {
@@ -61,10 +61,10 @@
         };
         co_await runAll (state.loop, routerRevisions.size(), sendOne);
 
-        if (isAccepted (routerRevisions, tree.revision) || SteadyClock::now() >= deadline)
+        if (isAccepted (routerRevisions, tree.revision) || BootClock::now() >= deadline)
             co_return routerRevisions;
 
-        asio::steady_timer timer (state.loop, retryInterval);
+        BootTimer timer (state.loop, retryInterval);
         co_await timer.async_wait (asTuple);
     }
 }
--- a/modules/snowrudder_core/log/BoundedAppender.cpp
+++ b/modules/snowrudder_core/log/BoundedAppender.cpp
@@ -36,7 +36,7 @@
     if (buffer.size() + size > maxBufferBytes)
         return false;
 
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (now - windowStart >= 1s)
     {
--- a/modules/snowrudder_core/time/Time.h
+++ b/modules/snowrudder_core/time/Time.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "BootClock.h"
+
 #include <chrono>
 
 namespace snowrudder
@@ -7,13 +9,13 @@
 
 using namespace std::chrono_literals;
 
-/** The clock for all waits and deadlines. Monotonic: adjustments of the wall clock don't affect it. */
-using SteadyClock = std::chrono::steady_clock;
-
-/** A point in time on the steady clock. Functions that make decisions receive it as `now` and don't read a clock. */
-using TimePoint = SteadyClock::time_point;
+/** A point in time on the boot clock, which all ages, deadlines and leases are measured by: they bound what happens
+    outside this VM, where time goes on while it is suspended. Functions that make decisions receive it as `now` and
+    don't read a clock.
+*/
+using TimePoint = BootClock::time_point;
 
-using Duration = SteadyClock::duration;
+using Duration = BootClock::duration;
 
 /** Wall time, used only where a time leaves the VM: in identifiers, logs and responses. */
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
--- a/modules/snowrudder_load/client/Caller.cpp
+++ b/modules/snowrudder_load/client/Caller.cpp
@@ -76,7 +76,7 @@
 
 auto appendContent (Progress& progress, std::string_view content) -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (progress.tokens == 0)
     {
@@ -275,7 +275,7 @@
 
         if (attempt > 0)
         {
-            asio::steady_timer timer (thread.loop, 100ms * attempt);
+            BootTimer timer (thread.loop, 100ms * attempt);
             co_await timer.async_wait (asTuple);
         }
 
@@ -333,7 +333,7 @@
     else
         ++entry.good;
 
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     entry.total.add (now - progress.startTime);
 
     if (! planned.kind->stream())
@@ -369,7 +369,7 @@
 {
     ++thread.openRequests;
     Progress progress;
-    progress.startTime = SteadyClock::now();
+    progress.startTime = BootClock::now();
     const auto key = planned.kind->keyed() ? toString (makeUuid (wallTimeNow())) : std::string();
 
     co_await sendWithRetries (thread, planned, key, direct, progress);
--- a/modules/snowrudder_load/client/LoadRun.cpp
+++ b/modules/snowrudder_load/client/LoadRun.cpp
@@ -18,9 +18,9 @@
 
 auto sendRequests (CallerThread& thread, LoadResult& result) -> Task<void>
 {
-    asio::steady_timer timer (thread.loop);
-    const auto end = SteadyClock::now() + thread.plan.length;
-    auto next = SteadyClock::now();
+    BootTimer timer (thread.loop);
+    const auto end = BootClock::now() + thread.plan.length;
+    auto next = BootClock::now();
 
     // Open loop: the time of a request does not depend on earlier answers.
     for (;;)
@@ -41,7 +41,7 @@
 
     const auto drainEnd = end + thread.plan.drainTimeout;
 
-    while (thread.openRequests > 0 && SteadyClock::now() < drainEnd)
+    while (thread.openRequests > 0 && BootClock::now() < drainEnd)
     {
         timer.expires_after (20ms);
         co_await timer.async_wait (asTuple);
@@ -111,7 +111,7 @@
 
 auto runLoad (const schema::LoadSettings& workload, const LoadPlan& plan, LoadResult& result) -> void
 {
-    const auto startTime = SteadyClock::now();
+    const auto startTime = BootClock::now();
     std::deque<CallerThread> callers;
     std::vector<std::thread> threads;
     threads.reserve (plan.threads);
@@ -141,7 +141,7 @@
         if (caller.openRequests > 0)
             LogLine ("not_waited_for").with ("requests", caller.openRequests).warning();
 
-    result.elapsed = std::min (SteadyClock::now() - startTime, plan.length);
+    result.elapsed = std::min (BootClock::now() - startTime, plan.length);
 }
 
 auto addUpstreamCounts (const LoadPlan& plan, UpstreamCounts& into) -> bool
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -47,7 +47,7 @@
         return;
 
     connection->maxIdleTime = maxIdleTimeFrom (toView (parser->get()["Keep-Alive"]));
-    pool.returnToPool (endpoint, std::move (connection), SteadyClock::now());
+    pool.returnToPool (endpoint, std::move (connection), BootClock::now());
 }
 
 auto UpstreamCall::connect (bool mayReuse) -> Task<std::error_code>
@@ -56,7 +56,7 @@
         co_return make_error_code (std::errc::operation_canceled);
 
     if (mayReuse)
-        connection = pool.acquireIdle (endpoint, SteadyClock::now());
+        connection = pool.acquireIdle (endpoint, BootClock::now());
 
     if (connection)
         co_return std::error_code();
@@ -192,7 +192,7 @@
 
 auto UpstreamCall::startDeadline (Duration wait) -> void
 {
-    const auto left = timeouts.end - SteadyClock::now();
+    const auto left = timeouts.end - BootClock::now();
     connection->deadline.start (std::clamp<Duration> (left, 0ms, wait));
 }
 
--- a/modules/snowrudder_net/concurrency/Pause.h
+++ b/modules/snowrudder_net/concurrency/Pause.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "AsioNames.h"
+#include "BootTimer.h"
 
 #include "snowrudder_core/time/Time.h"
 
@@ -10,7 +10,7 @@
 /** Suspends the calling coroutine for a duration. */
 inline auto pauseFor (asio::io_context& loop, Duration time) -> Task<void>
 {
-    asio::steady_timer timer (loop, time);
+    BootTimer timer (loop, time);
     co_await timer.async_wait (asTuple);
 }
 
--- a/modules/snowrudder_net/concurrency/RunAll.h
+++ b/modules/snowrudder_net/concurrency/RunAll.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "AsioNames.h"
+#include "BootTimer.h"
 
 #include <cstddef>
 #include <memory>
@@ -21,7 +21,7 @@
         explicit PendingTasks (asio::io_context& eventLoop) : timer (eventLoop, TimePoint::max()) {}
 
         std::size_t remaining = 0;
-        asio::steady_timer timer;
+        BootTimer timer;
     };
 
     const auto pending = std::make_shared<PendingTasks> (loop);
--- a/modules/snowrudder_net/concurrency/Signal.h
+++ b/modules/snowrudder_net/concurrency/Signal.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "AsioNames.h"
+#include "BootTimer.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
@@ -54,7 +54,7 @@
 
 private:
     asio::any_io_executor executor;
-    asio::steady_timer timer;
+    BootTimer timer;
     std::atomic<bool> notified { false };
     std::atomic<bool> waiting { false };
 };
--- a/modules/snowrudder_net/concurrency/Watchdog.cpp
+++ b/modules/snowrudder_net/concurrency/Watchdog.cpp
@@ -22,7 +22,7 @@
 
 auto Watchdog::Entries::cancelExpired() -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     auto hasDeadline = false;
 
     for (auto& entry : list)
--- a/modules/snowrudder_net/concurrency/Watchdog.h
+++ b/modules/snowrudder_net/concurrency/Watchdog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "AsioNames.h"
+#include "BootTimer.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
@@ -47,7 +47,7 @@
         auto cancelExpired() -> void;
 
         std::list<Entry> list;
-        asio::steady_timer timer;
+        BootTimer timer;
         bool isRunning = false;
     };
 
@@ -72,7 +72,7 @@
     /** Sets the time limit for the operations that follow, in total. */
     auto start (Duration time) -> void
     {
-        position->deadline = SteadyClock::now() + time;
+        position->deadline = BootClock::now() + time;
         position->expired = false;
         entries->startTimer();
     }
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -112,7 +112,7 @@
         if (error)
         {
             // Most likely out of file descriptors: wait for some to be closed instead of spinning.
-            asio::steady_timer pause (loop, 10ms);
+            BootTimer pause (loop, 10ms);
             co_await pause.async_wait (asTuple);
             continue;
         }
--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -15,6 +15,7 @@
 #include "client/SignedRequest.h"
 #include "client/SimpleCall.h"
 #include "client/UpstreamCall.h"
+#include "concurrency/BootTimer.h"
 #include "concurrency/EventLoop.h"
 #include "concurrency/Pause.h"
 #include "concurrency/RunAll.h"
--- a/modules/snowrudder_requests/once/KeyTable.h
+++ b/modules/snowrudder_requests/once/KeyTable.h
@@ -115,7 +115,7 @@
 
     /** Decides what to do with a call, and adds its key if the verdict is `run`.
 
-        @param leaseEnd  until when this router may act as owner, by its steady clock; nothing if it holds no lease
+        @param leaseEnd  until when this router may act as owner, by its boot clock; nothing if it holds no lease
     */
     auto decide (const KeyEntry& call, TimePoint now, WallTime wallNow, std::optional<TimePoint> leaseEnd)
         -> KeyDecision;
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -105,12 +105,12 @@
         .with ("open_requests", state.requests.openCount())
         .with ("drain_milliseconds", inMilliseconds (drainTime))
         .info();
-    const auto drainEnd = SteadyClock::now() + drainTime;
+    const auto drainEnd = BootClock::now() + drainTime;
 
     // The load balancer sends requests here until it has polled /readyz. Slots are handed over before that wait, as their
     // successors needn't wait for the load balancer.
     co_await handOverSlots (state, worker);
-    asio::steady_timer timer (worker.loop, std::min<Duration> (balancerDelay, drainTime / 2));
+    BootTimer timer (worker.loop, std::min<Duration> (balancerDelay, drainTime / 2));
     co_await timer.async_wait (asTuple);
 
     for (auto& each : workers)
@@ -135,7 +135,7 @@
 {
     auto& loop = workers.front().loop;
     asio::signal_set signals (loop, SIGTERM, SIGINT);
-    asio::steady_timer timer (loop);
+    BootTimer timer (loop);
     // Shared, because after a reclaim notice this coroutine's frame is freed before the wait for a signal completes and writes
     // to the flag.
     const auto isStopRequested = std::make_shared<bool> (false);
@@ -159,9 +159,9 @@
 
 auto Router::waitUntilIdle (TimePoint end) -> Task<bool>
 {
-    asio::steady_timer timer (workers.front().loop);
+    BootTimer timer (workers.front().loop);
 
-    while (SteadyClock::now() < end)
+    while (BootClock::now() < end)
     {
         timer.expires_after (50ms);
         co_await timer.async_wait (asTuple);
--- a/modules/snowrudder_router/background/LoadWatcher.cpp
+++ b/modules/snowrudder_router/background/LoadWatcher.cpp
@@ -42,7 +42,7 @@
     const CallTimeouts timeouts { pollTimeout, pollTimeout, pollTimeout };
     const auto answer = co_await callOnce (worker.pool, parseEndpoint (watched.endpoint),
                                            makeRequest (http::verb::get, "/load"), timeouts, maxReportBytes);
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (answer.error == std::errc::connection_refused)
     {
@@ -58,7 +58,7 @@
 
 auto watchLoads (RouterState& state, Worker& worker) -> Task<void>
 {
-    asio::steady_timer timer (worker.loop);
+    BootTimer timer (worker.loop);
 
     for (;;)
     {
--- a/modules/snowrudder_router/background/PlatformFollower.cpp
+++ b/modules/snowrudder_router/background/PlatformFollower.cpp
@@ -127,7 +127,7 @@
         backOff = minBackOff;
         recordOwnNotice (state, *vms);
         const auto listed = toListedReplicas (*vms);
-        state.replicas.update (listed, SteadyClock::now());
+        state.replicas.update (listed, BootClock::now());
         state.hasReplicas = ! listed.empty();
         co_await pauseFor (worker.loop, jittered (listInterval));
     }
--- a/modules/snowrudder_router/background/Sweep.cpp
+++ b/modules/snowrudder_router/background/Sweep.cpp
@@ -81,13 +81,13 @@
 
 auto sweepRequests (RouterState& state, Worker& worker) -> Task<void>
 {
-    asio::steady_timer timer (worker.loop);
+    BootTimer timer (worker.loop);
     SuspensionWatch suspensions;
 
     for (;;)
     {
         recordSuspension (suspensions, state.metrics);
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
 
         const auto open = state.requests.open();
         const auto remaining = remainingReplicas (state);
--- a/modules/snowrudder_router/gateway/CallerScope.cpp
+++ b/modules/snowrudder_router/gateway/CallerScope.cpp
@@ -40,7 +40,7 @@
 {
     const AccountLimits limits { accountView.requestsPerSecond, accountView.concurrentRequests };
     constexpr auto fullShare = 1.0;
-    const auto admission = state.accounts.admit (account, limits, fullShare, SteadyClock::now());
+    const auto admission = state.accounts.admit (account, limits, fullShare, BootClock::now());
     admitted = admission.admitted;
 
     if (admitted)
@@ -59,7 +59,7 @@
 auto checkCrashVerdict (RouterState& state, const RequestFingerprint& fingerprint, std::string_view requestId)
     -> std::optional<Problem>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const auto assessment = state.crashes.assess (fingerprint, now);
 
     if (assessment.verdict != CrashVerdict::stopped)
--- a/modules/snowrudder_router/model/ChatHandler.cpp
+++ b/modules/snowrudder_router/model/ChatHandler.cpp
@@ -56,7 +56,7 @@
     identity.model = resolved.request.model;
     identity.stream = resolved.request.stream;
     identity.includeUsage = resolved.request.includeUsage;
-    identity.accepted = SteadyClock::now();
+    identity.accepted = BootClock::now();
     identity.deadline = identity.accepted + scope.account->deadline;
     identity.created = std::chrono::floor<std::chrono::seconds> (wallTimeNow());
     identity.contentHash = hashBytes (exchange.request().body());
--- a/modules/snowrudder_router/model/ModelRun.h
+++ b/modules/snowrudder_router/model/ModelRun.h
@@ -106,7 +106,7 @@
     /** The problem that an upstream reported about the request itself. */
     std::optional<Problem> upstreamProblem;
     std::shared_ptr<Signal> signal;
-    asio::steady_timer readTimer;
+    BootTimer readTimer;
     TimePoint lastRead {};
 };
 
--- a/modules/snowrudder_router/model/RecordRelay.cpp
+++ b/modules/snowrudder_router/model/RecordRelay.cpp
@@ -19,7 +19,7 @@
         record.addReader (signal);
     }
 
-    ~ReaderRegistration() { record.removeReader (signal, SteadyClock::now()); }
+    ~ReaderRegistration() { record.removeReader (signal, BootClock::now()); }
 
     ReaderRegistration (const ReaderRegistration&) = delete;
     auto operator= (const ReaderRegistration&) -> ReaderRegistration& = delete;
@@ -67,7 +67,7 @@
 
         if (events.empty())
         {
-            const auto wasNotified = co_await signal.wait (SteadyClock::now() + keepAliveInterval);
+            const auto wasNotified = co_await signal.wait (BootClock::now() + keepAliveInterval);
 
             if (exchange.hasCallerDisconnected())
                 co_return;
@@ -101,7 +101,7 @@
 {
     while (record.state() == RecordState::open)
     {
-        co_await signal.wait (SteadyClock::now() + keepAliveInterval);
+        co_await signal.wait (BootClock::now() + keepAliveInterval);
 
         if (exchange.hasCallerDisconnected())
             co_return;
--- a/modules/snowrudder_router/model/RequestHandover.cpp
+++ b/modules/snowrudder_router/model/RequestHandover.cpp
@@ -16,7 +16,7 @@
 {
     const auto& identity = handed.identity;
     const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds> (identity.deadline - SteadyClock::now());
+        std::chrono::duration_cast<std::chrono::milliseconds> (identity.deadline - BootClock::now());
 
     schema::HandedRequest message;
     message.set_request_id (toString (identity.id));
@@ -103,7 +103,7 @@
     identity.model = request.model;
     identity.stream = request.stream;
     identity.includeUsage = request.includeUsage;
-    identity.accepted = SteadyClock::now();
+    identity.accepted = BootClock::now();
     identity.deadline = identity.accepted + std::chrono::milliseconds (message.milliseconds_left());
     identity.created = std::chrono::sys_seconds (std::chrono::seconds (message.created_seconds()));
     identity.contentHash = message.content_hash();
@@ -176,7 +176,7 @@
     if (run)
         run->start (nullptr);
     else
-        state.requests.markEnded (record, SteadyClock::now());
+        state.requests.markEnded (record, BootClock::now());
 
     return true;
 }
--- a/modules/snowrudder_router/once/OnceHandler.cpp
+++ b/modules/snowrudder_router/once/OnceHandler.cpp
@@ -40,7 +40,7 @@
     const KeyEntry entry { call.input.account->name, call.key, call.contentHash, KeyState::running,
                            toString (call.input.id), record };
     const std::lock_guard lock (state.once.mutex);
-    return state.once.table.decide (entry, SteadyClock::now(), wallTimeNow(), state.once.leaseEnd);
+    return state.once.table.decide (entry, BootClock::now(), wallTimeNow(), state.once.leaseEnd);
 }
 
 /** @returns the endpoint of the key's owner if that is another router with a valid lease; empty otherwise. */
@@ -191,7 +191,7 @@
 auto handleOnce (RouterState& state, Worker& worker, Exchange& exchange, OnceCall call, KeyedRun run)
     -> Task<void>
 {
-    auto end = std::min (SteadyClock::now() + ownerSearchTimeout, call.input.deadline);
+    auto end = std::min (BootClock::now() + ownerSearchTimeout, call.input.deadline);
     const auto record = makeCallRecord (call.input, call.contentHash);
 
     for (;;)
@@ -216,11 +216,11 @@
             co_return;
 
         if (ownerResponse == OwnerResponse::slow)
-            end = std::min (SteadyClock::now() + ownerSearchTimeout, call.input.deadline);
+            end = std::min (BootClock::now() + ownerSearchTimeout, call.input.deadline);
 
         // A router that gets a forwarded call and doesn't own the key responds so at once. The router that forwarded the call
         // searches for the owner again.
-        if (call.isForwarded || SteadyClock::now() >= end)
+        if (call.isForwarded || BootClock::now() >= end)
             break;
 
         co_await pauseFor (worker.loop, ownerSearchInterval);
--- a/modules/snowrudder_router/once/SlotHandover.cpp
+++ b/modules/snowrudder_router/once/SlotHandover.cpp
@@ -44,7 +44,7 @@
 /** Waits until no call with an idempotency key is running in any slot of this router, or until a point in time. */
 auto waitForKeyedCalls (RouterState& state, Worker& worker, TimePoint until) -> Task<void>
 {
-    while (SteadyClock::now() < until)
+    while (BootClock::now() < until)
     {
         auto running = std::size_t { 0 };
 
@@ -163,7 +163,7 @@
     RequestIdentity identity;
     identity.id = *id;
     identity.account = handed.account();
-    identity.accepted = SteadyClock::now();
+    identity.accepted = BootClock::now();
     identity.deadline = identity.accepted;
     identity.contentHash = handed.content_hash();
 
@@ -174,7 +174,7 @@
     auto kept = state.requests.addHandedOver (record);
 
     if (kept == record)
-        state.requests.markEnded (record, SteadyClock::now());
+        state.requests.markEnded (record, BootClock::now());
 
     return kept;
 }
@@ -187,7 +187,7 @@
     constexpr auto handoverTimeout = 2s;
     PlatformClient platform (worker.pool, parseEndpoint (state.settings.platform()), state.metrics);
     auto shares = divideSlots (state);
-    co_await waitForKeyedCalls (state, worker, SteadyClock::now() + keyedCallTimeout);
+    co_await waitForKeyedCalls (state, worker, BootClock::now() + keyedCallTimeout);
 
     for (auto& [name, share] : shares)
     {
--- a/modules/snowrudder_router/once/SlotKeeper.cpp
+++ b/modules/snowrudder_router/once/SlotKeeper.cpp
@@ -122,10 +122,10 @@
     {
         const auto lease = currentLease();
 
-        if (lease != 0 && SteadyClock::now() < renewAt)
+        if (lease != 0 && BootClock::now() < renewAt)
             co_return;
 
-        const auto requestedAt = SteadyClock::now();
+        const auto requestedAt = BootClock::now();
 
         if (lease != 0)
         {
@@ -133,7 +133,7 @@
 
             if (outcome == WriteOutcome::done)
                 recordLease (lease, requestedAt);
-            else if (outcome == WriteOutcome::refused && SteadyClock::now() >= leaseEnd())
+            else if (outcome == WriteOutcome::refused && BootClock::now() >= leaseEnd())
                 dropLease();
 
             co_return;
@@ -172,7 +172,7 @@
         renewAt = requestedAt + renewalInterval();
 
         if (registeredAt == TimePoint())
-            registeredAt = SteadyClock::now();
+            registeredAt = BootClock::now();
 
         const std::lock_guard lock (once.mutex);
         once.lease = lease;
@@ -210,7 +210,7 @@
 
     [[nodiscard]] auto mayClaim() const -> bool
     {
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
         return currentLease() != 0 && now < leaseEnd() && now - registeredAt >= claimDelay;
     }
 
--- a/modules/snowrudder_router/peers/CrashExchange.cpp
+++ b/modules/snowrudder_router/peers/CrashExchange.cpp
@@ -63,7 +63,7 @@
 
     for (;;)
     {
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
         auto newEvidence = state.crashes.table().takeUnsent (maxEvidencePerNotice);
 
         if (! newEvidence.empty())
@@ -79,13 +79,13 @@
             co_await compareWithOne (state, worker, now);
         }
 
-        co_await changeSignal->wait (SteadyClock::now() + compareInterval);
+        co_await changeSignal->wait (BootClock::now() + compareInterval);
     }
 }
 
 auto exchangeCrashes (RouterState& state, const std::string& message) -> std::optional<std::string>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const auto received = decodeCrashes (message, now);
 
     if (! received)
--- a/modules/snowrudder_router/peers/TreeExchange.cpp
+++ b/modules/snowrudder_router/peers/TreeExchange.cpp
@@ -88,7 +88,7 @@
     status.set_ready (state.isReady());
     status.set_leaving (state.leaving);
     status.set_open_requests (static_cast<std::uint32_t> (state.requests.openCount()));
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     state.replicas.forEach (
         [&] (const ReplicaState& replica)
--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -21,7 +21,7 @@
     -> Task<AttemptResult>
 {
     auto timeouts = state.timeouts.call;
-    timeouts.firstByte = std::min (timeouts.firstByte, input.deadline - SteadyClock::now());
+    timeouts.firstByte = std::min (timeouts.firstByte, input.deadline - BootClock::now());
 
     auto owned = std::make_unique<UpstreamCall> (worker.pool, parseEndpoint (ticket.info.endpoint), timeouts);
     auto& call = *owned;
@@ -55,7 +55,7 @@
 auto waitForVerdict (RouterState& state, Worker& worker, const PlainCallInput& input) -> Task<CrashAssessment>
 {
     return state.crashes.waitForVerdict (worker.loop, input.fingerprint, input.service->name,
-                                         [end = input.deadline] { return SteadyClock::now() >= end; });
+                                         [end = input.deadline] { return BootClock::now() >= end; });
 }
 
 /** @returns the state of an attempt's replica address after a failure that may be a crash, for the log. */
@@ -71,7 +71,7 @@
         co_return "not_asked";
 
     InterruptedAttempt ended { input.fingerprint, toString (input.id), input.account->name,
-                               ticket.number,     ticket.info,         SteadyClock::now() };
+                               ticket.number,     ticket.info,         BootClock::now() };
     co_return co_await state.crashes.examine (worker.probes, std::move (ended));
 }
 
@@ -83,7 +83,7 @@
     identity.id = input.id;
     identity.account = input.account->name;
     identity.service = input.service->name;
-    identity.accepted = SteadyClock::now();
+    identity.accepted = BootClock::now();
     identity.deadline = input.deadline;
     identity.contentHash = contentHash;
     // Allocated separately from its reference count (no make_shared): a key keeps a weak pointer to the record for ten minutes,
@@ -106,12 +106,12 @@
 
         if (assessment.verdict == CrashVerdict::stopped)
         {
-            state.crashes.reportStopped (input.fingerprint, idText, assessment, SteadyClock::now());
+            state.crashes.reportStopped (input.fingerprint, idText, assessment, BootClock::now());
             co_return problemWhenStopped (retry.mayHaveRun);
         }
 
         // The deadline may have passed during the wait for a verdict.
-        if (SteadyClock::now() >= input.deadline)
+        if (BootClock::now() >= input.deadline)
             co_return makeProblem (ErrorKind::deadlineExceeded, retry.mayHaveRun ? Ran::unknown : Ran::no,
                                    {});
 
@@ -126,7 +126,7 @@
         std::string_view addressState = "not_asked";
 
         if (const auto taken = state.replicas.take (input.service->name, choice,
-                                                    choiceWeights (*input.service), SteadyClock::now()))
+                                                    choiceWeights (*input.service), BootClock::now()))
         {
             logRoutingDecision (idText, input.account->name, *taken, attempt);
             tried.push_back (taken->ticket.number);
@@ -145,7 +145,7 @@
         recordFailure (failures, outcome);
         retry.attempts = countedAttempts (failures, 0);
         retry.jitter = randomFraction();
-        auto decision = decideAfterFailure (outcome, retry, SteadyClock::now());
+        auto decision = decideAfterFailure (outcome, retry, BootClock::now());
         retry.mayHaveRun = retry.mayHaveRun || ranAfter (outcome) != Ran::no;
 
         if (decision.shouldRetry && decision.takesBudget)
--- a/modules/snowrudder_router/plain/PlainCall.h
+++ b/modules/snowrudder_router/plain/PlainCall.h
@@ -36,7 +36,7 @@
     {
     }
 
-    ~PlainAnswer() { state.replicas.release (ticket, health, SteadyClock::now()); }
+    ~PlainAnswer() { state.replicas.release (ticket, health, BootClock::now()); }
 
     PlainAnswer (const PlainAnswer&) = delete;
     auto operator= (const PlainAnswer&) -> PlainAnswer& = delete;
--- a/modules/snowrudder_router/plain/PlainHandler.cpp
+++ b/modules/snowrudder_router/plain/PlainHandler.cpp
@@ -96,7 +96,7 @@
     resolved.input.id = scope.id;
     resolved.input.repeatable =
         ! isMarkedNotRepeatable && isRepeatable (service->settings, toView (received.method_string()), path);
-    resolved.input.deadline = SteadyClock::now() + scope.account->deadline;
+    resolved.input.deadline = BootClock::now() + scope.account->deadline;
     resolved.input.request = upstreamRequest (received, target.upstreamTarget, toString (scope.id));
     resolved.input.fingerprint = fingerprintOf (state.settings.node_secret(),
                                                 { scope.account->name, toView (received.method_string()),
@@ -108,7 +108,7 @@
 class CallInProgress
 {
 public:
-    explicit CallInProgress (RouterState& routerState) : state (routerState), since (SteadyClock::now())
+    explicit CallInProgress (RouterState& routerState) : state (routerState), since (BootClock::now())
     {
         state.plainCalls.fetch_add (1);
     }
@@ -116,7 +116,7 @@
     ~CallInProgress()
     {
         state.plainCalls.fetch_sub (1);
-        state.counts.plainCalls.add (SteadyClock::now() - since);
+        state.counts.plainCalls.add (BootClock::now() - since);
     }
 
     CallInProgress (const CallInProgress&) = delete;
@@ -138,7 +138,7 @@
     queued.account = input.account->name;
     queued.weight = input.account->weight;
     queued.cost = 1.0 + static_cast<double> (input.request.body().size()) / bytesPerWorkUnit;
-    queued.deadline = queueDeadline (*input.service, SteadyClock::now(), input.deadline);
+    queued.deadline = queueDeadline (*input.service, BootClock::now(), input.deadline);
     const auto queueLimit = settings.has_queue_limit() ? settings.queue_limit() : defaultQueueLimit;
     return state.queues.acquire (input.service->name, std::move (queued), queueLimit,
                                  worker.loop.get_executor());
@@ -148,7 +148,7 @@
 auto recordSuccess (RouterState& state, const PlainCallInput& input, const UpstreamCall& call) -> void
 {
     if (call.hasSucceeded())
-        state.crashes.table().recordSuccess (input.fingerprint, SteadyClock::now());
+        state.crashes.table().recordSuccess (input.fingerprint, BootClock::now());
 }
 
 /** Keeps a small answer, so that its caller can fetch it by the request identifier. */
@@ -166,7 +166,7 @@
     record->finish (
         KeptAnswer { call.status(), std::string (call.header()[http::field::content_type]), answer.body });
     state.requests.add (record, noKey);
-    state.requests.markEnded (record, SteadyClock::now());
+    state.requests.markEnded (record, BootClock::now());
 }
 
 auto relayUnkeyed (RouterState& state, Worker& worker, Exchange& exchange, const PlainCallInput& input)
@@ -208,7 +208,7 @@
     if (! permit.granted)
     {
         record->fail (overloadProblem (permit));
-        state.requests.markEnded (record, SteadyClock::now());
+        state.requests.markEnded (record, BootClock::now());
         co_return;
     }
 
@@ -218,7 +218,7 @@
     if (auto* problem = std::get_if<Problem> (&result))
     {
         record->fail (std::move (*problem));
-        state.requests.markEnded (record, SteadyClock::now());
+        state.requests.markEnded (record, BootClock::now());
         co_return;
     }
 
@@ -234,7 +234,7 @@
         record->finish (std::move (kept));
 
     recordSuccess (state, input, call);
-    state.requests.markEnded (record, SteadyClock::now());
+    state.requests.markEnded (record, BootClock::now());
 }
 
 /** @returns a hash of method, target and body. It distinguishes a repeated request from a different one with the same
--- a/modules/snowrudder_serving/crashes/CrashMonitor.cpp
+++ b/modules/snowrudder_serving/crashes/CrashMonitor.cpp
@@ -173,20 +173,20 @@
                                    std::string service,
                                    std::function<bool()> isCancelled) -> Task<CrashAssessment>
 {
-    auto assessment = crashes.assess (request, SteadyClock::now());
+    auto assessment = crashes.assess (request, BootClock::now());
 
     if (shouldPause (assessment))
     {
         co_await pauseFor (
             loop, std::chrono::duration_cast<Duration> (maxPauseFor (assessment) * randomFraction()));
-        assessment = crashes.assess (request, SteadyClock::now());
+        assessment = crashes.assess (request, BootClock::now());
     }
 
     while (assessment.verdict != CrashVerdict::clear &&
            shouldWait (assessment, suspectConditions (request, service)) && ! isCancelled())
     {
         co_await pauseFor (loop, verdictPollInterval);
-        assessment = crashes.assess (request, SteadyClock::now());
+        assessment = crashes.assess (request, BootClock::now());
     }
 
     co_return assessment;
@@ -221,7 +221,7 @@
     const auto crash = toReplicaCrash (attempt);
     replicas.markEnded (crash.replica, crash.at);
     const auto isNew = crashes.recordCrash (attempt.request, attempt.account, crash);
-    const auto assessment = crashes.assess (attempt.request, SteadyClock::now());
+    const auto assessment = crashes.assess (attempt.request, BootClock::now());
     confirmedCrashes.add();
     LogLine ("crash_evidence")
         .with ("request", attempt.requestId)
@@ -241,7 +241,7 @@
 auto CrashMonitor::reportOpenEnd (const InterruptedAttempt& attempt) -> void
 {
     const auto isNew = crashes.recordUnconfirmedCrash (attempt.request, attempt.account,
-                                                       toReplicaCrash (attempt), SteadyClock::now());
+                                                       toReplicaCrash (attempt), BootClock::now());
 
     if (isNew && onNewEvidence)
         onNewEvidence();
@@ -272,7 +272,7 @@
     SuspectContext conditions;
     constexpr auto scarceShare = 0.5;
     conditions.areReplicasScarce =
-        replicas.capacity (service, SteadyClock::now()).slots < scarceShare * replicas.totals (service).slots;
+        replicas.capacity (service, BootClock::now()).slots < scarceShare * replicas.totals (service).slots;
 
     const std::lock_guard lock (mutex);
     conditions.isRunning = running.contains (request);
--- a/modules/snowrudder_serving/crashes/SharedProbes.cpp
+++ b/modules/snowrudder_serving/crashes/SharedProbes.cpp
@@ -26,7 +26,7 @@
 
 auto SharedProbes::probe (const std::string& endpoint) -> Task<EndpointState>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const auto found = probes.find (endpoint);
     const auto isUsable =
         found != probes.end() && (! found->second->state || (found->second->state == EndpointState::refuses &&
@@ -48,7 +48,7 @@
     const auto own = std::make_shared<Probe>();
     probes.insert_or_assign (endpoint, own);
     own->state = co_await probeEndpoint (pool, parseEndpoint (endpoint), probeTimeout);
-    own->ended = SteadyClock::now();
+    own->ended = BootClock::now();
     co_return *own->state;
 }
 
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -106,7 +106,7 @@
 auto placeOrder (ServingState& state, const DutyCalls& calls, CapacityMemory& memory, CapacityOrder order)
     -> Task<void>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (! mayCallDuty (state.leadership, state.leadershipTimes, now))
         co_return;
@@ -192,7 +192,7 @@
                   CapacityMemory& memory,
                   const UpstreamService& service) -> Task<void>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     auto input = inputFor (state, memory, service, now);
     const auto bootTime = input.bounds.bootTime;
 
@@ -231,7 +231,7 @@
 
         const auto configuration = state.configuration.current;
 
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
 
         if (state.hasReplicas && firstSeen == TimePoint())
             firstSeen = now;
--- a/modules/snowrudder_serving/duties/Leadership.h
+++ b/modules/snowrudder_serving/duties/Leadership.h
@@ -11,8 +11,8 @@
 namespace snowrudder
 {
 
-/** State of this node's leadership: its hold on the duties that one node performs for all. All times are steady-clock
-    times taken before a call is sent, so that a late response never extends a lease.
+/** State of this node's leadership: its hold on the duties that one node performs for all. All times are taken
+    before a call is sent, so that a late response never extends a lease.
 */
 struct Leadership
 {
--- a/modules/snowrudder_serving/duties/LeadershipLoop.cpp
+++ b/modules/snowrudder_serving/duties/LeadershipLoop.cpp
@@ -19,11 +19,11 @@
 /** Renews the lease, and waits until the next renewal. */
 auto renewAndWait (ServingState& state, const StateStore& store) -> Task<void>
 {
-    const auto sentAt = SteadyClock::now();
+    const auto sentAt = BootClock::now();
     const auto outcome = co_await store.renewLease (state.leadership.lease);
     recordRenewal (state.leadership, outcome, state.leadershipTimes, sentAt);
 
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (state.leadership.fence != 0 && now >= state.leadership.leaseEnd)
         recordLoss (state.leadership, "lease_may_have_ended", now);
@@ -35,7 +35,7 @@
 auto tryToAcquire (ServingState& state, const StateStore& store) -> Task<void>
 {
     auto& own = state.leadership;
-    const auto sentAt = SteadyClock::now();
+    const auto sentAt = BootClock::now();
 
     if (own.lease == 0 || sentAt >= own.leaseEnd)
     {
@@ -51,7 +51,7 @@
     auto take = makeCreateTransaction (std::string (leaderKey), own.token, own.lease);
     const auto taken = co_await store.commit (std::move (take));
 
-    if (taken.outcome == StoreOutcome::done && SteadyClock::now() < own.leaseEnd)
+    if (taken.outcome == StoreOutcome::done && BootClock::now() < own.leaseEnd)
         recordAcquisition (own, taken.revision);
 }
 
@@ -71,7 +71,7 @@
 
     // An earlier call of this node acquired the duties, and its response was lost.
     if (holder != nullptr && holder->value == own.token && holder->lease == own.lease && own.lease != 0 &&
-        SteadyClock::now() < own.leaseEnd)
+        BootClock::now() < own.leaseEnd)
     {
         recordAcquisition (own, holder->revision);
         co_return;
@@ -79,7 +79,7 @@
 
     if (holder != nullptr)
     {
-        own.otherHolderSeen = SteadyClock::now();
+        own.otherHolderSeen = BootClock::now();
         const auto changed = co_await store.watch (std::string (leaderKey), read.revision, watchTime);
 
         if (changed.outcome != StoreOutcome::done)
@@ -88,7 +88,7 @@
         co_return;
     }
 
-    if (mayCompete (own, state.leadershipTimes, SteadyClock::now()) && ! state.leaving)
+    if (mayCompete (own, state.leadershipTimes, BootClock::now()) && ! state.leaving)
         co_await tryToAcquire (state, store);
     else
         co_await pauseFor (state.loop, failurePause);
@@ -99,7 +99,7 @@
 {
     const auto lease = state.leadership.lease;
     const auto wasHeld = state.leadership.fence != 0;
-    recordLoss (state.leadership, reason, SteadyClock::now());
+    recordLoss (state.leadership, reason, BootClock::now());
 
     if (! wasHeld)
         co_return;
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -77,7 +77,7 @@
 {
     const auto counts = co_await persistCounts (state, store, window);
 
-    if (! counts || ! mayCallDuty (state.leadership, state.leadershipTimes, SteadyClock::now()))
+    if (! counts || ! mayCallDuty (state.leadership, state.leadershipTimes, BootClock::now()))
         co_return StoreOutcome::unknown;
 
     const DutyHolder holder { state.settings.node, state.leadership.fence };
@@ -120,27 +120,27 @@
 {
     UsageSchedule schedule;
     auto fence = std::uint64_t { 0 };
-    schedule.started = state.trueTime.now (SteadyClock::now());
+    schedule.started = state.trueTime.now (BootClock::now());
     state.usage.recordRunning (schedule.started);
 
     for (;;)
     {
         co_await pauseFor (state.loop, tick);
 
-        const auto now = state.trueTime.now (SteadyClock::now());
+        const auto now = state.trueTime.now (BootClock::now());
         state.usage.recordRunning (now);
         const auto oldestKept = state.usage.windowOf (now - retentionTime);
         state.usage.dropBefore (oldestKept);
         state.usageOfOthers.dropBefore (oldestKept);
         schedule.reported.erase (schedule.reported.begin(), schedule.reported.lower_bound (oldestKept));
 
-        if (mayCallDuty (state.leadership, state.leadershipTimes, SteadyClock::now()) &&
+        if (mayCallDuty (state.leadership, state.leadershipTimes, BootClock::now()) &&
             state.leadership.fence != fence && co_await readLastPersistedWindow (schedule, store))
             fence = state.leadership.fence;
 
         for (const auto window : windowsDue (schedule, state.usage, state.usageOfOthers, now))
         {
-            if (! mayCallDuty (state.leadership, state.leadershipTimes, SteadyClock::now()))
+            if (! mayCallDuty (state.leadership, state.leadershipTimes, BootClock::now()))
                 break;
 
             const auto outcome = co_await reportWindow (state, store, calls, window);
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -140,18 +140,18 @@
                      std::string_view missing,
                      std::function<bool()> isReady) -> Task<void>
 {
-    const auto began = SteadyClock::now();
+    const auto began = BootClock::now();
 
     if (isReady() || began >= end)
         co_return;
 
-    while (! isReady() && SteadyClock::now() < end)
+    while (! isReady() && BootClock::now() < end)
         co_await pauseFor (state.loop, startPollInterval);
 
     LogLine ("waited_for_start")
         .with ("request", caller.id)
         .with ("lacked", missing)
-        .with ("milliseconds", inMilliseconds (SteadyClock::now() - began))
+        .with ("milliseconds", inMilliseconds (BootClock::now() - began))
         .with ("can_decide", isReady() ? "yes" : "no")
         .info();
 }
@@ -168,13 +168,13 @@
 /** @returns whether this node has received what the other nodes admit. */
 auto hasSettledLimits (const ServingState& state) -> bool
 {
-    return isSettled (state.sharing, state.peers, SteadyClock::now());
+    return isSettled (state.sharing, state.peers, BootClock::now());
 }
 
 /** Delays a request that was refused by its account's limit until this node has received what the other nodes admit. */
 auto waitForLimits (const ServingState& state, const CallerRequest& caller, TimePoint arrived) -> Task<void>
 {
-    const auto end = startWaitEnd (caller, arrived, SteadyClock::now() + maxSettlingWait);
+    const auto end = startWaitEnd (caller, arrived, BootClock::now() + maxSettlingWait);
     return waitUntilReady (state, caller, end, "limits", [&state] { return hasSettledLimits (state); });
 }
 
@@ -246,17 +246,17 @@
 
     auto& caller = std::get<CallerRequest> (read);
     const auto id = caller.id;
-    const auto arrived = SteadyClock::now();
+    const auto arrived = BootClock::now();
     co_await waitForStart (state, caller, arrived);
 
-    auto now = SteadyClock::now();
+    auto now = BootClock::now();
     auto isSecondCheck = false;
     auto admitted = admit (state, caller, arrived, isSecondCheck, now);
 
     if (isOverLimit (admitted) && ! hasSettledLimits (state))
     {
         co_await waitForLimits (state, caller, arrived);
-        now = SteadyClock::now();
+        now = BootClock::now();
         isSecondCheck = true;
         admitted = admit (state, caller, arrived, isSecondCheck, now);
     }
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -40,12 +40,12 @@
     @param secret  the secret that all nodes of the fleet share; it keys the signature
     @param now     the time to which the encoded ages are relative
 */
-auto encodeMessage (const NodeMessage& message, std::string_view secret, TimePoint now = SteadyClock::now())
+auto encodeMessage (const NodeMessage& message, std::string_view secret, TimePoint now = BootClock::now())
     -> std::string;
 
 /** @returns the message of a datagram, or nothing if it is malformed, too large or not signed with the fleet's secret.
 */
-auto decodeMessage (std::string_view datagram, std::string_view secret, TimePoint now = SteadyClock::now())
+auto decodeMessage (std::string_view datagram, std::string_view secret, TimePoint now = BootClock::now())
     -> std::optional<NodeMessage>;
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -81,7 +81,7 @@
     if (! state.leaving)
         co_await joinMembers();
 
-    if (! mustListMembers (state.storeUpdates, SteadyClock::now()))
+    if (! mustListMembers (state.storeUpdates, BootClock::now()))
     {
         co_await pauseFor (state.loop, listPause());
         co_return true;
@@ -99,7 +99,7 @@
 
 auto Membership::listPause() const -> Duration
 {
-    const auto isNew = isRecentlyStarted (state.sharing, SteadyClock::now());
+    const auto isNew = isRecentlyStarted (state.sharing, BootClock::now());
     return jittered (isNew ? Duration (firstListInterval) : Duration (listInterval));
 }
 
@@ -158,7 +158,7 @@
 
 auto Membership::joinMembers() -> Task<void>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (lease != 0)
     {
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -93,7 +93,7 @@
     if (membership.secret().empty())
         return;
 
-    if (! mayAnnounce (promptBudget, notice.tokens, membership.others().size(), SteadyClock::now()))
+    if (! mayAnnounce (promptBudget, notice.tokens, membership.others().size(), BootClock::now()))
         return;
 
     notice.node = state.settings.node;
@@ -130,12 +130,12 @@
         else if (auto* response = std::get_if<StoreUpdateResponse> (&*message))
             handle (std::move (*response));
         else if (const auto* prompt = std::get_if<PromptNotice> (&*message))
-            state.replicas.recordAnnouncedPrompt (prompt->replica, prompt->tokens, SteadyClock::now());
+            state.replicas.recordAnnouncedPrompt (prompt->replica, prompt->tokens, BootClock::now());
         else if (const auto* usage = std::get_if<UsageNotice> (&*message))
             (usage->isOfRollouts ? state.rollouts.others() : state.usageOfOthers).record (*usage);
         else if (const auto* crashes = std::get_if<CrashNotice> (&*message))
             state.crashes.receiveEvidence (crashes->evidence, crashes->node,
-                                           state.role() == ReportRole::reader, SteadyClock::now());
+                                           state.role() == ReportRole::reader, BootClock::now());
         else
             handle (std::get<LoadNotice> (*message));
     }
@@ -149,7 +149,7 @@
         ! shouldAcceptReport (own, report.scope, sender == route.reader))
         return;
 
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const auto isFirst = state.peers.isFirst (report);
 
     if (isFirst || report.crashDigest != state.crashes.table().digest (now))
@@ -177,7 +177,7 @@
 
 auto PeerExchange::respond (const StoreUpdateQuery& query, const Endpoint& sender) -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     recordLoads (query.loads, true);
     auto response = makeStoreUpdateResponse (query, state.storeUpdates, state.configuration, state.directory,
                                              state.settings.node, now);
@@ -197,7 +197,7 @@
 
 auto PeerExchange::handle (StoreUpdateResponse response) -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     recordLoads (response.loads, false);
     state.rollouts.table.isLoaded = state.rollouts.table.isLoaded || response.areRolloutsKnown;
 
@@ -221,16 +221,16 @@
 {
     for (;;)
     {
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
         const auto isFirstReportPending = ! hasSentFirstReport && isRecentlyStarted (state.sharing, now);
         co_await pauseFor (state.loop,
                            isFirstReportPending ? firstReportInterval : timeUntilNextReport (now));
-        state.quota.setDemandOfOthers (demandOfOthers (state.sharing, state.peers, SteadyClock::now()));
+        state.quota.setDemandOfOthers (demandOfOthers (state.sharing, state.peers, BootClock::now()));
 
         if (! hasPeers())
             continue;
 
-        const auto sent = SteadyClock::now();
+        const auto sent = BootClock::now();
         const auto targets = chooseReportTargets (sent);
         const auto report = makeReport (scopeToSend (state.role()), {}, sent);
         const auto datagram = encodeMessage (report, membership.secret());
@@ -259,7 +259,7 @@
         if (! hasPeers())
             continue;
 
-        sendUsage (SteadyClock::now());
+        sendUsage (BootClock::now());
         sendRolloutCounts();
     }
 }
@@ -327,14 +327,14 @@
 
         for (const auto& recipient : recipients)
             if (std::ranges::find (knownRecipients, recipient) == knownRecipients.end())
-                if (const auto datagram = encodeAllCrashes (state, membership, SteadyClock::now());
+                if (const auto datagram = encodeAllCrashes (state, membership, BootClock::now());
                     ! datagram.empty())
                     send (datagram, recipient);
 
         knownRecipients = std::move (recipients);
 
-        if (! hasPeers() || ! sendNewCrashes (SteadyClock::now()))
-            co_await crashWake->wait (SteadyClock::now() + idleCrashWait);
+        if (! hasPeers() || ! sendNewCrashes (BootClock::now()))
+            co_await crashWake->wait (BootClock::now() + idleCrashWait);
         else
             co_await pauseFor (state.loop, crashInterval);
     }
@@ -396,7 +396,7 @@
         if (! hasPeers())
             continue;
 
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
 
         if (state.storeUpdates.isReader)
             sendLoads (now);
@@ -407,7 +407,7 @@
 
 auto PeerExchange::recordLoads (const std::vector<SharedLoad>& loads, bool shouldForward) -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     for (const auto& load : loads)
         if (state.loads.record (load, shouldForward, now))
--- a/modules/snowrudder_serving/members/TrueTime.h
+++ b/modules/snowrudder_serving/members/TrueTime.h
@@ -5,7 +5,7 @@
 namespace snowrudder
 {
 
-/** Wall time derived from the steady clock, since the wall clock itself may jump by seconds and back. A changed offset
+/** Wall time derived from the boot clock, since the wall clock itself may jump by seconds and back. A changed offset
     between the two clocks is adopted only after it has lasted longer than such jumps do.
 */
 class TrueTime
@@ -15,9 +15,9 @@
 
         @param wall  the wall clock's time since the Unix epoch
     */
-    auto compare (TimePoint steady, Duration wall) -> void
+    auto compare (TimePoint boot, Duration wall) -> void
     {
-        const auto difference = wall - steady.time_since_epoch();
+        const auto difference = wall - boot.time_since_epoch();
 
         if (! isSet)
             offset = difference;
@@ -32,9 +32,9 @@
         }
 
         if (differsSince == TimePoint())
-            differsSince = steady;
+            differsSince = boot;
 
-        if (steady - differsSince < jumpTime)
+        if (boot - differsSince < jumpTime)
             return;
 
         offset = difference;
@@ -42,7 +42,7 @@
     }
 
     /** @returns the time since the Unix epoch. */
-    [[nodiscard]] auto now (TimePoint steady) const -> Duration { return steady.time_since_epoch() + offset; }
+    [[nodiscard]] auto now (TimePoint boot) const -> Duration { return boot.time_since_epoch() + offset; }
 
 private:
     /** Differences up to this are ignored. Clocks of VMs differ by some tens of milliseconds and drift slowly. */
@@ -50,7 +50,7 @@
     /** How long a difference must last to be adopted. Observed jumps of the wall clock lasted a few seconds. */
     static constexpr auto jumpTime = Duration (15s);
 
-    /** Wall clock minus steady clock. */
+    /** Wall clock minus boot clock. */
     Duration offset {};
     bool isSet = false;
     /** When the clocks began to differ from `offset`; a default TimePoint while they agree. */
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -37,7 +37,7 @@
     face.store = withCallMetrics (std::move (face.store), state.metrics);
     state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
-    state.trueTime.compare (SteadyClock::now(), wallTimeNow().time_since_epoch());
+    state.trueTime.compare (BootClock::now(), wallTimeNow().time_since_epoch());
 }
 
 auto ServingNode::run (const std::function<void()>& onReload) -> std::error_code
@@ -125,14 +125,14 @@
 
 auto ServingNode::answerReadiness (Exchange& exchange) -> Task<void>
 {
-    const auto isReady = exchange.path() == face.readinessPath && state.isReady (SteadyClock::now());
+    const auto isReady = exchange.path() == face.readinessPath && state.isReady (BootClock::now());
     const auto status = isReady ? http::status::ok : http::status::service_unavailable;
     co_await exchange.respond (status, "text/plain", isReady ? "ready\n" : "not ready\n");
 }
 
 auto ServingNode::answerMetrics (Exchange& exchange) -> Task<void>
 {
-    publishSizes (state.metrics, state.crashes.table().sizes (SteadyClock::now()));
+    publishSizes (state.metrics, state.crashes.table().sizes (BootClock::now()));
     co_await exchange.respond (http::status::ok, "text/plain; version=0.0.4", state.metrics.text());
 }
 
@@ -155,7 +155,7 @@
     for (;;)
     {
         recordSuspension (suspensions, state.metrics);
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
         state.trueTime.compare (now, wallTimeNow().time_since_epoch());
         state.pool.closeExpired (now);
         state.quota.charge (state.peers.chargeSilentPeers (sweepInterval, now), now);
@@ -206,7 +206,7 @@
     asio::signal_set signals (state.loop, SIGTERM, SIGINT);
     co_await signals.async_wait (asTuple);
 
-    const auto asked = SteadyClock::now();
+    const auto asked = BootClock::now();
     const auto drainStart = asked + balancerRemovalTime;
     const auto end = asked + state.settings.grace - graceMargin;
     state.leaving = true;
@@ -217,17 +217,16 @@
 
     // While this node drains, its counts are sent to the other nodes. If it knows none, it keeps querying: one may
     // have just started.
-    while (SteadyClock::now() < drainStart)
+    while (BootClock::now() < drainStart)
     {
         co_await membership.listOthersIfNone();
-        co_await pauseFor (state.loop,
-                           std::min<Duration> (peerPollInterval, drainStart - SteadyClock::now()));
+        co_await pauseFor (state.loop, std::min<Duration> (peerPollInterval, drainStart - BootClock::now()));
     }
 
     state.isDrained = true;
     callers->drain();
 
-    while (SteadyClock::now() < end && (state.openRequests > 0 || callers->busyConnections() > 0))
+    while (BootClock::now() < end && (state.openRequests > 0 || callers->busyConnections() > 0))
     {
         co_await pauseFor (state.loop, sweepInterval);
     }
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -102,7 +102,7 @@
     WorkMeter work;
     Leadership leadership;
     const LeadershipTimes leadershipTimes;
-    QuotaSharing sharing { SteadyClock::now(), std::nullopt, false };
+    QuotaSharing sharing { BootClock::now(), std::nullopt, false };
     SharedQuota quota;
     PeerTable peers;
     TrueTime trueTime;
--- a/modules/snowrudder_serving/queue/PermitGuard.h
+++ b/modules/snowrudder_serving/queue/PermitGuard.h
@@ -11,13 +11,13 @@
 public:
     PermitGuard (ServiceQueues& serviceQueues, std::string serviceName, std::string accountName)
         : queues (serviceQueues), service (std::move (serviceName)), account (std::move (accountName)),
-          acquiredAt (SteadyClock::now())
+          acquiredAt (BootClock::now())
     {
     }
 
     ~PermitGuard()
     {
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
         queues.release (service, account, now - acquiredAt, now);
     }
 
--- a/modules/snowrudder_serving/queue/ServiceQueues.cpp
+++ b/modules/snowrudder_serving/queue/ServiceQueues.cpp
@@ -41,7 +41,7 @@
     {
         const std::lock_guard lock (mutex);
         auto& entry = services[service];
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
 
         if (! entry.hasCapacity)
         {
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -59,7 +59,7 @@
     exchange.watchCaller ([this] { onCallerGone(); });
 
     const auto permit = co_await enterQueue();
-    state.counts.queueWait.add (SteadyClock::now() - request.accepted);
+    state.counts.queueWait.add (BootClock::now() - request.accepted);
 
     if (! permit.granted)
     {
@@ -136,12 +136,12 @@
 
     if (assessment.verdict == CrashVerdict::stopped)
     {
-        state.crashes.reportStopped (request.fingerprint, request.caller.id, assessment, SteadyClock::now());
+        state.crashes.reportStopped (request.fingerprint, request.caller.id, assessment, BootClock::now());
         co_return AttemptOutcome { CallStage::notSent, FailureCause::stopped };
     }
 
     // The caller may have disconnected, or the deadline passed, during the wait for a verdict.
-    if (isCallerGone || SteadyClock::now() >= request.deadline)
+    if (isCallerGone || BootClock::now() >= request.deadline)
         co_return AttemptOutcome { CallStage::notSent,
                                    isCallerGone ? FailureCause::abandoned : FailureCause::deadline };
 
@@ -156,7 +156,7 @@
 
     state.counts.attempts.add();
     auto ticket = taken->ticket;
-    state.work.record (request.service, ticket.expectedTokens, SteadyClock::now());
+    state.work.record (request.service, ticket.expectedTokens, BootClock::now());
     tried.push_back (ticket.number);
 
     state.announcePrompt ({ {}, replicaHash (ticket.info.name), ticket.expectedTokens });
@@ -190,7 +190,7 @@
     const auto health = isCallerGone ? AttemptHealth::neutral
                         : outcome    ? attemptHealthOf (*outcome)
                                      : AttemptHealth::good;
-    state.replicas.release (ticket, health, SteadyClock::now());
+    state.replicas.release (ticket, health, BootClock::now());
     co_return outcome;
 }
 
@@ -203,7 +203,7 @@
 
     auto& message = request.caller.message;
     state.protocol.setFields (message, attemptFields (ticket));
-    sentAt = SteadyClock::now();
+    sentAt = BootClock::now();
 
     if (message.method() == http::verb::head)
         call.expectNoBody();
@@ -226,7 +226,7 @@
                                        const UpstreamAnswer& answer,
                                        ReplicaTicket& ticket) -> Failure
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (! answer.belongsToRequest)
     {
@@ -282,7 +282,7 @@
     const std::string keepUpstreamId;
     const auto status = call.status();
     co_await relayAnswer (exchange, call, std::move (body), keepUpstreamId);
-    state.counts.wholeAnswer.add (SteadyClock::now() - request.accepted);
+    state.counts.wholeAnswer.add (BootClock::now() - request.accepted);
     recordSuccess (call);
     logEnd (exchange.hasEnded() ? "answered" : "broken_off", status);
 
@@ -323,7 +323,7 @@
 
     recordSuccess (call);
     co_await exchange.endStream();
-    state.counts.wholeAnswer.add (SteadyClock::now() - request.accepted);
+    state.counts.wholeAnswer.add (BootClock::now() - request.accepted);
     logEnd ("answered", call.status());
     co_return Failure {};
 }
@@ -334,7 +334,7 @@
         co_return "not_asked";
 
     InterruptedAttempt ended { request.fingerprint, request.caller.id, request.accountName(),
-                               lastNumber,          lastReplica,       SteadyClock::now() };
+                               lastNumber,          lastReplica,       BootClock::now() };
     co_return co_await state.crashes.examine (state.probes, std::move (ended));
 }
 
@@ -342,7 +342,7 @@
 {
     return state.crashes.waitForVerdict (state.loop, request.fingerprint, request.service,
                                          [this]
-                                         { return isCallerGone || SteadyClock::now() >= request.deadline; });
+                                         { return isCallerGone || BootClock::now() >= request.deadline; });
 }
 
 auto RoutedRequestRunner::versionRule (bool isFirst) const -> VersionRule
@@ -364,7 +364,7 @@
 
 auto RoutedRequestRunner::selectReplica (const CrashAssessment& assessment) -> std::optional<TakenReplica>
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const SuspectRanking ranking (state.crashes.table(), request.fingerprint, assessment, prompt.tokens);
     auto input = choiceInput (prompt, tried, state.nodeCount (now), randomNumber());
     ranking.applyTo (input);
@@ -425,7 +425,7 @@
     input.deadline = request.deadline;
     input.jitter = randomFraction();
 
-    auto decision = decideAfterFailure (outcome, input, SteadyClock::now());
+    auto decision = decideAfterFailure (outcome, input, BootClock::now());
     events.dropPartial();
 
     if (decision.shouldRetry && decision.takesBudget)
@@ -459,7 +459,7 @@
         const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
         problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)), shortRetryDelay);
     }
-    else if (SteadyClock::now() >= request.deadline)
+    else if (BootClock::now() >= request.deadline)
         problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
     else if (ranAfter (outcome) == Ran::no)
         problem = makeProblem (ErrorKind::upstreamFailed, Ran::unknown, std::move (problem.detail));
@@ -480,18 +480,18 @@
         return;
 
     isUsageCounted = true;
-    state.usage.record (request.account->name, state.trueTime.now (SteadyClock::now()));
+    state.usage.record (request.account->name, state.trueTime.now (BootClock::now()));
 }
 
 auto RoutedRequestRunner::recordSuccess (const UpstreamCall& call) -> void
 {
     if (call.hasSucceeded())
-        state.crashes.table().recordSuccess (request.fingerprint, SteadyClock::now());
+        state.crashes.table().recordSuccess (request.fingerprint, BootClock::now());
 }
 
 auto RoutedRequestRunner::recordPause() -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (lastEventsAt)
         longestPause = std::max (longestPause, now - *lastEventsAt);
@@ -524,13 +524,13 @@
         .with ("prompt_tokens", request.caller.promptTokens)
         .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
         .with ("longest_pause_milliseconds", inMilliseconds (longestPause))
-        .with ("milliseconds", inMilliseconds (SteadyClock::now() - request.accepted))
+        .with ("milliseconds", inMilliseconds (BootClock::now() - request.accepted))
         .info();
 }
 
 auto RoutedRequestRunner::attemptFields (const ReplicaTicket& ticket) const -> AttemptFields
 {
-    const auto left = std::chrono::floor<milliseconds> (request.deadline - SteadyClock::now());
+    const auto left = std::chrono::floor<milliseconds> (request.deadline - BootClock::now());
     AttemptFields fields;
     fields.replica = ticket.info.name;
     fields.account = request.accountName();
@@ -552,7 +552,7 @@
 auto RoutedRequestRunner::mayRunAgain() const -> bool
 {
     return request.route->isRepeatable() && possibleRuns() < request.route->mostAttempts &&
-           SteadyClock::now() < request.deadline;
+           BootClock::now() < request.deadline;
 }
 
 auto RoutedRequestRunner::makeOutcome (const UpstreamCall& call, FailureCause cause) const -> AttemptOutcome
--- a/modules/snowrudder_serving/rollout/RolloutDecider.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutDecider.cpp
@@ -70,7 +70,7 @@
 {
     const auto verdict = state.rollouts.verdictFor (rollout);
     const auto hasOthers = state.rollouts.hasSeenOtherVersions (rollout);
-    const auto next = nextStage (rollout, verdict, hasOthers, {}, SteadyClock::now());
+    const auto next = nextStage (rollout, verdict, hasOthers, {}, BootClock::now());
 
     if (next != rollout.stage)
     {
@@ -98,7 +98,7 @@
 
         for (const auto& rollout : state.rollouts.table.all())
         {
-            if (! mayCallDuty (state.leadership, state.leadershipTimes, SteadyClock::now()))
+            if (! mayCallDuty (state.leadership, state.leadershipTimes, BootClock::now()))
                 break;
 
             if (isOpen (rollout) || ! isStatusWritten (state.rollouts, rollout))
--- a/modules/snowrudder_serving/rollout/RolloutFollower.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutFollower.cpp
@@ -29,7 +29,7 @@
         return;
     }
 
-    rollout->orderedAt = SteadyClock::now();
+    rollout->orderedAt = BootClock::now();
 
     // The status of an earlier order for the same version does not apply to this one.
     if (const auto status = state.rollouts.statuses.find (rollout->service);
--- a/modules/snowrudder_serving/store/StoreCallMetrics.cpp
+++ b/modules/snowrudder_serving/store/StoreCallMetrics.cpp
@@ -31,7 +31,7 @@
 template <typename Result>
 auto measured (CallMetrics callMetrics, Task<Result> call) -> Task<Result>
 {
-    const auto began = SteadyClock::now();
+    const auto began = BootClock::now();
     auto result = co_await std::move (call);
     const auto outcome = outcomeOf (result);
     callMetrics.calls.add();
@@ -40,7 +40,7 @@
         callMetrics.failures.add();
 
     if (callMetrics.times != nullptr)
-        callMetrics.times->add (SteadyClock::now() - began);
+        callMetrics.times->add (BootClock::now() - began);
 
     co_return result;
 }
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -64,7 +64,7 @@
     }
 
     const auto before = state.configuration.current ? state.configuration.current->version : 0;
-    const auto proofAge = before != 0 ? SteadyClock::now() - state.configuration.provenAt : Duration (0);
+    const auto proofAge = before != 0 ? BootClock::now() - state.configuration.provenAt : Duration (0);
 
     if (! adopt (state.configuration, read))
         return false;
@@ -102,7 +102,7 @@
 */
 auto logLateCheck (const ServingState& state, TimePoint sentAt, StoreOutcome outcome) -> void
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const auto hasConfiguration = state.configuration.current != nullptr;
 
     if (! hasConfiguration || (isConclusive (outcome) && now < sentAt + storeUpdateAgeLimit - checkInterval &&
@@ -125,16 +125,16 @@
 auto checkConfiguration (ServingState& state, const StateStore& store, const StoreFormats& formats)
     -> Task<bool>
 {
-    if (mayReadStaleConfiguration (state.storeUpdates, state.configuration, SteadyClock::now()))
+    if (mayReadStaleConfiguration (state.storeUpdates, state.configuration, BootClock::now()))
     {
         const auto outcome = co_await readAnnouncedConfiguration (state, store, formats);
 
         if (! isConclusive (outcome) ||
-            ! mustCheckConfiguration (state.storeUpdates, state.configuration, SteadyClock::now()))
+            ! mustCheckConfiguration (state.storeUpdates, state.configuration, BootClock::now()))
             co_return isConclusive (outcome);
     }
 
-    const auto sentAt = SteadyClock::now();
+    const auto sentAt = BootClock::now();
     std::vector<StoredItem> newer;
     auto outcome = StoreOutcome::unknown;
 
@@ -202,8 +202,8 @@
         else
             listed.unreadable.push_back ({ item.key, { item.revision, true } });
 
-    applyList (state.directory, std::move (listed), read.revision, SteadyClock::now(), reason);
-    state.publishDirectory (SteadyClock::now());
+    applyList (state.directory, std::move (listed), read.revision, BootClock::now(), reason);
+    state.publishDirectory (BootClock::now());
 }
 
 auto applyWatchEvents (ServingState& state, const StoreFormats& formats, const ReadItems& read) -> void
@@ -211,15 +211,15 @@
     for (const auto& item : read.items)
     {
         if (item.isRemoved)
-            applyRemoval (state.directory, item.key, { item.revision, false }, SteadyClock::now());
+            applyRemoval (state.directory, item.key, { item.revision, false }, BootClock::now());
         else if (auto entry = readEntry (state.directory, formats, item))
             applyEntry (state.directory, std::move (*entry));
         else
-            applyRemoval (state.directory, item.key, { item.revision, true }, SteadyClock::now());
+            applyRemoval (state.directory, item.key, { item.revision, true }, BootClock::now());
     }
 
     state.directory.revision = std::max (state.directory.revision, read.revision);
-    state.publishDirectory (SteadyClock::now());
+    state.publishDirectory (BootClock::now());
 }
 
 /** @returns the time of the next check of the configuration: after the usual pause, or earlier if its proof becomes
@@ -227,7 +227,7 @@
 */
 auto nextCheckTime (const ServingState& state, Duration usualPause) -> TimePoint
 {
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
 
     if (state.storeUpdates.isReader || ! state.configuration.current)
         return now + usualPause;
@@ -249,7 +249,7 @@
 
     // Entries may expire from the beginning of the outage on, and watches may return that before the store counts as
     // available again. If other nodes could reach the store meanwhile, there was no outage.
-    const auto now = SteadyClock::now();
+    const auto now = BootClock::now();
     const auto wasReachableForOthers = now - state.storeUpdates.provenAt <= storeUpdateAgeLimit;
     const auto keepTime = wasReachableForOthers ? Duration::zero() : lapseGracePeriod;
     state.directory.keepMissingUntil = hasResponse ? now + keepTime : TimePoint::max();
@@ -273,7 +273,7 @@
         const auto before = state.configuration.current;
         auto hasResponse = true;
 
-        if (mustCheckConfiguration (state.storeUpdates, state.configuration, SteadyClock::now()))
+        if (mustCheckConfiguration (state.storeUpdates, state.configuration, BootClock::now()))
             hasResponse = co_await checkConfiguration (state, store, formats);
 
         failures = hasResponse ? 0 : failures + 1;
@@ -281,7 +281,7 @@
         if (state.configuration.current != before)
             onAdopted();
 
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
         const auto fresh = isFresh (state.configuration, state.freshness, now);
 
         if (fresh != wasFresh)
@@ -310,11 +310,11 @@
                     const StoreFormats& formats,
                     TimePoint listedAt) -> Task<ListReason>
 {
-    const auto listEnd = SteadyClock::now() + relistInterval;
+    const auto listEnd = BootClock::now() + relistInterval;
 
-    while (mustQueryStore (state.storeUpdates, SteadyClock::now()))
+    while (mustQueryStore (state.storeUpdates, BootClock::now()))
     {
-        const auto now = SteadyClock::now();
+        const auto now = BootClock::now();
 
         // A node that has just started reads the store itself until it knows the other nodes. It can't serve requests
         // before it has a configuration, and needs no watch until then.
@@ -344,7 +344,7 @@
             co_await pauseFor (state.loop, batchingDelay);
         }
 
-        if (SteadyClock::now() >= listEnd)
+        if (BootClock::now() >= listEnd)
             co_return ListReason::check;
     }
 
@@ -358,14 +358,13 @@
 
     for (;;)
     {
-        if (! state.storeUpdates.mustListReplicas &&
-            ! mustQueryStore (state.storeUpdates, SteadyClock::now()))
+        if (! state.storeUpdates.mustListReplicas && ! mustQueryStore (state.storeUpdates, BootClock::now()))
         {
             co_await pauseFor (state.loop, recheckPause);
             continue;
         }
 
-        const auto sentAt = SteadyClock::now();
+        const auto sentAt = BootClock::now();
         const auto listed = co_await store.list (formats.replicaPrefix, ReadFreshness::newest);
         recordStoreOutcome (state, listed.outcome, "replicas");
 
