What was never proved is not taken for fresh on a VM that has just booted

Callers may have seen: keyed requests admitted on a proof that doesn't exist, at a node that starts within 4.8 s of its VM's boot and reads an announced configuration before any check; no record shows it.

Cause: TimePoint {} stood for "never" and is the moment of the boot.

longAgo stands for "never" wherever an age is computed: proofs, store updates, readers' lists of members, reports received, notices. Logs give -1 for the age of a proof that doesn't exist. The follower's test compares with longAgo, as strictly as before.

--- a/modules/snowrudder_core/time/Time.h
+++ b/modules/snowrudder_core/time/Time.h
@@ -17,6 +17,11 @@
 
 using Duration = BootClock::duration;
 
+/** Stands for "never" where an age is computed from it: older than any limit, also on a VM that has just booted, whose
+    boot clock is near zero.
+*/
+inline constexpr auto longAgo = TimePoint (-std::chrono::hours (24 * 365));
+
 /** Wall time, used only where a time leaves the VM: in identifiers, logs and responses. */
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -73,7 +73,7 @@
             state.hash = replicaHash (entry.info.name);
             state.incarnation = incarnationHash (entry.info);
             // Replicas that were there before this router need no slow start.
-            state.firstSeen = isFirstList ? TimePoint() : now;
+            state.firstSeen = isFirstList ? longAgo : now;
         }
 
         if (entry.leaving && ! state.leavingSince)
--- a/modules/snowrudder_serving/configuration/ConfigurationState.h
+++ b/modules/snowrudder_serving/configuration/ConfigurationState.h
@@ -13,7 +13,7 @@
     std::shared_ptr<const RoutingConfiguration> current;
     /** The latest time at which the store is proved to have held nothing newer. It is taken before the query is sent.
     */
-    TimePoint provenAt {};
+    TimePoint provenAt = longAgo;
     /** The node that forwarded this proof; empty if the store itself gave it. */
     std::string provenBy;
 };
@@ -40,6 +40,12 @@
     state.provenBy = by;
 }
 
+/** @returns the age of the proof in milliseconds, for logs; -1 if there was none. */
+inline auto proofMilliseconds (const ConfigurationState& state, TimePoint now) -> double
+{
+    return state.provenAt == longAgo ? -1.0 : inMilliseconds (now - state.provenAt);
+}
+
 /** Puts a configuration in force if it is newer than the current one.
 
     @returns whether it was newer
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -112,7 +112,7 @@
         .with ("host", caller.host)
         .with ("path", caller.path)
         .with ("version", current ? current->version : 0)
-        .with ("proof_milliseconds", current ? inMilliseconds (now - state.configuration.provenAt) : -1.0)
+        .with ("proof_milliseconds", proofMilliseconds (state.configuration, now))
         .with ("retry_after_milliseconds", inMilliseconds (refusal.retryAfter.value_or (Duration::zero())))
         .info();
 }
@@ -192,7 +192,7 @@
     RoutedRequest request;
     request.configuration = state.configuration.current;
     request.accepted = arrived;
-    request.proofAge = now - state.configuration.provenAt;
+    request.proofMilliseconds = proofMilliseconds (state.configuration, now);
 
     // The request might not end within the grace time, so the caller is sent to another node at once.
     if (state.isDrained)
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -71,7 +71,7 @@
     bool wasDirect = true;
     /** Wakes crashLoop() when there is new crash evidence. */
     std::shared_ptr<Signal> crashWake;
-    TimePoint allCrashesSentAt {};
+    TimePoint allCrashesSentAt = longAgo;
     ReportRoute route;
     PromptBudget promptBudget;
     /** Round-robin positions among the readers that are queried for store updates. */
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -117,7 +117,7 @@
 
     /** The time from which this node knows what the others admit. */
     TimePoint knownSince;
-    TimePoint latestReceivedAt {};
+    TimePoint latestReceivedAt = longAgo;
     std::map<std::string, Peer, std::less<>> peers;
     Sum all;
     /** The sum over the peers whose reports have the scope `node`. */
--- a/modules/snowrudder_serving/members/ReportRoute.h
+++ b/modules/snowrudder_serving/members/ReportRoute.h
@@ -21,7 +21,7 @@
 
     std::optional<Endpoint> reader;
     /** When `reader` was chosen; restarted when it times out and there is no other. */
-    TimePoint chosenAt {};
+    TimePoint chosenAt = longAgo;
     /** Number of times that a reader timed out since the readers of the failure domain last changed. */
     std::size_t failovers = 0;
     std::vector<Endpoint> ownReaders;
--- a/modules/snowrudder_serving/members/StoreUpdates.h
+++ b/modules/snowrudder_serving/members/StoreUpdates.h
@@ -72,11 +72,11 @@
     std::uint64_t membersHash = 0;
     std::uint64_t readerMembersHash = 0;
     /** When the query was sent whose response gave `readerMembersHash`. */
-    TimePoint readerMembersHashAt {};
+    TimePoint readerMembersHashAt = longAgo;
     /** The latest time as of which the store itself responded to this node. */
-    TimePoint ownProvenAt {};
+    TimePoint ownProvenAt = longAgo;
     /** The latest time up to which readers sent this node all changes of replicas. */
-    TimePoint provenAt {};
+    TimePoint provenAt = longAgo;
     /** The newest configuration revision that any node has announced. */
     std::uint64_t newestConfigurationRevision = 0;
     /** Whether the replicas must be listed at the store again, since readers can't supply all missed changes. */
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -515,7 +515,7 @@
         .with ("account", request.accountName())
         .with ("route", request.route->name)
         .with ("version", request.configuration->version)
-        .with ("proof_milliseconds", inMilliseconds (request.proofAge))
+        .with ("proof_milliseconds", request.proofMilliseconds)
         .with ("outcome", outcome)
         .with ("status", status)
         .with ("sends", attemptCount)
--- a/modules/snowrudder_serving/request/RoutedRequest.h
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -59,8 +59,8 @@
     TimePoint accepted {};
     /** When the answer must be complete at the caller. */
     TimePoint deadline {};
-    /** Age of the proof of the configuration when the request was admitted. */
-    Duration proofAge {};
+    /** Age of the proof of the configuration when the request was admitted, for logs; -1 if there was none. */
+    double proofMilliseconds = -1.0;
 
     [[nodiscard]] auto accountName() const -> std::string { return account ? account->name : std::string(); }
 };
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -64,7 +64,7 @@
     }
 
     const auto before = state.configuration.current ? state.configuration.current->version : 0;
-    const auto proofAge = before != 0 ? BootClock::now() - state.configuration.provenAt : Duration (0);
+    const auto proofAge = proofMilliseconds (state.configuration, BootClock::now());
 
     if (! adopt (state.configuration, read))
         return false;
@@ -72,7 +72,7 @@
     LogLine ("configuration_adopted")
         .with ("version", read->version)
         .with ("before", before)
-        .with ("before_proof_milliseconds", inMilliseconds (proofAge))
+        .with ("before_proof_milliseconds", proofAge)
         .with ("before_proof_from", proofSource (state.configuration))
         .with ("revision", read->revision)
         .with ("hosts", read->routes.size())
@@ -112,7 +112,7 @@
     LogLine ("configuration_check_late")
         .with ("outcome", toString (outcome))
         .with ("reader", state.storeUpdates.isReader ? "yes" : "no")
-        .with ("proof_milliseconds", inMilliseconds (sentAt - state.configuration.provenAt))
+        .with ("proof_milliseconds", proofMilliseconds (state.configuration, sentAt))
         .with ("news_milliseconds", inMilliseconds (sentAt - state.storeUpdates.provenAt))
         .with ("call_milliseconds", inMilliseconds (now - sentAt))
         .info();
@@ -286,7 +286,7 @@
 
         if (fresh != wasFresh)
             LogLine (fresh ? "freshness_regained" : "freshness_lost")
-                .with ("proof_milliseconds", inMilliseconds (now - state.configuration.provenAt))
+                .with ("proof_milliseconds", proofMilliseconds (state.configuration, now))
                 .with ("proof_from", proofSource (state.configuration))
                 .warning();
 
--- a/tests/unit/FollowerTests.cpp
+++ b/tests/unit/FollowerTests.cpp
@@ -69,7 +69,7 @@
     CHECK (node.transactions == 0);
     CHECK (node.state.configuration.current->revision == 9);
     // An outdated copy is no proof of freshness: a newer configuration may have been written since.
-    CHECK (node.state.storeUpdates.ownProvenAt == TimePoint());
+    CHECK (node.state.storeUpdates.ownProvenAt == longAgo);
 }
 
 TEST_CASE ("the newest configuration is queried at once if the outdated copy is too old")
--- a/tests/unit/ServingTests.cpp
+++ b/tests/unit/ServingTests.cpp
@@ -473,3 +473,18 @@
     CHECK_FALSE (events.hasPartial());
     CHECK (events.add ("id: 4\ndata: c\n\n") == "id: 4\ndata: c\n\n");
 }
+
+// Guards against a default time taken for "never": the boot clock of a VM that has just booted is near it.
+TEST_CASE ("what was never proved is not fresh on a VM that has just booted")
+{
+    constexpr auto justBooted = TimePoint (1s);
+    ConfigurationState state;
+    adopt (state, std::make_shared<RoutingConfiguration>());
+    CHECK_FALSE (isFresh (state, FreshnessBounds(), justBooted));
+
+    StoreUpdateState storeUpdates;
+    storeUpdates.isReader = false;
+    storeUpdates.membersHash = storeUpdates.readerMembersHash = 1;
+    CHECK (mustQueryStore (storeUpdates, justBooted));
+    CHECK (mustListMembers (storeUpdates, justBooted));
+}
