Without accounts no key opens a route

Cause: authenticate() let a request pass as soon as the configuration had no accounts. Now only a public route passes without a key.

On the own face the same cases (a tree without accounts, edits that would empty or open it) are refused already; two tests keep that so.

--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -37,7 +37,7 @@
 {
     const auto& configuration = *state.configuration.current;
 
-    if (route.isPublic || configuration.accounts.empty())
+    if (route.isPublic)
         return std::shared_ptr<const RoutedAccount>();
 
     if (! isFresh (state.configuration, state.freshness, now))
--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -79,7 +79,9 @@
 class Platform:
     """The stand-ins of the platform, and the nodes under test."""
 
-    def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None, settings="", suspendable=False):
+    def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None, settings="", suspendable=False,
+                 expect_ready=True):
+        self.expect_ready = expect_ready
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-platform-"))
         self.store_port, self.cloud_port, *ports = free_ports(2 + replicas)
         self.store, self.cloud = Store(self.store_port), Cloud(self.cloud_port)
@@ -102,8 +104,8 @@
     def __enter__(self):
         try:
             for node in self.nodes:
-                wait_until(lambda node=node: node.process.poll() is not None or node.is_ready() or not self.store.value(
-                    "op/config"), "the node is ready")
+                wait_until(lambda node=node: node.process.poll() is not None or node.is_ready() or not (
+                    self.expect_ready and self.store.value("op/config")), "the node is ready")
         except BaseException:
             self.__exit__()
             raise
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -157,6 +157,19 @@
             self.assertEqual(platform.first.call("GET", "/again/x").status, 200)
             self.assertIsNone(platform.first.process.poll())
 
+    def test_no_configuration_without_accounts_lets_a_request_run(self):
+        shapes = [[], None, {}, "alpha", 0, [{"name": "alpha"}], [{"name": "alpha", "api_keys": []}], [{"name": "alpha", "api_keys": [""]}]]
+        without = configuration()
+        del without["tenants"]
+        for first in (without, *(configuration(tenants=shape) for shape in shapes)):
+            with self.subTest(tenants=first.get("tenants", "missing")), Platform(first=first, expect_ready=False) as platform:
+                wait_until(lambda: re.search("configuration_(adopted|refused)", platform.first.log.read_text()), "it is read")
+                for key in ("key-alpha", "unknown", None):
+                    answer = platform.first.call("GET", "/again/x", key=key)
+                    self.assertIn(answer.status, (401, 503))
+                    self.assertEqual(answer.json()["ran"], "no")
+                self.assertEqual(platform.runs(), [])
+
     def test_a_node_without_a_configuration_says_so(self):
         with Platform(first=None) as platform:
             wait_until(lambda: "started" in platform.first.log.read_text(), "the node has started")
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -5,7 +5,7 @@
 import subprocess
 import unittest
 
-from harness import BUILD, Deployment, bearer, chat_body, request, wait_until
+from harness import BUILD, Deployment, bearer, chat_body, request, usual_tree, wait_until
 
 
 class SettingsTest(unittest.TestCase):
@@ -105,6 +105,29 @@
         self.assertEqual(missing.status, 422)
         self.assertEqual(self.revision(deployment), known)
 
+    def test_an_edit_that_would_open_or_empty_the_tree_changes_nothing(self):
+        deployment = self.deployment(routers=1)
+        known = self.revision(deployment)
+        for path, value in (("accounts", []), ("accounts", "alpha"), ("accounts", None), ("accounts/alpha/keys", "key"),
+                            ("accounts/alpha/keys", [{"sha256": 7}]), ("accounts/beta/keys", usual_tree()["accounts"]["alpha"]["keys"]),
+                            ("services", []), ("services/plain/kind", "NEITHER"), ("policy/services", "models")):
+            with self.subTest(path=path, value=value):
+                answer = self.put(deployment, path, value, known)
+                self.assertEqual((answer.status, answer.json()["kind"]), (422, "settings_invalid"))
+                self.assertIn(path.split("/")[0], answer.json()["errors"][0])
+        self.assertEqual(self.revision(deployment), known)
+        answer = request(deployment.router, "POST", "/v1/chat/completions", chat_body(), bearer("key-alpha"))
+        self.assertEqual(answer.status, 200)
+
+    def test_a_tree_without_accounts_opens_nothing(self):
+        without = usual_tree()
+        without["accounts"] = {}
+        deployment = self.deployment(routers=1, tree=without)
+        for headers in (bearer("key-alpha"), bearer("unknown"), {}):
+            answer = request(deployment.router, "POST", "/v1/chat/completions", chat_body(), headers)
+            self.assertEqual(answer.status, 401)
+            self.assertEqual(request(deployment.router, "POST", "/services/plain/again", "x", headers).status, 401)
+
     def test_operators_have_roles(self):
         deployment = self.deployment()
         self.assertEqual(self.ask(deployment, "GET", "/v1/settings", key="key-alpha").status, 401)
