A configuration is taken whole or not at all

Cause: decoding took what it could read and put a default in place of the rest. The store's revision decides, a version that doesn't rise is logged with both hashes.

test_a_route_to_a_service_that_is_not_configured_is_refused expected that the rest of such a configuration is served; by the issue it is refused whole. It now checks that as an update and as the first configuration, and that nothing runs. The unit test's document names a service that it lacked.

--- a/modules/snowrudder_serving/configuration/ConfigurationState.h
+++ b/modules/snowrudder_serving/configuration/ConfigurationState.h
@@ -16,6 +16,8 @@
     TimePoint provenAt = longAgo;
     /** The node that forwarded this proof; empty if the store itself gave it. */
     std::string provenBy;
+    /** Revision of the newest configuration that was refused; 0 if none was, or a newer one has come into force. */
+    std::uint64_t refusedRevision = 0;
 };
 
 /** How long requests with an API key are accepted after a proof of freshness. */
@@ -55,6 +57,9 @@
     if (state.current && loaded->revision <= state.current->revision)
         return false;
 
+    if (loaded->revision > state.refusedRevision)
+        state.refusedRevision = 0;
+
     state.current = std::move (loaded);
     return true;
 }
--- a/modules/snowrudder_serving/configuration/RoutingConfiguration.h
+++ b/modules/snowrudder_serving/configuration/RoutingConfiguration.h
@@ -116,6 +116,8 @@
     std::uint64_t version = 0;
     /** The store's revision of the configuration item. */
     std::uint64_t revision = 0;
+    /** Hash of the stored text, by which logs tell two contents of one version apart. */
+    std::uint64_t contentHash = 0;
     /** Routes by host, the longest path prefix first. */
     std::unordered_map<std::string, std::vector<Route>> routes;
     std::map<std::string, UpstreamService, std::less<>> services;
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -53,27 +53,76 @@
     return configuration.provenBy.empty() ? std::string_view ("store") : configuration.provenBy;
 }
 
+/** Publishes whether a refused configuration is newer than the one in force, for alerts. */
+auto publishRefusal (ServingState& state) -> void
+{
+    state.metrics.gauge ("snowrudder_refused_configuration_revision")
+        .set (static_cast<std::int64_t> (state.configuration.refusedRevision));
+}
+
+/** Logs a configuration that is not valid, once per revision. The one in force stays, and is no longer proved. */
+auto refuseConfiguration (ServingState& state, const ConfigurationReading& reading, std::uint64_t revision)
+    -> void
+{
+    if (revision <= state.configuration.refusedRevision)
+        return;
+
+    state.configuration.refusedRevision = revision;
+    state.metrics.counter ("snowrudder_configurations_refused_total").add();
+    LogLine ("configuration_refused")
+        .with ("version", reading.version)
+        .with ("revision", revision)
+        .with ("member", reading.firstFault.path)
+        .with ("found", reading.firstFault.found)
+        .with ("allowed", reading.firstFault.allowed)
+        .with ("faults", reading.faultCount)
+        .error();
+}
+
+/** Logs a version that does not rise. The store's revision decides which configuration is in force. */
+auto logVersionOrder (const RoutingConfiguration& before, const RoutingConfiguration& now) -> void
+{
+    if (now.version > before.version)
+        return;
+
+    LogLine ("configuration_version_not_rising")
+        .with ("before", before.version)
+        .with ("before_hash", before.contentHash)
+        .with ("version", now.version)
+        .with ("hash", now.contentHash)
+        .with ("revision", now.revision)
+        .warning();
+}
+
 auto applyConfiguration (ServingState& state, const StoreFormats& formats, const StoredItem& item) -> bool
 {
-    const auto read = formats.readConfiguration (item);
+    const auto reading = formats.readConfiguration (item);
+    const auto& read = reading.configuration;
+    auto& configuration = state.configuration;
 
     if (! read)
     {
-        LogLine ("configuration_unreadable").with ("revision", item.revision).error();
+        refuseConfiguration (state, reading, item.revision);
+        publishRefusal (state);
         return false;
     }
 
-    const auto before = state.configuration.current ? state.configuration.current->version : 0;
-    const auto proofAge = proofMilliseconds (state.configuration, BootClock::now());
+    const auto before = configuration.current;
+    const auto proofAge = proofMilliseconds (configuration, BootClock::now());
 
-    if (! adopt (state.configuration, read))
+    if (! adopt (configuration, read))
         return false;
 
+    publishRefusal (state);
+
+    if (before)
+        logVersionOrder (*before, *read);
+
     LogLine ("configuration_adopted")
         .with ("version", read->version)
-        .with ("before", before)
+        .with ("before", before ? before->version : 0)
         .with ("before_proof_milliseconds", proofAge)
-        .with ("before_proof_from", proofSource (state.configuration))
+        .with ("before_proof_from", proofSource (configuration))
         .with ("revision", read->revision)
         .with ("hosts", read->routes.size())
         .with ("accounts", read->accounts.size())
@@ -229,7 +278,9 @@
 {
     const auto now = BootClock::now();
 
-    if (state.storeUpdates.isReader || ! state.configuration.current)
+    // While the newest configuration is refused, no response can renew the proof.
+    if (state.storeUpdates.isReader || ! state.configuration.current ||
+        state.configuration.refusedRevision != 0)
         return now + usualPause;
 
     const auto untilOverdue = proofOverdueAt (state.storeUpdates, state.configuration) - now;
--- a/modules/snowrudder_serving/store/StoreFollowers.h
+++ b/modules/snowrudder_serving/store/StoreFollowers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../configuration/ConfigurationReading.h"
 #include "../directory/ReplicaDirectory.h"
 #include "../node/ServingState.h"
 #include "StateStore.h"
@@ -18,8 +19,8 @@
     /** Prefixes of the operators' rollout orders, and of the status items that nodes write for them. */
     std::string rolloutPrefix;
     std::string rolloutStatusPrefix;
-    /** The read functions return nothing when the item can't be parsed. */
-    std::function<std::shared_ptr<RoutingConfiguration> (const StoredItem&)> readConfiguration;
+    std::function<ConfigurationReading (const StoredItem&)> readConfiguration;
+    /** The other read functions return nothing when the item can't be parsed. */
     std::function<std::optional<DirectoryEntry> (const StoredItem&)> readReplica;
     std::function<std::optional<Rollout> (const StoredItem&)> readRollout;
     std::function<std::optional<RolloutStatus> (const StoredItem&)> readRolloutStatus;
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -149,12 +149,21 @@
             self.assertEqual(platform.runs(), [])
 
     def test_a_route_to_a_service_that_is_not_configured_is_refused(self):
-        wrong = configuration()
+        wrong = configuration(version=2)
         wrong["routes"].append({**wrong["routes"][0], "name": "lost", "path_prefix": "/lost/", "service": "nowhere"})
-        with Platform(first=wrong) as platform:
-            answer = platform.first.call("GET", "/lost/x")
-            self.assertEqual((answer.status, answer.json()["ran"]), (503, "no"))
+        with Platform() as platform:
             self.assertEqual(platform.first.call("GET", "/again/x").status, 200)
+            platform.store.put("op/config", wrong)
+            wait_until(lambda: "configuration_refused version=2" in platform.first.log.read_text(), "it is refused")
+            self.assertEqual(platform.first.call("GET", "/lost/x").status, 404)
+            self.assertEqual(platform.first.call("GET", "/again/x").status, 200)
+            self.assertIsNone(platform.first.process.poll())
+        with Platform(first=wrong, expect_ready=False) as platform:
+            wait_until(lambda: "configuration_refused version=2" in platform.first.log.read_text(), "it is refused")
+            for path in ("/lost/x", "/again/x"):
+                answer = platform.first.call("GET", path)
+                self.assertEqual((answer.status, answer.json()["ran"]), (503, "no"))
+            self.assertEqual(platform.runs(), [])
             self.assertIsNone(platform.first.process.poll())
 
     def test_no_configuration_without_accounts_lets_a_request_run(self):
@@ -170,6 +179,32 @@
                     self.assertEqual(answer.json()["ran"], "no")
                 self.assertEqual(platform.runs(), [])
 
+    def test_a_configuration_that_is_refused_is_told_and_then_closes_its_routes(self):
+        with Platform() as platform:
+            node = platform.first
+            wrong = configuration(version=2, keys=("key-new",))
+            wrong["routes"][0]["timeout_ms"] = -5
+            platform.store.put("op/config", wrong)
+            wait_until(lambda: "configuration_refused version=2" in node.log.read_text(), "it is refused")
+            line = next(line for line in node.log.read_text().splitlines() if "configuration_refused" in line)
+            self.assertIn("member=routes[0].timeout_ms found=-5", line)
+            self.assertIn("faults=1", line)
+            self.assertRegex(request(node.metrics, "GET", "/metrics").body.decode(), r"snowrudder_refused_configuration_revision [1-9]")
+            # Whether a key was revoked in the refused configuration is not known, so none is accepted for long.
+            wait_until(lambda: node.call("GET", "/again/x").status == 503, "the old keys are no longer accepted")
+            self.assertEqual(node.call("GET", "/again/x", key="key-new").status, 503)
+            self.assertEqual(node.log.read_text().count("configuration_refused"), 1)
+            platform.store.put("op/config", configuration(version=3, keys=("key-new",)))
+            wait_until(lambda: node.call("GET", "/again/x", key="key-new").status == 200, "the next one is in force")
+
+    def test_a_version_that_falls_or_repeats_is_told_and_the_store_decides(self):
+        with Platform(first=configuration(version=5)) as platform:
+            for version, key in ((5, "key-b"), (3, "key-c")):
+                platform.store.put("op/config", configuration(version=version, keys=(key,)))
+                wait_until(lambda key=key: platform.first.call("GET", "/again/x", key=key).status == 200, "in force")
+                self.assertEqual(platform.first.call("GET", "/again/x").status, 401)
+                self.assertRegex(platform.first.log.read_text(), rf"configuration_version_not_rising .* version={version} ")
+
     def test_a_node_without_a_configuration_says_so(self):
         with Platform(first=None) as platform:
             wait_until(lambda: "started" in platform.first.log.read_text(), "the node has started")
--- a/tests/unit/FollowerTests.cpp
+++ b/tests/unit/FollowerTests.cpp
@@ -28,7 +28,11 @@
         state.configuration.provenAt = now;
 
         formats.readConfiguration = [] (const StoredItem& item)
-        { return std::make_shared<RoutingConfiguration> (*configurationAt (item.revision)); };
+        {
+            ConfigurationReading reading;
+            reading.configuration = std::make_shared<RoutingConfiguration> (*configurationAt (item.revision));
+            return reading;
+        };
 
         store.read = [this, oldRevision] (std::string, ReadFreshness age) -> Task<ReadItems>
         {
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -1,4 +1,5 @@
 #include "platform/BootSettings.h"
+#include "platform/ConfigurationDocument.h"
 #include "platform/Documents.h"
 #include "platform/Requests.h"
 
@@ -253,11 +254,11 @@
         "timeout_ms":15000,"latency_slo_ms":1200,"priority":1,"backends":[{"service":"s","weight":90},
         {"service":"t","weight":10}],"max_attempts":2,"stream_resume":true}],
         "services":[{"name":"s","max_conns":370,"engine":{"kv_capacity":569286},
-        "scaling":{"min":1,"max":6,"boot_s":4.5,"spot_price":0.18,"zone_prices":{"a":1.0,"b":0.8}}}],
+        "scaling":{"min":1,"max":6,"boot_s":4.5,"spot_price":0.18,"zone_prices":{"a":1.0,"b":0.8}}},{"name":"t"}],
         "limits":{"max_header_bytes":9000,"idle_timeout_ms":7000},
         "tenants":[{"name":"alpha","api_keys":["k1","k2"],"rate_per_s":100,"burst":50,"plain_tokens":200}]})";
 
-    const auto configuration = platform::readConfiguration (item);
+    const auto configuration = platform::readConfiguration (item).configuration;
     REQUIRE (configuration);
     CHECK (configuration->version == 7);
     const auto* route = findRoute (*configuration, "one.example", "/a/x");
@@ -274,7 +275,7 @@
     CHECK (findAccount (*configuration, "k3") == nullptr);
 
     item.value = "not json";
-    CHECK (platform::readConfiguration (item) == nullptr);
+    CHECK (platform::readConfiguration (item).configuration == nullptr);
 
     StoredItem replica;
     replica.key = "servers/i-1";
