--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -155,6 +155,12 @@
             self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
             shutil.rmtree(folder)
 
+    def test_runs_in_which_vms_are_suspended_keep_every_promise(self):
+        for seed in (5, 6):
+            broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=4, callers=8, suspensions=True)
+            self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
+            shutil.rmtree(folder)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,6 +4,7 @@
     python3 tests/soak/soak.py --seed 7 --seconds 20
     python3 tests/soak/soak.py --seed 100 --count 50       fifty seeds, one after the other
     python3 tests/soak/soak.py --regressions               the seeds in regressions.txt, which have failed before
+    python3 tests/soak/soak.py --seed 100 --suspensions    suspends VMs besides
 
 A seed always gives the same faults at the same times; the timing of the processes is not deterministic. The folder of a
 failed run, which has the nodes' logs, is kept and its path is printed.
@@ -28,6 +29,12 @@
 LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.5, "answer": 7.0, "stop": 7.0}
 RESUME_GRACE = 0.3
 
+# Seconds from the start of one suspension to the start of the next, and how long one lasts. Some outlast all leases.
+SUSPENSION_GAP = (1.0, 4.0)
+SUSPENSION_TIME = (0.5, 6.0)
+HERD_SHARE = 0.3
+"""Share of the suspensions that are of all nodes which no other fault uses."""
+
 OUTAGES = ("silent", "busy")
 REPLICA_TROUBLES = ("cut", "fail", "shed", "surplus", "break", "slow")
 
@@ -86,6 +93,38 @@
             self.world.ledger.resumed_at[node.name] = time.monotonic()
         self.with_claimed_node(draw, act)
 
+    def suspend_nodes(self, end, draw):
+        """Suspends VMs, singly and in herds, until a time. The faults of a seed stay the same without it."""
+        while time.monotonic() < end:
+            fault = self.herd_suspended if draw.random() < HERD_SHARE else self.node_suspended
+            arguments = (draw.uniform(*SUSPENSION_TIME), random.Random(draw.random()))
+            self.running_threads.append(threading.Thread(target=fault, args=arguments, daemon=True))
+            self.running_threads[-1].start()
+            time.sleep(draw.uniform(*SUSPENSION_GAP))
+
+    def node_suspended(self, seconds, draw):
+        def act(node):
+            node.suspend()
+            time.sleep(seconds)
+            self.resume(node)
+        self.with_claimed_node(draw, act)
+
+    def herd_suspended(self, seconds, draw):
+        herd = [node for node in self.world.nodes if node not in self.busy_nodes]
+        self.busy_nodes.update(herd)
+        with self.world.ledger.disturbance([node.name for node in herd]):
+            for node in herd:
+                node.suspend()
+            time.sleep(seconds)
+            for node in draw.sample(herd, len(herd)):
+                self.resume(node)
+                time.sleep(draw.uniform(0, 0.2))
+        self.busy_nodes.difference_update(herd)
+
+    def resume(self, node):
+        node.resume()
+        self.world.ledger.resumed_at[node.name] = time.monotonic()
+
     def herd_killed(self, seconds, draw):
         threads = [threading.Thread(target=self.node_killed, args=(seconds, draw)) for _ in self.world.nodes[1:]]
         for thread in threads:
@@ -162,19 +201,26 @@
         self.world.revoke(draw.choice(list(self.world.keys)))
 
 
-def run_seed(seed, seconds, nodes, replicas, callers):
-    """Runs one seed; returns the broken guarantees and the folder of the logs."""
+def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False):
+    """Runs one seed; returns the broken guarantees and the folder of the logs.
+
+    `suspensions`: whether VMs are suspended besides the seed's other faults"""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"snowrudder-soak-{seed}-"))
-    world = World(seed, folder, nodes, replicas, callers)
+    world = World(seed, folder, nodes, replicas, callers, suspensions)
     draw = random.Random(seed)
     faults = Faults(world, draw)
     injected = []
     try:
         world.start()
         began = time.monotonic()
+        if suspensions:
+            suspender = threading.Thread(target=faults.suspend_nodes, args=(began + seconds, random.Random(f"{seed} suspensions")))
+            suspender.start()
         while time.monotonic() - began < seconds:
             time.sleep(draw.uniform(0.3, 1.5))
             injected.append(f"{time.monotonic() - began:6.1f} {faults.inject()}")
+        if suspensions:
+            suspender.join()
         faults.wait()
         world.heal()
         time.sleep(LIMITS["contact"])
@@ -205,13 +251,14 @@
     options.add_argument("--replicas", type=int, default=4)
     options.add_argument("--callers", type=int, default=12)
     options.add_argument("--regressions", action="store_true", help="plays the seeds of regressions.txt")
+    options.add_argument("--suspensions", action="store_true", help="suspends VMs besides the seed's other faults")
     given = options.parse_args()
     seeds = range(given.seed, given.seed + given.count)
     if given.regressions:
         seeds = regressions()
     failed = 0
     for seed in seeds:
-        broken, folder = run_seed(seed, given.seconds, given.nodes, given.replicas, given.callers)
+        broken, folder = run_seed(seed, given.seconds, given.nodes, given.replicas, given.callers, given.suspensions)
         failed += bool(broken)
         for line in broken[:10]:
             print(f"  {line}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -62,7 +62,7 @@
 
 
 class World:
-    def __init__(self, seed, folder, nodes, replicas, callers):
+    def __init__(self, seed, folder, nodes, replicas, callers, suspendable=False):
         self.random = random.Random(seed)
         self.folder = folder
         self.ledger = Ledger()
@@ -77,7 +77,8 @@
         for _ in range(replicas):
             self.add_replica()
         self.store_proxies = [Proxy(self.store_port) for _ in range(nodes)]
-        self.nodes = [Node(self, f"front-{number}", proxy.port, "ab"[number % 2]) for number, proxy in enumerate(self.store_proxies)]
+        self.nodes = [Node(self, f"front-{number}", proxy.port, "ab"[number % 2], suspendable=suspendable)
+                      for number, proxy in enumerate(self.store_proxies)]
         self.stopping = threading.Event()
         self.ids = itertools.count()
         self.callers = [threading.Thread(target=self.run_caller, args=(random.Random(f"{seed} {number}"), number), daemon=True)
