--- a/modules/snowrudder_core/time/BootClock.h
+++ b/modules/snowrudder_core/time/BootClock.h
@@ -16,7 +16,8 @@
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
 
-    static constexpr auto is_steady = true;
+    // The name that the standard requires of a clock.
+    static constexpr auto is_steady = true; // NOLINT(readability-identifier-naming)
 
     static auto now() noexcept -> time_point;
 };
--- a/modules/snowrudder_core/time/Suspension.cpp
+++ b/modules/snowrudder_core/time/Suspension.cpp
@@ -37,19 +37,18 @@
     return step >= minSuspension ? step : std::chrono::nanoseconds::zero();
 }
 
-auto recordSuspension (SuspensionWatch& watch, Metrics& metrics) -> std::chrono::nanoseconds
+auto recordSuspension (SuspensionWatch& watch, Metrics& metrics) -> void
 {
     const auto time = takeSuspension (watch, readClocks());
 
     if (time == std::chrono::nanoseconds::zero())
-        return time;
+        return;
 
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds> (time).count();
     LogLine ("vm_suspended").with ("milliseconds", milliseconds).warning();
     metrics.counter ("snowrudder_suspensions_total").add();
     metrics.counter ("snowrudder_suspended_milliseconds_total")
         .add (static_cast<std::uint64_t> (milliseconds));
-    return time;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_core/time/Suspension.h
+++ b/modules/snowrudder_core/time/Suspension.h
@@ -32,10 +32,7 @@
 */
 auto takeSuspension (SuspensionWatch& watch, const ClockReading& reading) -> std::chrono::nanoseconds;
 
-/** Logs and counts a suspension since the last call. Call several times per second.
-
-    @returns for how long the VM was suspended; zero if it wasn't
-*/
-auto recordSuspension (SuspensionWatch& watch, Metrics& metrics) -> std::chrono::nanoseconds;
+/** Logs and counts a suspension since the last call. Call several times per second. */
+auto recordSuspension (SuspensionWatch& watch, Metrics& metrics) -> void;
 
 } // namespace snowrudder
--- a/modules/snowrudder_net/concurrency/BootTimer.h
+++ b/modules/snowrudder_net/concurrency/BootTimer.h
@@ -19,11 +19,14 @@
     */
     static constexpr auto maxSleep = Duration (200ms);
 
+    // The names that Asio calls.
+    // NOLINTBEGIN(readability-identifier-naming)
     static auto to_wait_duration (const Duration& left) -> Duration { return std::min (left, maxSleep); }
     static auto to_wait_duration (const TimePoint& end) -> Duration
     {
         return to_wait_duration (end - BootClock::now());
     }
+    // NOLINTEND(readability-identifier-naming)
 };
 
 /** A timer whose waits end at a time of the boot clock. */
--- a/modules/snowrudder_serving/crashes/CrashMonitor.cpp
+++ b/modules/snowrudder_serving/crashes/CrashMonitor.cpp
@@ -87,20 +87,23 @@
     }
 
     std::unordered_map<ReplicaNumber, std::vector<InterruptedAttempt>> expired;
+    // Attempts on one replica share the search of the directory.
+    std::unordered_map<ReplicaNumber, ReplicaListing> listings;
 
     for (auto& attempt : pendingAttempts)
     {
-        const auto listing = replicas.listing (attempt.number);
+        const auto [known, isFirst] = listings.try_emplace (attempt.number);
 
-        const auto isGone = listing == ReplicaListing::unlisted;
-        const auto seen =
-            isGone && replicas.hasSuccessor (attempt.replica) ? ReplicaListing::replaced : listing;
+        if (isFirst)
+            known->second = listingOf (attempt);
 
-        if (const auto proof = crashProof (seen, EndpointState::accepts); ! proof.empty())
+        const auto listing = known->second;
+
+        if (const auto proof = crashProof (listing, EndpointState::accepts); ! proof.empty())
             confirmCrash (attempt, proof);
-        else if (seen == ReplicaListing::leaving || now - attempt.ended > unconfirmedTimeout)
+        else if (listing == ReplicaListing::leaving || now - attempt.ended > unconfirmedTimeout)
             continue;
-        else if (isGone && now - attempt.probedAt >= expiredProbeInterval)
+        else if (listing == ReplicaListing::unlisted && now - attempt.probedAt >= expiredProbeInterval)
             expired[attempt.number].push_back (std::move (attempt));
         else
             addUnconfirmed (std::move (attempt));
@@ -264,6 +267,13 @@
         onNewEvidence();
 }
 
+auto CrashMonitor::listingOf (const InterruptedAttempt& attempt) const -> ReplicaListing
+{
+    const auto listing = replicas.listing (attempt.number);
+    const auto isReplaced = listing == ReplicaListing::unlisted && replicas.hasSuccessor (attempt.replica);
+    return isReplaced ? ReplicaListing::replaced : listing;
+}
+
 auto CrashMonitor::toReplicaCrash (const InterruptedAttempt& attempt) const -> ReplicaCrash
 {
     return { incarnationHash (attempt.replica), attempt.ended, naming == ReplicaNaming::uniquePerStart };
--- a/modules/snowrudder_serving/crashes/CrashMonitor.h
+++ b/modules/snowrudder_serving/crashes/CrashMonitor.h
@@ -121,6 +121,10 @@
     auto confirmCrash (const InterruptedAttempt& attempt, std::string_view proof) -> void;
     auto reportOpenEnd (const InterruptedAttempt& attempt) -> void;
     auto addUnconfirmed (InterruptedAttempt attempt) -> void;
+    /** @returns how the replica of an attempt is listed; `replaced` also if its entry is gone and its address has
+                 another replica
+    */
+    [[nodiscard]] auto listingOf (const InterruptedAttempt& attempt) const -> ReplicaListing;
     [[nodiscard]] auto toReplicaCrash (const InterruptedAttempt& attempt) const -> ReplicaCrash;
     /** @param expired  attempts on one replica, whose directory entry has expired */
     auto probeExpiredReplica (SharedProbes& probes, std::vector<InterruptedAttempt> expired) -> Task<void>;
--- a/tests/process/suspended_clock.cpp
+++ b/tests/process/suspended_clock.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-extern "C" int clock_gettime (clockid_t clock, timespec* time)
+extern "C" auto clock_gettime (clockid_t clock, timespec* time) -> int
 {
     static const auto next = nextDefinition<ClockGettime> ("clock_gettime");
     const auto result = next (clock, time);
@@ -67,13 +67,13 @@
 }
 
 // The kernel's monotonic timers don't stop with the process. Without timer descriptors Asio waits by epoll_wait() alone.
-extern "C" int timerfd_create (int, int)
+extern "C" auto timerfd_create (int, int) -> int
 {
     errno = ENOSYS;
     return -1;
 }
 
-extern "C" int epoll_wait (int descriptor, epoll_event* events, int count, int timeout)
+extern "C" auto epoll_wait (int descriptor, epoll_event* events, int count, int timeout) -> int
 {
     static const auto next = nextDefinition<EpollWait> ("epoll_wait");
 
