Query numbers of store updates begin at random at each start

Callers may have seen: a key admitted on a proof that is too young, at a node that restarted while a response to the process before was delayed; no record shows it.

Cause: numbers began at 1 with each start, so the response to the old process's query closed the new one's of the same number, and its proof was dated from that. The unit test fails before (the response is taken, provenAt moves) and passes since: numbers begin at 32 random bits, which keep the messages short.

--- a/modules/snowrudder_serving/members/StoreUpdates.h
+++ b/modules/snowrudder_serving/members/StoreUpdates.h
@@ -81,7 +81,10 @@
     std::uint64_t newestConfigurationRevision = 0;
     /** Whether the replicas must be listed at the store again, since readers can't supply all missed changes. */
     bool mustListReplicas = true;
-    std::uint64_t lastQueryNumber = 0;
+    /** Starts at random, so that a response to a process that ran before on this VM matches no query of this one. 32 bits
+        make a collision unlikely enough and keep the messages short.
+    */
+    std::uint64_t lastQueryNumber = randomNumber() >> 32U;
     /** The latest queries without a response so far. */
     std::deque<SentQuery> openQueries;
     /** Last received value of StoreUpdateResponse::missedChanges, by node. */
--- a/tests/unit/StoreUpdateTests.cpp
+++ b/tests/unit/StoreUpdateTests.cpp
@@ -44,6 +44,27 @@
     CHECK (requester.configuration.provenAt == start - 10s);
 }
 
+// Guards against query numbers that begin again at each start: the response would date the old proof from the new query.
+TEST_CASE ("a response to the process before is ignored by the one that follows it")
+{
+    const auto reader = makeStoreView (true);
+    auto before = makeStoreView (false);
+    auto after = makeStoreView (false);
+    after.configuration.provenAt = start - 10s;
+
+    const auto query = makeStoreUpdateQuery (before.storeUpdates, before.directory, "asker", start);
+    const auto delayed = makeStoreUpdateResponse (query, reader.storeUpdates, reader.configuration,
+                                                  reader.directory, "reader", start);
+
+    for (auto number = 0; number < 8; ++number)
+        makeStoreUpdateQuery (after.storeUpdates, after.directory, "asker", start + 3s);
+
+    CHECK_FALSE (applyStoreUpdateResponse (after.storeUpdates, after.configuration, after.directory, delayed,
+                                           start + 3s)
+                     .isMatched);
+    CHECK (after.configuration.provenAt == start - 10s);
+}
+
 TEST_CASE ("a proof of another configuration is ignored, and a newer configuration is checked at the store")
 {
     auto reader = makeStoreView (true);
