Thousands of replicas that are released together reach all nodes

Changes of entries that the asker is known to have take 11 to 14 bytes, the rest of the changes is asked for at once and without it the replicas count as old, and removals are remembered for 20 s instead of by count. Found by revision, so that an answer's cost depends on the changes only.

--- a/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace snowrudder
 {
@@ -42,21 +43,156 @@
     return true;
 }
 
-/** Records a removal for nodes that query changes. Only the newest `maxRemovals` are kept. */
-auto recordRemoval (ReplicaDirectory& directory, const std::string& key, EntryRemoval removal) -> void
+/** Records the revision of a key's change, and removes outdated ones when they outnumber the current ones. */
+auto indexChange (ReplicaDirectory& directory, const std::string& key, std::uint64_t revision) -> void
+{
+    auto& index = directory.keysByRevision;
+    index.emplace (revision, key);
+
+    if (index.size() <= 2 * (directory.entries.size() + directory.removals.size() + 1))
+        return;
+
+    index.clear();
+
+    for (const auto& [known, entry] : directory.entries)
+        index.emplace (entry.revision, known);
+
+    for (const auto& [known, removal] : directory.removals)
+        index.emplace (removal.revision, known);
+}
+
+/** Forgets the removals that were recorded longer than `removalsKept` ago. */
+auto forgetOldRemovals (ReplicaDirectory& directory, TimePoint now) -> void
+{
+    auto& times = directory.removalTimes;
+
+    for (; ! times.empty() && now - times.front().first > ReplicaDirectory::removalsKept; times.pop_front())
+    {
+        const auto found = directory.removals.find (times.front().second);
+
+        if (found == directory.removals.end() || found->second.recordedAt != times.front().first)
+            continue;
+
+        directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, found->second.revision);
+        directory.removals.erase (found);
+    }
+}
+
+/** Records a removal for nodes that query changes. */
+auto recordRemoval (ReplicaDirectory& directory, const std::string& key, EntryRemoval removal, TimePoint now)
+    -> void
 {
     auto& known = directory.removals[key];
 
     if (removal.revision >= known.revision)
+    {
+        if (const auto entry = directory.entries.find (key); entry != directory.entries.end())
+            removal.contentRevision = entry->second.contentRevision;
+
+        removal.recordedAt = now;
         known = removal;
+        directory.removalTimes.emplace_back (now, key);
+        indexChange (directory, key, removal.revision);
+    }
 
-    if (directory.removals.size() <= ReplicaDirectory::maxRemovals)
+    forgetOldRemovals (directory, now);
+}
+
+/** Approximate size in a message of an entry without its texts, and of a change of an entry that the receiver has. */
+constexpr auto entryBytes = std::size_t { 48 };
+constexpr auto knownChangeBytes = std::size_t { 14 };
+
+/** Adds the change that a key had at one revision, unless it has changed again since.
+
+    @param from  the revision up to which the receiver has all changes
+    @returns     its approximate size in a message
+*/
+auto addChange (const ReplicaDirectory& directory,
+                const std::string& key,
+                std::uint64_t revision,
+                std::uint64_t from,
+                DirectoryChanges& changes) -> std::size_t
+{
+    auto bytes = std::size_t { 0 };
+
+    if (const auto found = directory.entries.find (key);
+        found != directory.entries.end() && found->second.revision == revision && ! found->second.isMissing)
+    {
+        const auto& entry = found->second;
+
+        if (entry.contentRevision <= from && entry.isLeaving)
+        {
+            changes.known.push_back ({ hashBytes (key), revision, false });
+            bytes += knownChangeBytes;
+        }
+        else
+        {
+            changes.entries.push_back (entry);
+            bytes += entryBytes + key.size() + entry.info.name.size() + entry.info.service.size() +
+                     entry.info.endpoint.size() + entry.info.failureDomain.size() + entry.info.version.size();
+        }
+    }
+
+    if (const auto found = directory.removals.find (key);
+        found != directory.removals.end() && found->second.revision == revision)
+    {
+        const auto& removal = found->second;
+
+        if (! removal.isUnreadable && removal.contentRevision && *removal.contentRevision <= from)
+        {
+            changes.known.push_back ({ hashBytes (key), revision, true });
+            bytes += knownChangeBytes;
+        }
+        else
+        {
+            changes.removed.push_back ({ key, removal });
+            bytes += knownChangeBytes + key.size();
+        }
+    }
+
+    return bytes;
+}
+
+/** Applies changes of entries that this node has. One that it doesn't have was removed here before; since its key isn't
+    known, this node can't tell others of the removal.
+*/
+auto applyKnownChanges (ReplicaDirectory& directory,
+                        const std::vector<KnownEntryChange>& changes,
+                        TimePoint now) -> void
+{
+    if (changes.empty())
         return;
 
-    const auto oldest = std::ranges::min_element (
-        directory.removals, {}, [] (const auto& removed) { return removed.second.revision; });
-    directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, oldest->second.revision);
-    directory.removals.erase (oldest);
+    std::map<std::uint64_t, KnownEntryChange> byHash;
+
+    for (const auto& change : changes)
+        byHash[change.keyHash] = change;
+
+    std::vector<std::pair<DirectoryEntry, KnownEntryChange>> found;
+
+    for (const auto& [key, entry] : directory.entries)
+        if (const auto change = byHash.find (hashBytes (key)); change != byHash.end())
+        {
+            found.emplace_back (entry, change->second);
+            byHash.erase (change);
+        }
+
+    for (auto& [entry, change] : found)
+    {
+        if (change.isRemoved)
+        {
+            applyRemoval (directory, entry.key, { change.revision, false }, now);
+            continue;
+        }
+
+        entry.revision = change.revision;
+        entry.isLeaving = true;
+        entry.isMissing = false;
+        applyEntry (directory, std::move (entry));
+    }
+
+    for (const auto& [hash, change] : byHash)
+        directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, change.revision);
 }
 
 /** @returns whether an earlier watch should have returned a listed entry but did not. */
@@ -81,8 +217,11 @@
     if (known == directory.entries.end())
     {
         logSeen (entry);
+        entry.contentRevision = entry.revision;
         auto key = entry.key;
-        directory.entries.emplace (std::move (key), std::move (entry));
+        directory.unlistedChanges[key] = entry.info.name;
+        const auto added = directory.entries.emplace (std::move (key), std::move (entry)).first;
+        indexChange (directory, added->first, added->second.revision);
         return;
     }
 
@@ -93,13 +232,25 @@
     if (entry.info.born != 0 && entry.info.born < known->second.info.born)
     {
         known->second.revision = entry.revision;
+        indexChange (directory, entry.key, entry.revision);
         return;
     }
 
     if (entry.isLeaving != known->second.isLeaving || entry.info.born != known->second.info.born)
         logSeen (entry);
 
+    if (entry.revision == known->second.revision)
+    {
+        known->second.isMissing = false;
+        return;
+    }
+
+    const auto hasSameContent =
+        entry.info == known->second.info && entry.isReclaimable == known->second.isReclaimable;
+    directory.unlistedChanges[known->first] = entry.info.name;
+    entry.contentRevision = hasSameContent ? known->second.contentRevision : entry.revision;
     known->second = std::move (entry);
+    indexChange (directory, known->first, known->second.revision);
 }
 
 auto applyList (ReplicaDirectory& directory,
@@ -138,7 +289,7 @@
         // The revision of the removal is unknown; the list's revision announces it to all nodes with an older state.
         if (! directory.removals.contains (key))
         {
-            recordRemoval (directory, key, { revision, false });
+            recordRemoval (directory, key, { revision, false }, now);
             isMissed = isMissed || (isCheck && revision <= directory.revision);
         }
 
@@ -149,6 +300,7 @@
         }
 
         logRemoved (entry, "not_listed");
+        directory.unlistedChanges[key] = entry.info.name;
         place = directory.entries.erase (place);
     }
 
@@ -173,7 +325,7 @@
     if (known != directory.entries.end() && known->second.revision > removal.revision)
         return;
 
-    recordRemoval (directory, key, removal);
+    recordRemoval (directory, key, removal, now);
 
     if (known == directory.entries.end())
         return;
@@ -182,42 +334,33 @@
         return;
 
     logRemoved (known->second, removal.isUnreadable ? "unreadable" : "removed");
+    directory.unlistedChanges[key] = known->second.info.name;
     directory.entries.erase (known);
 }
 
-auto changesAfter (const ReplicaDirectory& directory, std::uint64_t revision, std::size_t most)
+auto changesAfter (const ReplicaDirectory& directory, std::uint64_t revision, std::size_t mostBytes)
     -> DirectoryChanges
 {
     DirectoryChanges changes;
     changes.revision = directory.revision;
     changes.isComplete = directory.revision > 0 && revision >= directory.removalsCompleteAfter;
+    auto bytes = std::size_t { 0 };
+    auto lastRevision = revision;
 
-    for (const auto& [key, entry] : directory.entries)
-        if (entry.revision > revision && ! entry.isMissing)
-            changes.entries.push_back (entry);
-
-    for (const auto& [key, removal] : directory.removals)
-        if (removal.revision > revision)
-            changes.removed.push_back ({ key, removal });
-
-    if (changes.entries.size() + changes.removed.size() <= most)
-        return changes;
-
-    // Returns the oldest changes, complete up to one revision, from which the caller queries again.
-    std::vector<std::uint64_t> revisions;
+    for (auto place = directory.keysByRevision.upper_bound (revision);
+         place != directory.keysByRevision.end(); ++place)
+    {
+        if (place->first != lastRevision && bytes > mostBytes)
+        {
+            changes.revision = lastRevision;
+            changes.hasMore = true;
+            break;
+        }
 
-    for (const auto& entry : changes.entries)
-        revisions.push_back (entry.revision);
+        lastRevision = place->first;
+        bytes += addChange (directory, place->second, lastRevision, revision, changes);
+    }
 
-    for (const auto& removed : changes.removed)
-        revisions.push_back (removed.removal.revision);
-
-    const auto last = revisions.begin() + static_cast<std::ptrdiff_t> (most - 1);
-    std::ranges::nth_element (revisions, last);
-    changes.revision = *last;
-    std::erase_if (changes.entries, [&] (const auto& entry) { return entry.revision > changes.revision; });
-    std::erase_if (changes.removed,
-                   [&] (const auto& removed) { return removed.removal.revision > changes.revision; });
     return changes;
 }
 
@@ -229,8 +372,9 @@
     for (auto& entry : changes.entries)
         applyEntry (directory, std::move (entry));
 
+    applyKnownChanges (directory, changes.known, now);
     directory.revision = std::max (directory.revision, changes.revision);
-    return ! changes.removed.empty() || ! changes.entries.empty();
+    return ! changes.removed.empty() || ! changes.entries.empty() || ! changes.known.empty();
 }
 
 auto dropMissing (ReplicaDirectory& directory, TimePoint now) -> bool
@@ -239,25 +383,29 @@
         return false;
 
     const auto dropped = std::erase_if (directory.entries,
-                                        [] (const auto& known)
+                                        [&directory] (const auto& known)
                                         {
-                                            if (known.second.isMissing)
-                                                logRemoved (known.second, "did_not_come_back");
+                                            if (! known.second.isMissing)
+                                                return false;
 
-                                            return known.second.isMissing;
+                                            logRemoved (known.second, "did_not_come_back");
+                                            directory.unlistedChanges[known.first] = known.second.info.name;
+                                            return true;
                                         });
     return dropped > 0;
 }
 
-auto listedReplicas (const ReplicaDirectory& directory) -> std::vector<ListedReplica>
+auto takeListChanges (ReplicaDirectory& directory) -> ListChanges
 {
-    std::vector<ListedReplica> listed;
-    listed.reserve (directory.entries.size());
+    ListChanges changes;
 
-    for (const auto& [key, entry] : directory.entries)
-        listed.push_back ({ entry.info, entry.isLeaving });
+    for (const auto& [key, name] : std::exchange (directory.unlistedChanges, {}))
+        if (const auto found = directory.entries.find (key); found != directory.entries.end())
+            changes.changed.push_back ({ found->second.info, found->second.isLeaving });
+        else
+            changes.removed.push_back (name);
 
-    return listed;
+    return changes;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.h
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.h
@@ -2,9 +2,12 @@
 
 #include "snowrudder_routing/snowrudder_routing.h"
 
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snowrudder
@@ -21,6 +24,9 @@
     bool isReclaimable = false;
     /** The store's revision of the entry. */
     std::uint64_t revision = 0;
+    /** The revision since which at most `isLeaving` has changed: a node that has all changes up to it knows the rest.
+     */
+    std::uint64_t contentRevision = 0;
     /** Whether the store no longer has the entry, but it may be written again because it may have expired in an outage
         of the store.
     */
@@ -34,6 +40,9 @@
     std::uint64_t revision = 0;
     /** Whether the entry still exists but can't be parsed, so that it is not kept as missing. */
     bool isUnreadable = false;
+    /** DirectoryEntry::contentRevision of the entry that was removed; none if it wasn't known. */
+    std::optional<std::uint64_t> contentRevision {};
+    TimePoint recordedAt {};
 };
 
 /** This node's copy of the replicas' entries in the store. */
@@ -44,17 +53,25 @@
     std::uint64_t revision = 0;
     /** Until when entries that the store no longer has are kept as missing, during and after an outage of the store. */
     TimePoint keepMissingUntil {};
-    /** Removals by key, including entries that can't be parsed any more; the newest `maxRemovals`. */
+    /** Removals by key, including entries that can't be parsed any more; those recorded within `removalsKept`. */
     std::map<std::string, EntryRemoval> removals;
+    /** Keys of the removals in the order in which they were recorded. */
+    std::deque<std::pair<TimePoint, std::string>> removalTimes;
+    /** Keys of the entries and removals by their revisions, so that the cost of finding the changes after a revision
+        depends on their number only. Some keys have changed again since.
+    */
+    std::multimap<std::uint64_t, std::string> keysByRevision;
+    /** The replicas' names by the keys of the entries that changed since takeListChanges() was last called. */
+    std::map<std::string, std::string> unlistedChanges;
     /** `removals` contains all removals after this revision. */
     std::uint64_t removalsCompleteAfter = 0;
     /** Number of lists that contained changes which earlier watches should have returned but did not. */
     std::uint64_t missedChanges = 0;
 
-    /** Enough for the hundreds of replicas that may be reclaimed within a minute, at about 100 bytes each. A node with
-        an older state has to list all entries.
+    /** A node that has received no changes for this long has to list all entries. Nodes query them five times a second; a
+        number of removals instead of a time would be used up at once when a service of thousands of replicas shrinks.
     */
-    static constexpr auto maxRemovals = std::size_t { 1024 };
+    static constexpr auto removalsKept = Duration (20s);
 };
 
 /** An entry that the store no longer has, or that can't be parsed. */
@@ -71,6 +88,17 @@
     std::vector<RemovedEntry> unreadable;
 };
 
+/** The change of an entry that the receiver is known to have: it is leaving, or was removed. It is some eight times as
+    small as the entry, so that a reader can tell all nodes of its failure domain of thousands of replicas that leave.
+*/
+struct KnownEntryChange
+{
+    /** From hashBytes(). */
+    std::uint64_t keyHash = 0;
+    std::uint64_t revision = 0;
+    bool isRemoved = false;
+};
+
 /** Changes of a directory after one revision of the store. */
 struct DirectoryChanges
 {
@@ -78,8 +106,11 @@
     std::uint64_t revision = 0;
     /** Whether all changes since the requested revision are known; otherwise older removals may be missing. */
     bool isComplete = false;
+    /** Whether there are more changes after `revision`. */
+    bool hasMore = false;
     std::vector<DirectoryEntry> entries;
     std::vector<RemovedEntry> removed;
+    std::vector<KnownEntryChange> known;
 };
 
 /** How long entries that expired in an outage of the store are kept after it. The platform guarantees that they are
@@ -112,10 +143,12 @@
 auto applyRemoval (ReplicaDirectory& directory, const std::string& key, EntryRemoval removal, TimePoint now)
     -> void;
 
-/** @returns the changes after a revision. Where there are more than `most`, these are the oldest ones, up to the
-    revision in the result.
+/** @returns the changes after a revision. Where they exceed a size, these are the oldest ones, up to the revision in the
+    result; those of one revision are never divided.
+
+    @param mostBytes  the approximate size of the changes in a message
 */
-auto changesAfter (const ReplicaDirectory& directory, std::uint64_t revision, std::size_t most)
+auto changesAfter (const ReplicaDirectory& directory, std::uint64_t revision, std::size_t mostBytes)
     -> DirectoryChanges;
 
 /** Applies changes received from another node.
@@ -130,7 +163,15 @@
 */
 auto dropMissing (ReplicaDirectory& directory, TimePoint now) -> bool;
 
-/** @returns all entries as input for ReplicaTable::update(). */
-auto listedReplicas (const ReplicaDirectory& directory) -> std::vector<ListedReplica>;
+/** Changes of the entries, as input for ReplicaTable::applyChanges(). */
+struct ListChanges
+{
+    std::vector<ListedReplica> changed;
+    /** Names of replicas. */
+    std::vector<std::string> removed;
+};
+
+/** @returns the changes since the last call. */
+auto takeListChanges (ReplicaDirectory& directory) -> ListChanges;
 
 } // namespace snowrudder
--- a/tests/unit/StoreUpdateRunTests.cpp
+++ b/tests/unit/StoreUpdateRunTests.cpp
@@ -19,17 +19,29 @@
         std::string name;
         std::uint64_t revision = 0;
         bool isRemoval = false;
+        bool isLeaving = false;
     };
 
-    auto change (const std::string& name, bool comesBack) -> void
+    /** Changes a replica's entry: one that exists begins to leave, is removed or written again. */
+    auto change (const std::string& name, bool comesBack, bool leaves) -> void
     {
-        const auto isRemoval = stored.erase (name) > 0 && ! comesBack;
+        const auto exists = stored.contains (name);
+        const auto isLeaving = exists && leaves;
+        const auto isRemoval = exists && ! leaves && ! comesBack;
+        stored.erase (name);
         ++revision;
 
         if (! isRemoval)
-            stored[name] = revision;
+            stored[name] = { revision, isLeaving };
 
-        changes.push_back ({ name, revision, isRemoval });
+        changes.push_back ({ name, revision, isRemoval, isLeaving });
+    }
+
+    static auto entryOf (const std::string& name, std::uint64_t at, bool isLeaving) -> DirectoryEntry
+    {
+        auto entry = replicaEntry (name, at);
+        entry.isLeaving = isLeaving;
+        return entry;
     }
 
     /** Applies the changes that a watch sends. */
@@ -39,7 +51,7 @@
             if (made.revision > directory.revision && made.isRemoval)
                 applyRemoval (directory, "replicas/" + made.name, { made.revision, false }, now);
             else if (made.revision > directory.revision)
-                applyEntry (directory, replicaEntry (made.name, made.revision));
+                applyEntry (directory, entryOf (made.name, made.revision, made.isLeaving));
 
         directory.revision = revision;
     }
@@ -48,13 +60,19 @@
     {
         std::vector<DirectoryEntry> listed;
 
-        for (const auto& [name, at] : stored)
-            listed.push_back (replicaEntry (name, at));
+        for (const auto& [name, written] : stored)
+            listed.push_back (entryOf (name, written.revision, written.isLeaving));
 
         applyList (directory, { std::move (listed), {} }, revision, now, reason);
     }
 
-    std::map<std::string, std::uint64_t> stored { { "one", 3 }, { "two", 4 } };
+    struct Written
+    {
+        std::uint64_t revision = 0;
+        bool isLeaving = false;
+    };
+
+    std::map<std::string, Written> stored { { "one", { 3 } }, { "two", { 4 } } };
     std::vector<Change> changes;
     std::uint64_t revision = 6;
 };
@@ -75,8 +93,12 @@
 
         std::set<std::string> names;
 
-        for (const auto& [name, at] : store.stored)
+        for (const auto& [name, written] : store.stored)
+        {
             names.insert (name);
+            REQUIRE (requester.directory.entries.contains ("replicas/" + name));
+            REQUIRE (requester.directory.entries.at ("replicas/" + name).isLeaving == written.isLeaving);
+        }
 
         REQUIRE (replicaNames (requester.directory) == names);
     }
@@ -89,7 +111,7 @@
         now += std::chrono::milliseconds (random() % 300);
 
         if (! isSettling && chance (50))
-            store.change ("replica-" + std::to_string (random() % 40), chance (30));
+            store.change ("replica-" + std::to_string (random() % 40), chance (30), chance (40));
 
         if (! isSettling && chance (3))
             configurationChanged = now;
@@ -126,8 +148,11 @@
         const auto which = random() % readers.size();
         const auto& reader = readers[which];
         const auto query = makeStoreUpdateQuery (requester.storeUpdates, requester.directory, "asker", now);
+        // Most responses have room for a few changes only.
+        constexpr auto smallSize = std::size_t { 100 };
+        const auto size = isSettling || chance (20) ? maxChangeBytesPerResponse : smallSize;
         auto response = makeStoreUpdateResponse (query, reader.storeUpdates, reader.configuration,
-                                                 reader.directory, std::to_string (which), now);
+                                                 reader.directory, std::to_string (which), now, size);
         const auto delay = std::chrono::milliseconds (isSettling ? 1 : random() % 2000);
         applyStoreUpdateResponse (requester.storeUpdates, requester.configuration, requester.directory,
                                   std::move (response), now + delay);
