--- a/modules/snowrudder_serving/duties/LeadershipLoop.cpp
+++ b/modules/snowrudder_serving/duties/LeadershipLoop.cpp
@@ -115,13 +115,13 @@
 {
     while (! state.leaving)
     {
-        const auto isReader = state.sharing.members && state.storeUpdates.isReader;
+        const auto isCollector = state.sharing.members && state.isCollector;
 
-        if (state.leadership.fence != 0 && isReader)
+        if (state.leadership.fence != 0 && isCollector)
             co_await renewAndWait (state, store);
         else if (state.leadership.fence != 0)
             co_await endLeadership (state, store, "no_reader_any_more");
-        else if (! isReader)
+        else if (! isCollector)
             co_await pauseFor (state.loop, nonReaderPause);
         else
             co_await waitForVacancy (state, store);
--- a/modules/snowrudder_serving/limits/QuotaSharing.cpp
+++ b/modules/snowrudder_serving/limits/QuotaSharing.cpp
@@ -32,6 +32,11 @@
 
 } // namespace
 
+auto lacksLevels (const QuotaSharing& sharing, const AccountPart& part, bool isSettledNow) -> bool
+{
+    return ! isSettledNow || (sharing.hasAdoptedLevels && (slicesOf (part) & ~sharing.adoptedSlices) != 0);
+}
+
 auto isRecentlyStarted (const QuotaSharing& sharing, TimePoint now) -> bool
 {
     return now - sharing.startTime < startUpTime;
--- a/modules/snowrudder_serving/limits/QuotaSharing.h
+++ b/modules/snowrudder_serving/limits/QuotaSharing.h
@@ -22,8 +22,15 @@
     std::optional<std::size_t> members;
     /** Whether this node has adopted the bucket levels of another node. */
     bool hasAdoptedLevels = false;
+    /** The slices of accounts whose levels it has adopted. */
+    std::uint64_t adoptedSlices = 0;
 };
 
+/** @returns whether this node must still adopt the levels in a report: it isn't settled, or adopted levels of other
+    accounts only.
+*/
+auto lacksLevels (const QuotaSharing& sharing, const AccountPart& part, bool isSettledNow) -> bool;
+
 /** @returns whether this node started so recently that it and the other nodes may not have listed each other yet. */
 auto isRecentlyStarted (const QuotaSharing& sharing, TimePoint now) -> bool;
 
--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace snowrudder
 {
@@ -37,11 +38,8 @@
 /** Level from which a request is admitted, whatever its size; a larger request leaves a debt. */
 constexpr auto minLevel = 1.0;
 
-/** Sum of all nodes' rations, as a multiple of the rate, when the bucket is empty and when it holds its reserve. The
-    level converges to a value between the two.
-*/
-constexpr auto minRationFactor = 0.5;
-constexpr auto maxRationFactor = 1.5;
+/** The part of its reserve, or of its burst where that is smaller, to which a bucket's level converges. */
+constexpr auto targetShareOfReserve = 0.5;
 
 /** An unused ration accumulates for this long. */
 constexpr auto maxRationBurstTime = 250ms;
@@ -50,9 +48,9 @@
 constexpr auto idleResetTime = 2s;
 
 /** @returns the burst of an account's bucket over all nodes, with its part of the tolerance. */
-auto burstOf (const RoutedAccount& account, const QuotaBounds& bounds) -> double
+auto burstOf (const RoutedAccount& account, const QuotaTolerance& tolerance) -> double
 {
-    return account.burstTokens + burstShareOfSlack * bounds.tolerance.slack;
+    return account.burstTokens + burstShareOfSlack * tolerance.slack;
 }
 
 /** @returns the initial level of an account's bucket when the actual level is unknown. */
@@ -60,9 +58,9 @@
 {
     const auto inWindow =
         account.tokensPerSecond * Seconds (bounds.tolerance.window).count() + account.burstTokens;
-    const auto level = initialBurstShare * burstOf (account, bounds) +
+    const auto level = initialBurstShare * burstOf (account, bounds.tolerance) +
                        initialShareOfTolerance * bounds.tolerance.overshoot * inWindow;
-    return std::min (level, burstOf (account, bounds));
+    return std::min (level, burstOf (account, bounds.tolerance));
 }
 
 /** @returns the retry delay for a refused caller: the time in which the account's whole limit makes up for what this
@@ -185,7 +183,7 @@
         part.refilledAt = now;
     }
 
-    part.burst = burstOf (account, bounds) * bounds.share;
+    part.burst = burstOf (account, bounds.tolerance) * bounds.share;
     part.rate = account.tokensPerSecond * bounds.share;
     refill (part, now);
     part.level = std::min (part.level, part.burst);
@@ -213,7 +211,7 @@
         // Where an equal share is smaller than one request, only some of the nodes may admit their first. The debt in
         // the steady state exceeds half of a typical request, since large requests are in debt for longer.
         constexpr auto debtOfRequest = 2.0;
-        initialShare.burst = burstOf (account, bounds) * bounds.equalShare;
+        initialShare.burst = burstOf (account, bounds.tolerance) * bounds.equalShare;
         initialShare.level =
             initialLevelOf (account, bounds) * bounds.equalShare - debtOfRequest * bounds.draw * tokens;
         initialShare.refilledAt = now;
@@ -239,7 +237,7 @@
                                 TimePoint now) -> void
 {
     auto& bucket = state.bucket;
-    const auto burst = burstOf (account, bounds);
+    const auto burst = burstOf (account, bounds.tolerance);
 
     if (bucket.refilledAt == TimePoint())
         bucket.refilledAt = bounds.admissionsKnownSince.value_or (now);
@@ -262,12 +260,18 @@
     const auto demand = state.demand.ratePerSecond (startTime, now);
 
     const auto part = demand / (demand + state.demandOfOthersPerSecond);
-    const auto filling = minRationFactor + (maxRationFactor - minRationFactor) * state.bucket.level / reserve;
+    // Sum of all nodes' rations, as a multiple of the rate: above 1 while the bucket holds more than its target.
+    const auto target = targetShareOfReserve * std::min (reserve, state.bucket.burst);
+    const auto filling = 1.0 + (state.bucket.level - target) / reserve;
     ration.rate = state.bucket.rate * part * filling;
     ration.burst = std::max (minLevel, ration.rate * Seconds (maxRationBurstTime).count());
 
+    // With less than one other request within the averaging time, the demand here is a multiple of what it is on
+    // average, and the ration of an earlier request says nothing of this one's.
+    const auto isSparse = state.demand.remaining (now) < 2.0 * tokens;
+
     // If every ration started full, all nodes would admit a request at the same moment.
-    if (now - ration.refilledAt > idleResetTime)
+    if (isSparse || now - ration.refilledAt > idleResetTime)
     {
         ration.level = (std::min (1.0, ration.rate / demand) - draw) * tokens;
         ration.refilledAt = now;
@@ -277,15 +281,34 @@
     ration.level = std::min (ration.level, ration.burst);
 }
 
+auto SharedQuota::learnLimit (const RoutedAccount& account,
+                              const QuotaTolerance& tolerance,
+                              TimePoint fillsFrom) -> void
+{
+    auto& bucket = accounts[account.name].bucket;
+
+    if (bucket.refilledAt == TimePoint())
+        bucket.refilledAt = fillsFrom;
+
+    bucket.rate = account.tokensPerSecond;
+    bucket.burst = burstOf (account, tolerance);
+}
+
 auto SharedQuota::charge (const AccountAmounts& tokens, TimePoint now) -> void
 {
     for (const auto& [account, amount] : tokens)
     {
         auto& bucket = accounts[account].bucket;
-        bucket.level -= amount;
 
-        if (bucket.refilledAt == TimePoint())
+        // A report shows that this node receives the admissions of the others.
+        if (bucket.refilledAt == TimePoint() || bucket.refilledAt > now)
             bucket.refilledAt = now;
+
+        // What exceeds the burst before these admissions is lost.
+        if (bucket.rate > 0.0)
+            refill (bucket, now);
+
+        bucket.level -= amount;
     }
 }
 
@@ -319,18 +342,42 @@
                                 [now] (const auto& entry)
                                 {
                                     const auto& bucket = entry.second.bucket;
-                                    return bucket.rate > 0.0 &&
+                                    return entry.second.hasInitialLevel && bucket.rate > 0.0 &&
                                            levelAt (bucket, now) < lowBucketShare * bucket.burst;
                                 });
 }
 
-auto SharedQuota::admitted (TimePoint now, Duration idleTime) const -> AdmittedByAccount
+auto SharedQuota::lowAccounts (TimePoint now, std::size_t most) const -> std::vector<std::string>
+{
+    std::vector<std::pair<double, std::string_view>> low;
+
+    for (const auto& [account, state] : accounts)
+    {
+        if (state.bucket.rate <= 0.0 || state.bucket.burst <= 0.0)
+            continue;
+
+        if (const auto filled = levelAt (state.bucket, now) / state.bucket.burst; filled < lowBucketShare)
+            low.emplace_back (filled, account);
+    }
+
+    const auto kept = std::min (low.size(), most);
+    std::ranges::partial_sort (low, low.begin() + static_cast<std::ptrdiff_t> (kept));
+    std::vector<std::string> names;
+
+    for (const auto& [filled, account] : std::span (low).first (kept))
+        names.emplace_back (account);
+
+    return names;
+}
+
+auto SharedQuota::admitted (TimePoint now, Duration idleTime, const AccountSelection& selection) const
+    -> AdmittedByAccount
 {
     AdmittedByAccount all;
 
     for (const auto& [account, state] : accounts)
     {
-        if (now - state.demand.at > idleTime)
+        if (now - state.demand.at > idleTime || ! selection.contains (account))
             continue;
 
         auto& use = all[account];
--- a/modules/snowrudder_serving/limits/SharedQuota.h
+++ b/modules/snowrudder_serving/limits/SharedQuota.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snowrudder
 {
@@ -65,6 +66,15 @@
     auto admit (const RoutedAccount& account, double tokens, const QuotaBounds& bounds, TimePoint now)
         -> Admission;
 
+    /** Sets an account's limit before its first request, so that its bucket is kept filled up to its burst while other
+        nodes' admissions are charged. Otherwise the bucket of an account that has a request here once in minutes would
+        be full at each of them, whatever the others have admitted in the last seconds.
+
+        @param fillsFrom  since when this node receives the admissions of the others
+    */
+    auto learnLimit (const RoutedAccount& account, const QuotaTolerance& tolerance, TimePoint fillsFrom)
+        -> void;
+
     /** Subtracts what other nodes admitted; negative amounts are refunded. */
     auto charge (const AccountAmounts& tokens, TimePoint now) -> void;
 
@@ -81,10 +91,22 @@
 
     /** @returns what this node admitted, by client account.
 
-        @param idleTime  accounts without a request within this time are left out
+        @param idleTime   accounts without a request within this time are left out
+        @param selection  the accounts to include
     */
-    [[nodiscard]] auto admitted (TimePoint now, Duration idleTime = Duration::max()) const
-        -> AdmittedByAccount;
+    [[nodiscard]] auto admitted (TimePoint now,
+                                 Duration idleTime = Duration::max(),
+                                 const AccountSelection& selection = {}) const -> AdmittedByAccount;
+
+    /** @returns the accounts whose buckets are low, the emptiest first. Every node must hear of these without delay,
+        whether it has requests of them or not.
+
+        @param most  the largest number of accounts
+    */
+    [[nodiscard]] auto lowAccounts (TimePoint now, std::size_t most) const -> std::vector<std::string>;
+
+    /** @returns the number of accounts that this node has figures of. */
+    [[nodiscard]] auto accountCount() const -> std::size_t { return accounts.size(); }
 
 private:
     /** Time over which rates are averaged: long compared with a request, short compared with the daily load curve. */
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
+#include <span>
 
 namespace snowrudder
 {
@@ -41,6 +43,12 @@
     message.set_nodes (report.nodes);
     message.set_crash_digest (report.crashDigest);
 
+    if (report.part.count > 1)
+    {
+        message.set_part (report.part.index);
+        message.set_parts (report.part.count);
+    }
+
     for (const auto& [account, use] : report.admitted)
     {
         auto* entry = message.add_use();
@@ -117,9 +125,24 @@
     message.set_node (query.node);
     message.set_number (query.number);
     message.set_directory_revision (query.directoryRevision);
+    message.set_members_revision (query.membersRevision);
+    message.set_members_hash (query.membersHash);
     write (query.loads, *message.mutable_loads());
 }
 
+auto write (const MembersSummary& members, schema::MembersSummary& message) -> void
+{
+    message.set_count (static_cast<std::uint32_t> (members.count));
+
+    for (const auto& reader : members.readers)
+    {
+        auto* entry = message.add_readers();
+        entry->set_endpoint (reader.endpoint);
+        entry->set_failure_domain (reader.failureDomain);
+        entry->set_collector (reader.isCollector);
+    }
+}
+
 auto write (const StoreUpdateResponse& response, TimePoint now, schema::NewsAnswer& message) -> void
 {
     message.set_rollouts_known (response.areRolloutsKnown);
@@ -133,7 +156,13 @@
     message.set_complete (response.changes.isComplete);
     message.set_missed_changes (response.missedChanges);
     message.set_members_hash (response.membersHash);
+    message.set_members_revision (response.membersRevision);
+
+    if (response.members)
+        write (*response.members, *message.mutable_members());
+
     message.set_keep_missing_milliseconds (asMilliseconds (response.keepMissing));
+    message.set_more_changes (response.changes.hasMore);
     write (response.loads, *message.mutable_loads());
 
     for (const auto& entry : response.changes.entries)
@@ -159,6 +188,13 @@
         written->set_revision (removed.removal.revision);
         written->set_unreadable (removed.removal.isUnreadable);
     }
+
+    for (const auto& change : response.changes.known)
+    {
+        message.add_known_keys (change.keyHash);
+        message.add_known_revisions_below (response.changes.revision - change.revision);
+        message.add_known_removed (change.isRemoved);
+    }
 }
 
 auto write (const LoadNotice& notice, TimePoint now, schema::LoadNotice& message) -> void
@@ -228,6 +264,9 @@
     report.nodes = message.nodes();
     report.crashDigest = message.crash_digest();
 
+    if (message.parts() > 0)
+        report.part = { message.part(), message.parts() };
+
     for (const auto& entry : message.use())
     {
         if (! isAmount (entry.admitted()) || ! isAmount (entry.rate()) || ! isAmount (entry.asked()))
@@ -328,7 +367,20 @@
 
 auto read (const schema::NewsQuestion& message) -> StoreUpdateQuery
 {
-    return { message.node(), message.number(), message.directory_revision(), read (message.loads()) };
+    return { message.node(),         message.number(),           message.directory_revision(),
+             read (message.loads()), message.members_revision(), message.members_hash() };
+}
+
+auto readMembers (const schema::NewsAnswer& message) -> MembersSummary
+{
+    MembersSummary members {
+        message.members_revision(), message.members_hash(), message.members().count(), {}
+    };
+
+    for (const auto& reader : message.members().readers())
+        members.readers.push_back ({ reader.endpoint(), reader.failure_domain(), reader.collector() });
+
+    return members;
 }
 
 auto read (const schema::ReplicaEntry& message) -> DirectoryEntry
@@ -380,8 +432,14 @@
     response.directoryAge = std::chrono::milliseconds (message.directory_age_milliseconds());
     response.changes.revision = message.directory_revision();
     response.changes.isComplete = message.complete();
+    response.changes.hasMore = message.more_changes();
     response.missedChanges = message.missed_changes();
     response.membersHash = message.members_hash();
+    response.membersRevision = message.members_revision();
+
+    if (message.has_members())
+        response.members = readMembers (message);
+
     response.keepMissing = std::chrono::milliseconds (message.keep_missing_milliseconds());
     response.loads = read (message.loads());
 
@@ -391,9 +449,138 @@
     for (const auto& removed : message.removed())
         response.changes.removed.push_back ({ removed.key(), { removed.revision(), removed.unreadable() } });
 
+    const auto count = std::min (
+        { message.known_keys_size(), message.known_revisions_below_size(), message.known_removed_size() });
+
+    for (auto index = 0; index < count; ++index)
+        if (message.known_revisions_below (index) <= message.directory_revision())
+            response.changes.known.push_back (
+                { message.known_keys (index),
+                  message.directory_revision() - message.known_revisions_below (index),
+                  message.known_removed (index) });
+
     return response;
 }
 
+/** Divides a list in two halves.
+
+    @returns whether there were at least two elements
+*/
+template <typename Element>
+auto moveHalf (std::vector<Element>& from, std::vector<Element>& to) -> bool
+{
+    if (from.size() < 2)
+        return false;
+
+    const auto middle = from.begin() + static_cast<std::ptrdiff_t> (from.size() / 2);
+    to.assign (std::make_move_iterator (middle), std::make_move_iterator (from.end()));
+    from.erase (middle, from.end());
+    return true;
+}
+
+/** Divides a message in two halves, each of which is valid by itself.
+
+    @returns whether it could be divided
+*/
+auto split (PeerReport& report, PeerReport& second) -> bool
+{
+    const auto halves = halvesOf (report.part);
+
+    if (! halves || report.admitted.size() < 2)
+        return false;
+
+    second = report;
+    report.part = halves->first;
+    second.part = halves->second;
+    // Both halves keep the work, which each report states anew.
+    const auto isOfSecond = [&second] (const auto& entry)
+    { return sliceOf (entry.first) % second.part.count >= second.part.count / 2; };
+    const auto isOfFirst = [&isOfSecond] (const auto& entry) { return ! isOfSecond (entry); };
+    std::erase_if (report.admitted, isOfSecond);
+    std::erase_if (second.admitted, isOfFirst);
+    return true;
+}
+
+auto split (UsageNotice& notice, UsageNotice& second) -> bool
+{
+    std::vector<std::pair<std::uint64_t, std::pair<const std::string, std::uint64_t>>> figures;
+
+    for (const auto& [window, counts] : notice.counts)
+        for (const auto& figure : counts)
+            figures.emplace_back (window, figure);
+
+    if (figures.size() < 2)
+        return false;
+
+    second = notice;
+    second.counts.clear();
+
+    for (const auto& [window, figure] : std::span (figures).subspan (figures.size() / 2))
+    {
+        second.counts[window].insert (figure);
+        notice.counts[window].erase (figure.first);
+    }
+
+    return true;
+}
+
+auto split (CrashNotice& notice, CrashNotice& second) -> bool
+{
+    second.node = notice.node;
+    return moveHalf (notice.evidence, second.evidence);
+}
+
+auto split (LoadNotice& notice, LoadNotice& second) -> bool
+{
+    second.node = notice.node;
+    return moveHalf (notice.loads, second.loads);
+}
+
+/** Messages of which the receiver expects a single one, or that always fit. */
+template <typename Message>
+auto split (Message&, Message&) -> bool
+{
+    return false;
+}
+
+auto appendDatagrams (NodeMessage message,
+                      std::string_view secret,
+                      TimePoint now,
+                      std::vector<std::string>& datagrams) -> void
+{
+    auto datagram = encodeMessage (message, secret, now);
+
+    if (datagram.size() <= maxDatagramSize)
+    {
+        datagrams.push_back (std::move (datagram));
+        return;
+    }
+
+    std::optional<NodeMessage> second;
+    std::visit (
+        [&second] (auto& first)
+        {
+            std::decay_t<decltype (first)> half;
+
+            if (split (first, half))
+                second = std::move (half);
+        },
+        message);
+
+    if (! second)
+    {
+        LogLine ("datagram_too_large")
+            .with ("message", message.index())
+            .with ("bytes", datagram.size())
+            .with ("allowed", maxDatagramSize)
+            .error();
+        return;
+    }
+
+    appendDatagrams (std::move (message), secret, now, datagrams);
+    appendDatagrams (std::move (*second), secret, now, datagrams);
+}
+
 } // namespace
 
 auto encodeCrashes (const CrashNotice& notice, TimePoint now) -> std::string
@@ -436,6 +623,14 @@
     return keyedDigest (secret, text) + text;
 }
 
+auto encodeDatagrams (const NodeMessage& message, std::string_view secret, TimePoint now)
+    -> std::vector<std::string>
+{
+    std::vector<std::string> datagrams;
+    appendDatagrams (message, secret, now, datagrams);
+    return datagrams;
+}
+
 auto decodeMessage (std::string_view datagram, std::string_view secret, TimePoint now)
     -> std::optional<NodeMessage>
 {
@@ -453,7 +648,10 @@
         return {};
 
     if (message.has_report() && ! message.report().node().empty())
-        return read (message.report());
+    {
+        auto report = read (message.report());
+        return isValid (report.part) ? std::optional<NodeMessage> (std::move (report)) : std::nullopt;
+    }
 
     if (message.has_prompt() && ! message.prompt().node().empty())
         return PromptNotice { message.prompt().node(), message.prompt().replica(),
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -9,12 +9,13 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace snowrudder
 {
 
 /** The largest datagram, in bytes, that is sent or accepted: a few IP fragments, each of which fits into one Ethernet
-    frame beside the IP and UDP headers.
+    frame beside the IP and UDP headers. See encodeDatagrams() for messages that don't fit.
 */
 inline constexpr auto maxDatagramSize = std::size_t { 8 * 1024 };
 
@@ -43,6 +44,13 @@
 auto encodeMessage (const NodeMessage& message, std::string_view secret, TimePoint now = BootClock::now())
     -> std::string;
 
+/** @returns a message as one datagram, or as several where it exceeds `maxDatagramSize`: a report in parts of its
+    accounts, the other notices in halves of what they list. Their receivers merge them in any order. A message that
+    can't be divided any further is left out and logged.
+*/
+auto encodeDatagrams (const NodeMessage& message, std::string_view secret, TimePoint now = BootClock::now())
+    -> std::vector<std::string>;
+
 /** @returns the message of a datagram, or nothing if it is malformed, too large or not signed with the fleet's secret.
 */
 auto decodeMessage (std::string_view datagram, std::string_view secret, TimePoint now = BootClock::now())
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -47,7 +47,7 @@
     const auto listed = co_await store.list (std::string (memberPrefix), ReadFreshness::newest);
 
     if (listed.outcome == StoreOutcome::done)
-        applyMembers (listed.items);
+        applyMembers (listed);
 }
 
 auto Membership::leave() -> Task<void>
@@ -92,7 +92,7 @@
     if (listed.outcome != StoreOutcome::done)
         co_return false;
 
-    applyMembers (listed.items);
+    applyMembers (listed);
     co_await pauseFor (state.loop, listPause());
     co_return true;
 }
@@ -114,7 +114,7 @@
     if (listed.outcome != StoreOutcome::done)
         co_return;
 
-    std::vector<StoredItem> members;
+    auto hasMembers = false;
     const auto own = ownEntry();
 
     for (const auto& item : listed.items)
@@ -122,8 +122,7 @@
         if (item.key == secretKey)
             state.fleetSecret = item.value;
 
-        if (item.key.starts_with (memberPrefix))
-            members.push_back (item);
+        hasMembers = hasMembers || item.key.starts_with (memberPrefix);
 
         // The entry of an earlier process of this node remains until its lease expires. Renewing that lease costs a
         // twentieth of the price of a new entry.
@@ -131,8 +130,8 @@
             lease = item.lease;
     }
 
-    if (! members.empty())
-        applyMembers (members);
+    if (hasMembers)
+        applyMembers (listed);
 }
 
 auto Membership::ownEntry() const -> StoredItem
@@ -200,16 +199,19 @@
     LogLine ("membership_joined").with ("lease", lease).info();
 }
 
-auto Membership::applyMembers (const std::vector<StoredItem>& listed) -> void
+auto Membership::applyMembers (const ReadItems& listed) -> void
 {
     std::map<std::string, MemberInfo> members;
-    std::map<std::string, Endpoint> endpoints;
-    members[state.settings.node] = { state.settings.listenPeers, state.settings.failureDomain };
-
+    endpointsOfOthers.clear();
+    membersOfDomain.clear();
     auto hash = std::uint64_t { 1 };
+    members[state.settings.node] = { state.settings.listenPeers, state.settings.failureDomain };
 
-    for (const auto& item : listed)
+    for (const auto& item : listed.items)
     {
+        if (! item.key.starts_with (memberPrefix))
+            continue;
+
         hash = hashBytes (item.value, hashBytes (item.key, hash));
         const auto name = item.key.substr (memberPrefix.size());
         auto member = parseMember (item.value);
@@ -218,53 +220,78 @@
         if (name == state.settings.node || ! endpoint)
             continue;
 
-        endpoints.emplace (name, *endpoint);
+        endpointsOfOthers.push_back (*endpoint);
+
+        if (member.failureDomain == state.settings.failureDomain)
+            membersOfDomain.push_back (*endpoint);
+
         members.emplace (name, std::move (member));
     }
 
-    if (members.size() != state.memberCount())
-        LogLine ("members_changed").with ("before", state.memberCount()).with ("now", members.size()).info();
-
     state.storeUpdates.membersHash = hash;
-    endpointsOfOthers.clear();
+    state.storeUpdates.membersListedAt = BootClock::now();
+
+    // A reader's summary may be newer than a list that is seconds old.
+    if (listed.revision >= state.storeUpdates.members.revision)
+        state.storeUpdates.members = { listed.revision, hash, members.size(), readersOf (members) };
+
+    applySummary();
+}
 
-    for (const auto& [name, endpoint] : endpoints)
-        endpointsOfOthers.push_back (endpoint);
+auto Membership::applySummary() -> void
+{
+    const auto count = state.storeUpdates.members.count;
+
+    if (count != state.memberCount())
+        LogLine ("members_changed").with ("before", state.memberCount()).with ("now", count).info();
 
-    state.sharing.members = members.size();
+    state.sharing.members = count;
     state.retryBudgets.setMaxSaved (state.maxSavedRetries());
-    updateReaders (members, endpoints);
+    updateReaders();
 }
 
-auto Membership::updateReaders (const std::map<std::string, MemberInfo>& members,
-                                const std::map<std::string, Endpoint>& endpoints) -> void
+auto Membership::updateReaders() -> void
 {
     readersOfDomain.clear();
     readersElsewhere.clear();
-    membersOfDomain.clear();
+    collectorsOfDomain.clear();
+    collectorsElsewhere.clear();
     auto isReader = false;
+    auto isCollector = false;
+
+    for (const auto& reader : state.storeUpdates.members.readers)
+    {
+        if (reader.endpoint == state.settings.listenPeers)
+        {
+            isReader = true;
+            isCollector = reader.isCollector;
+            continue;
+        }
+
+        const auto endpoint = datagramEndpoint (reader.endpoint);
+
+        if (! endpoint)
+            continue;
+
+        const auto isOwnDomain = reader.failureDomain == state.settings.failureDomain;
+        (isOwnDomain ? readersOfDomain : readersElsewhere).push_back (*endpoint);
+
+        if (reader.isCollector)
+            (isOwnDomain ? collectorsOfDomain : collectorsElsewhere).push_back (*endpoint);
+    }
+
+    std::erase_if (membersOfDomain, [this] (const Endpoint& endpoint)
+                   { return std::ranges::find (collectorsOfDomain, endpoint) != collectorsOfDomain.end(); });
 
-    for (const auto& [domain, names] : chooseReaders (members))
-        for (const auto& name : names)
-            if (name == state.settings.node)
-                isReader = true;
-            else if (domain == state.settings.failureDomain)
-                readersOfDomain.push_back (endpoints.at (name));
-            else
-                readersElsewhere.push_back (endpoints.at (name));
-
-    for (const auto& [name, endpoint] : endpoints)
-        if (members.at (name).failureDomain == state.settings.failureDomain &&
-            std::ranges::find (readersOfDomain, endpoint) == readersOfDomain.end())
-            membersOfDomain.push_back (endpoint);
-
-    if (isReader != state.storeUpdates.isReader)
+    if (isReader != state.storeUpdates.isReader || isCollector != state.isCollector)
         LogLine (isReader ? "store_reader" : "store_read_by_others")
+            .with ("collector", isCollector ? "yes" : "no")
             .with ("readers", readersOfDomain.size())
-            .with ("members", members.size())
+            .with ("members", state.storeUpdates.members.count)
             .info();
 
     state.storeUpdates.isReader = isReader;
+    state.isCollector = isCollector;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -39,6 +39,9 @@
     /** Lists the members once if no others are known, since one may have joined after the last list. */
     auto listOthersIfNone() -> Task<void>;
 
+    /** Applies the summary of the members in `state.storeUpdates`, which a reader sent. */
+    auto applySummary() -> void;
+
     /** Removes this node from the members by ending its lease. */
     auto leave() -> Task<void>;
 
@@ -52,7 +55,11 @@
     [[nodiscard]] auto ownReaders() const -> const std::vector<Endpoint>& { return readersOfDomain; }
     [[nodiscard]] auto otherReaders() const -> const std::vector<Endpoint>& { return readersElsewhere; }
 
-    /** The other nodes of this node's failure domain that are not readers. */
+    /** The other nodes that are collectors: of this node's failure domain, and of the other ones. */
+    [[nodiscard]] auto ownCollectors() const -> const std::vector<Endpoint>& { return collectorsOfDomain; }
+    [[nodiscard]] auto otherCollectors() const -> const std::vector<Endpoint>& { return collectorsElsewhere; }
+
+    /** The other nodes of this node's failure domain that are not collectors. */
     [[nodiscard]] auto ownMembers() const -> const std::vector<Endpoint>& { return membersOfDomain; }
 
 private:
@@ -62,10 +69,9 @@
     auto joinMembers() -> Task<void>;
     /** @returns this node's member entry as it is stored, without its lease. */
     [[nodiscard]] auto ownEntry() const -> StoredItem;
-    auto applyMembers (const std::vector<StoredItem>& listed) -> void;
+    auto applyMembers (const ReadItems& listed) -> void;
     [[nodiscard]] auto listPause() const -> Duration;
-    auto updateReaders (const std::map<std::string, MemberInfo>& members,
-                        const std::map<std::string, Endpoint>& endpoints) -> void;
+    auto updateReaders() -> void;
 
     ServingState& state;
     const StateStore& store;
@@ -74,6 +80,8 @@
     std::vector<Endpoint> endpointsOfOthers;
     std::vector<Endpoint> readersOfDomain;
     std::vector<Endpoint> readersElsewhere;
+    std::vector<Endpoint> collectorsOfDomain;
+    std::vector<Endpoint> collectorsElsewhere;
     std::vector<Endpoint> membersOfDomain;
 };
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -47,16 +47,15 @@
     return endpoint.address().to_string() + ":" + std::to_string (endpoint.port());
 }
 
-/** @returns a datagram with all crash evidence of this node, or an empty string if there is none. */
-auto encodeAllCrashes (ServingState& state, const Membership& membership, TimePoint now) -> std::string
+/** @returns all crash evidence of this node. */
+auto allCrashes (ServingState& state, TimePoint now) -> CrashNotice
 {
-    const CrashNotice notice { state.settings.node, state.crashes.table().all (maxEvidencePerNotice, now) };
-    return notice.evidence.empty() ? std::string() : encodeMessage (notice, membership.secret(), now);
+    return { state.settings.node, state.crashes.table().all (maxEvidencePerNotice, now) };
 }
 
 } // namespace
 
-PeerExchange::PeerExchange (ServingState& servingState, const Membership& fleetMembership)
+PeerExchange::PeerExchange (ServingState& servingState, Membership& fleetMembership)
     : state (servingState), membership (fleetMembership), socket (servingState.loop),
       incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count())),
       crashWake (std::make_shared<Signal> (servingState.loop.get_executor()))
@@ -97,10 +96,7 @@
         return;
 
     notice.node = state.settings.node;
-    const auto datagram = encodeMessage (notice, membership.secret());
-
-    for (const auto& target : membership.others())
-        send (datagram, target);
+    sendTo (membership.others(), notice);
 }
 
 auto PeerExchange::receiveLoop() -> Task<void>
@@ -128,7 +124,7 @@
         else if (const auto* query = std::get_if<StoreUpdateQuery> (&*message))
             respond (*query, sender);
         else if (auto* response = std::get_if<StoreUpdateResponse> (&*message))
-            handle (std::move (*response));
+            handle (std::move (*response), sender);
         else if (const auto* prompt = std::get_if<PromptNotice> (&*message))
             state.replicas.recordAnnouncedPrompt (prompt->replica, prompt->tokens, BootClock::now());
         else if (const auto* usage = std::get_if<UsageNotice> (&*message))
@@ -156,16 +152,18 @@
         sendAllCrashes (sender, now);
 
     if (const auto scope = scopeToRespond (own, report.scope, isFirst))
-        send (encodeMessage (makeReport (*scope, report.node, now), membership.secret()), sender);
+        sendTo ({ sender }, makeResponse (*scope, report, isFirst, now));
 
     if (recordPeerConfigurationRevision (state.storeUpdates, state.configuration,
                                          report.configurationRevision))
         state.configurationWake->notify();
 
-    if (report.isSettled && ! isSettled (state.sharing, state.peers, now))
+    if (report.isSettled &&
+        lacksLevels (state.sharing, report.part, isSettled (state.sharing, state.peers, now)))
     {
         state.quota.adopt (report.admitted, now);
         state.sharing.hasAdoptedLevels = true;
+        state.sharing.adoptedSlices |= slicesOf (report.part);
         LogLine ("limits_adopted")
             .with ("from", report.node)
             .with ("accounts", report.admitted.size())
@@ -184,7 +182,29 @@
     response.loads = state.loads.recent (now);
     response.rollouts = state.rollouts.table.all();
     response.areRolloutsKnown = state.rollouts.table.isLoaded;
-    send (encodeMessage (response, membership.secret()), sender);
+    auto datagram = encodeMessage (response, membership.secret(), now);
+
+    if (datagram.size() > maxDatagramSize)
+    {
+        // The loads come again with the next response.
+        response.loads.clear();
+        datagram = encodeMessage (response, membership.secret(), now);
+    }
+
+    if (datagram.size() > maxDatagramSize)
+    {
+        LogLine ("store_update_too_large")
+            .with ("revision", query.directoryRevision)
+            .with ("bytes", datagram.size())
+            .with ("allowed", maxDatagramSize)
+            .warning();
+        // The node lists the replicas instead.
+        response.changes = {};
+        response.changes.revision = state.directory.revision;
+        datagram = encodeMessage (response, membership.secret(), now);
+    }
+
+    send (datagram, sender);
 }
 
 auto PeerExchange::handle (const LoadNotice& notice) -> void
@@ -195,7 +215,7 @@
         state.rollouts.merge (rollout, notice.node);
 }
 
-auto PeerExchange::handle (StoreUpdateResponse response) -> void
+auto PeerExchange::handle (StoreUpdateResponse response, const Endpoint& sender) -> void
 {
     const auto now = BootClock::now();
     recordLoads (response.loads, false);
@@ -210,11 +230,17 @@
     if (! effect.isMatched)
         state.metrics.counter ("snowrudder_unmatched_store_updates_total").add();
 
+    if (effect.members)
+        membership.applySummary();
+
     if (effect.directory)
         state.publishDirectory (now);
 
     if (effect.newerConfiguration)
         state.configurationWake->notify();
+
+    if (effect.hasMore)
+        sendQuery (sender, now);
 }
 
 auto PeerExchange::sendLoop() -> Task<void>
@@ -232,12 +258,9 @@
 
         const auto sent = BootClock::now();
         const auto targets = chooseReportTargets (sent);
-        const auto report = makeReport (scopeToSend (state.role()), {}, sent);
-        const auto datagram = encodeMessage (report, membership.secret());
-
-        for (const auto& target : targets)
-            send (datagram, target);
-
+        auto report = makeReport (scopeToSend (state.role()), {}, sent);
+        applySelection (report, selectForReport (report, reportedTotals));
+        sendTo (targets, report);
         hasSentFirstReport = true;
     }
 }
@@ -272,14 +295,9 @@
     notice.counts = state.usage.endedAfter (state.trueTime.now (now) - state.settings.usageReportDelay);
 
     if (! notice.counts.empty())
-    {
-        const auto datagram = encodeMessage (notice, membership.secret());
-
-        for (const auto& reader : membership.ownReaders())
-            send (datagram, reader);
-    }
+        sendTo (membership.ownCollectors(), notice);
 
-    if (! state.storeUpdates.isReader)
+    if (! state.isCollector)
         return;
 
     notice.domain = state.settings.failureDomain;
@@ -287,7 +305,7 @@
         state.usageOfOthers.recentDomainCounts (state.usage, state.trueTime.now (now) - usageResendTime);
 
     if (! notice.counts.empty())
-        sendToReaders (encodeMessage (notice, membership.secret()));
+        sendToCollectors (notice);
 }
 
 auto PeerExchange::sendRolloutCounts() -> void
@@ -299,21 +317,16 @@
     notice.counts = state.rollouts.ownCounts();
 
     if (! notice.counts.empty())
-    {
-        const auto datagram = encodeMessage (notice, membership.secret());
+        sendTo (membership.ownCollectors(), notice);
 
-        for (const auto& reader : membership.ownReaders())
-            send (datagram, reader);
-    }
-
-    if (! state.storeUpdates.isReader)
+    if (! state.isCollector)
         return;
 
     notice.domain = state.settings.failureDomain;
     notice.counts = state.rollouts.domainCounts();
 
     if (! notice.counts.empty())
-        sendToReaders (encodeMessage (notice, membership.secret()));
+        sendToCollectors (notice);
 }
 
 auto PeerExchange::crashLoop() -> Task<void>
@@ -325,33 +338,32 @@
         // Sends all evidence to nodes that weren't listed yet when it was first sent.
         auto recipients = hasPeers() ? crashRecipients() : std::vector<Endpoint>();
 
+        std::vector<Endpoint> newRecipients;
+
         for (const auto& recipient : recipients)
             if (std::ranges::find (knownRecipients, recipient) == knownRecipients.end())
-                if (const auto datagram = encodeAllCrashes (state, membership, BootClock::now());
-                    ! datagram.empty())
-                    send (datagram, recipient);
+                newRecipients.push_back (recipient);
+
+        if (const auto notice = allCrashes (state, BootClock::now()); ! notice.evidence.empty())
+            sendTo (newRecipients, notice);
 
         knownRecipients = std::move (recipients);
 
-        if (! hasPeers() || ! sendNewCrashes (BootClock::now()))
+        if (! hasPeers() || ! sendNewCrashes())
             co_await crashWake->wait (BootClock::now() + idleCrashWait);
         else
             co_await pauseFor (state.loop, crashInterval);
     }
 }
 
-auto PeerExchange::sendNewCrashes (TimePoint now) -> bool
+auto PeerExchange::sendNewCrashes() -> bool
 {
     CrashNotice notice { state.settings.node, state.crashes.table().takeUnsent (maxEvidencePerNotice) };
 
     if (notice.evidence.empty())
         return false;
 
-    const auto datagram = encodeMessage (notice, membership.secret(), now);
-
-    for (const auto& target : crashRecipients())
-        send (datagram, target);
-
+    sendTo (crashRecipients(), notice);
     return true;
 }
 
@@ -360,13 +372,13 @@
     if (now - allCrashesSentAt < allCrashesInterval)
         return;
 
-    const auto datagram = encodeAllCrashes (state, membership, now);
+    const auto notice = allCrashes (state, now);
 
-    if (datagram.empty())
+    if (notice.evidence.empty())
         return;
 
     allCrashesSentAt = now;
-    send (datagram, target);
+    sendTo ({ target }, notice);
 }
 
 auto PeerExchange::crashRecipients() const -> std::vector<Endpoint>
@@ -376,13 +388,15 @@
         case ReportRole::direct:
             return membership.others();
         case ReportRole::member:
-            return membership.ownReaders().empty() ? membership.otherReaders() : membership.ownReaders();
+            return membership.ownCollectors().empty() ? membership.otherCollectors()
+                                                      : membership.ownCollectors();
         case ReportRole::reader:
             break;
     }
 
-    auto recipients = membership.ownReaders();
-    recipients.insert (recipients.end(), membership.otherReaders().begin(), membership.otherReaders().end());
+    auto recipients = membership.ownCollectors();
+    recipients.insert (recipients.end(), membership.otherCollectors().begin(),
+                       membership.otherCollectors().end());
     recipients.insert (recipients.end(), membership.ownMembers().begin(), membership.ownMembers().end());
     return recipients;
 }
@@ -422,14 +436,29 @@
     if (notice.loads.empty() && notice.rollouts.empty())
         return;
 
-    sendToReaders (encodeMessage (notice, membership.secret()));
+    sendToReaders (notice);
+}
+
+auto PeerExchange::sendToReaders (const NodeMessage& message) -> void
+{
+    sendTo (membership.ownReaders(), message);
+    sendTo (membership.otherReaders(), message);
+}
+
+auto PeerExchange::sendToCollectors (const NodeMessage& message) -> void
+{
+    sendTo (membership.ownCollectors(), message);
+    sendTo (membership.otherCollectors(), message);
 }
 
-auto PeerExchange::sendToReaders (const std::string& datagram) -> void
+auto PeerExchange::sendTo (const std::vector<Endpoint>& targets, const NodeMessage& message) -> void
 {
-    for (const auto* readers : { &membership.ownReaders(), &membership.otherReaders() })
-        for (const auto& reader : *readers)
-            send (datagram, reader);
+    if (targets.empty())
+        return;
+
+    for (const auto& datagram : encodeDatagrams (message, membership.secret()))
+        for (const auto& target : targets)
+            send (datagram, target);
 }
 
 auto PeerExchange::send (const std::string& datagram, const Endpoint& target) -> void
@@ -441,25 +470,28 @@
 
 auto PeerExchange::queryStoreUpdates (TimePoint now) -> void
 {
-    const auto sendQuery = [&] (const std::vector<Endpoint>& readers, std::size_t& next)
+    const auto sendToNext = [&] (const std::vector<Endpoint>& readers, std::size_t& next)
     {
-        if (readers.empty())
-            return;
-
-        auto query = makeStoreUpdateQuery (state.storeUpdates, state.directory, state.settings.node, now);
-
-        if (! state.storeUpdates.isReader)
-            query.loads = state.loads.takeForwardable (now);
-
-        send (encodeMessage (query, membership.secret()), readers[next++ % readers.size()]);
+        if (! readers.empty())
+            sendQuery (readers[next++ % readers.size()], now);
     };
 
     if (! state.storeUpdates.isReader)
-        sendQuery (membership.ownReaders(), nextOwnReader);
+        sendToNext (membership.ownReaders(), nextOwnReader);
 
     // A recent response of the store itself is as good as a reader's.
     if (now - std::max (state.storeUpdates.ownProvenAt, state.storeUpdates.provenAt) > storeUpdateOverdueAge)
-        sendQuery (membership.otherReaders(), nextOtherReader);
+        sendToNext (membership.otherReaders(), nextOtherReader);
+}
+
+auto PeerExchange::sendQuery (const Endpoint& reader, TimePoint now) -> void
+{
+    auto query = makeStoreUpdateQuery (state.storeUpdates, state.directory, state.settings.node, now);
+
+    if (! state.storeUpdates.isReader)
+        query.loads = state.loads.takeForwardable (now);
+
+    send (encodeMessage (query, membership.secret(), now), reader);
 }
 
 auto PeerExchange::hasPeers() const -> bool
@@ -483,13 +515,14 @@
 
     if (own == ReportRole::reader)
     {
-        auto readers = membership.ownReaders();
-        readers.insert (readers.end(), membership.otherReaders().begin(), membership.otherReaders().end());
-        return readers;
+        auto collectors = membership.ownCollectors();
+        collectors.insert (collectors.end(), membership.otherCollectors().begin(),
+                           membership.otherCollectors().end());
+        return collectors;
     }
 
-    if (updateReportRoute (route, membership.ownReaders(), membership.otherReaders(), state.settings.node,
-                           state.peers.lastReceived(), now))
+    if (updateReportRoute (route, membership.ownCollectors(), membership.otherCollectors(),
+                           state.settings.node, state.peers.lastReceived(), now))
     {
         state.quota.charge (state.peers.forgetAll(), now);
         LogLine ("reports_to_reader")
@@ -502,7 +535,7 @@
     return route.reader ? std::vector { *route.reader } : std::vector<Endpoint>();
 }
 
-auto PeerExchange::makeOwnReport (TimePoint now) -> PeerReport
+auto PeerExchange::makeOwnReport (TimePoint now, const AccountSelection& selection) -> PeerReport
 {
     PeerReport report;
     report.node = state.settings.node;
@@ -518,8 +551,8 @@
         report.proofAge = now - state.configuration.provenAt;
 
     // Members leave out idle accounts. Other nodes report all, since a starting node adopts the levels that these send.
-    report.admitted =
-        state.quota.admitted (now, state.role() == ReportRole::member ? idleAccountTime : Duration::max());
+    report.admitted = state.quota.admitted (
+        now, state.role() == ReportRole::member ? idleAccountTime : Duration::max(), selection);
     state.work.forEach (now,
                         [&] (const std::string& service, double tokens)
                         {
@@ -530,16 +563,19 @@
     return report;
 }
 
-auto PeerExchange::makeReport (ReportScope scope, std::string_view requester, TimePoint now) -> PeerReport
+auto PeerExchange::makeReport (ReportScope scope,
+                               std::string_view requester,
+                               TimePoint now,
+                               const AccountSelection& selection) -> PeerReport
 {
-    auto report = makeOwnReport (now);
+    auto report = makeOwnReport (now, selection);
 
     switch (scope)
     {
         case ReportScope::nodesOfReader:
             return state.peers.withNodes (std::move (report), now);
         case ReportScope::allOthers:
-            return state.peers.withAllBut (std::move (report), requester, now);
+            return state.peers.withAllBut (std::move (report), requester, now, selection);
         case ReportScope::node:
             break;
     }
@@ -547,4 +583,17 @@
     return report;
 }
 
+auto PeerExchange::makeResponse (ReportScope scope, const PeerReport& report, bool isFirst, TimePoint now)
+    -> PeerReport
+{
+    // A node that has just started needs the figures of all accounts, and nodes of equal role get no other response.
+    if (isFirst || scope != ReportScope::allOthers)
+        return makeReport (scope, report.node, now);
+
+    const auto accounts = std::max (state.quota.accountCount(), state.peers.accountCount());
+    const auto selection =
+        selectForResponse (report, accounts, state.quota.lowAccounts (now, maxOtherAccounts));
+    return makeReport (scope, report.node, now, selection);
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -6,6 +6,7 @@
 #include "PromptBudget.h"
 #include "ReportRole.h"
 #include "ReportRoute.h"
+#include "ReportSelection.h"
 
 #include <string>
 #include <vector>
@@ -19,7 +20,7 @@
 class PeerExchange
 {
 public:
-    PeerExchange (ServingState& servingState, const Membership& fleetMembership);
+    PeerExchange (ServingState& servingState, Membership& fleetMembership);
 
     /** Binds the socket and starts to receive and send.
 
@@ -38,7 +39,7 @@
     auto receiveLoop() -> Task<void>;
     auto handle (PeerReport report, const Endpoint& sender) -> void;
     auto respond (const StoreUpdateQuery& query, const Endpoint& sender) -> void;
-    auto handle (StoreUpdateResponse response) -> void;
+    auto handle (StoreUpdateResponse response, const Endpoint& sender) -> void;
     auto handle (const LoadNotice& notice) -> void;
     auto sendLoop() -> Task<void>;
     [[nodiscard]] auto timeUntilNextReport (TimePoint now) const -> Duration;
@@ -47,21 +48,29 @@
     auto sendUsage (TimePoint now) -> void;
     auto sendRolloutCounts() -> void;
     auto crashLoop() -> Task<void>;
-    auto sendNewCrashes (TimePoint now) -> bool;
+    auto sendNewCrashes() -> bool;
     auto sendAllCrashes (const Endpoint& target, TimePoint now) -> void;
     [[nodiscard]] auto crashRecipients() const -> std::vector<Endpoint>;
     auto recordLoads (const std::vector<SharedLoad>& loads, bool shouldForward) -> void;
     auto sendLoads (TimePoint now) -> void;
     auto send (const std::string& datagram, const Endpoint& target) -> void;
+    auto sendTo (const std::vector<Endpoint>& targets, const NodeMessage& message) -> void;
+    auto sendToReaders (const NodeMessage& message) -> void;
+    auto sendToCollectors (const NodeMessage& message) -> void;
     auto queryStoreUpdates (TimePoint now) -> void;
-    auto sendToReaders (const std::string& datagram) -> void;
+    auto sendQuery (const Endpoint& reader, TimePoint now) -> void;
     auto hasPeers() const -> bool;
     auto chooseReportTargets (TimePoint now) -> std::vector<Endpoint>;
-    auto makeOwnReport (TimePoint now) -> PeerReport;
-    auto makeReport (ReportScope scope, std::string_view requester, TimePoint now) -> PeerReport;
+    auto makeOwnReport (TimePoint now, const AccountSelection& selection) -> PeerReport;
+    auto makeReport (ReportScope scope,
+                     std::string_view requester,
+                     TimePoint now,
+                     const AccountSelection& selection = {}) -> PeerReport;
+    auto makeResponse (ReportScope scope, const PeerReport& report, bool isFirst, TimePoint now)
+        -> PeerReport;
 
     ServingState& state;
-    const Membership& membership;
+    Membership& membership;
     asio::ip::udp::socket socket;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
@@ -74,6 +83,7 @@
     TimePoint allCrashesSentAt = longAgo;
     ReportRoute route;
     PromptBudget promptBudget;
+    ReportedTotals reportedTotals;
     /** Round-robin positions among the readers that are queried for store updates. */
     std::size_t nextOwnReader = 0;
     std::size_t nextOtherReader = 0;
--- a/modules/snowrudder_serving/members/PeerReport.h
+++ b/modules/snowrudder_serving/members/PeerReport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "AccountPart.h"
+
 #include "snowrudder_core/snowrudder_core.h"
 
 #include <cstdint>
@@ -74,7 +76,11 @@
     bool isSettled = false;
     /** Digest of the requests that the node stops because replicas crashed under them; zero if there are none. */
     std::uint64_t crashDigest = 0;
-    /** Use by client account. An account that is left out keeps its last reported total and had no recent requests. */
+    /** The accounts that `admitted` covers completely; of the others it may include some. */
+    AccountPart part;
+    /** Use by client account. An account that is left out keeps its last reported total; if it is in `part`, it had no
+        recent requests.
+    */
     AdmittedByAccount admitted;
     /** Work by service. */
     std::map<std::string, ServiceWork, std::less<>> work;
--- a/modules/snowrudder_serving/members/PeerTable.cpp
+++ b/modules/snowrudder_serving/members/PeerTable.cpp
@@ -16,20 +16,26 @@
     return found == amounts.end() ? 0.0 : found->second;
 }
 
-/** Adds the tokens charged for other nodes, and their rates, to a node's own figures. */
+/** Adds amounts of the selected accounts to one figure of each. */
 auto addTo (AdmittedByAccount& admitted,
-            const AccountAmounts& charged,
-            const AccountAmounts& perSecond,
-            const AccountAmounts& requestedRates) -> void
+            double AdmittedTokens::*figure,
+            const AccountAmounts& amounts,
+            const AccountSelection& selection) -> void
 {
-    for (const auto& [account, tokens] : charged)
-        admitted[account].tokens += tokens;
+    for (const auto& [account, amount] : amounts)
+        if (selection.contains (account))
+            admitted[account].*figure += amount;
+}
 
-    for (const auto& [account, rate] : perSecond)
-        admitted[account].tokensPerSecond += rate;
+/** Adds to a report the figures of the accounts outside of its part from the one before. */
+auto keepOtherParts (PeerReport& report, PeerReport& before) -> void
+{
+    if (report.part.count == 1)
+        return;
 
-    for (const auto& [account, rate] : requestedRates)
-        admitted[account].requestedPerSecond += rate;
+    for (auto& [account, use] : before.admitted)
+        if (! isInPart (report.part, account))
+            report.admitted.emplace (account, use);
 }
 
 /** Raises negative amounts to zero: a sum minus one of its parts may fall below zero by rounding, and because its rates
@@ -77,18 +83,24 @@
     if (isKnown && report.incarnation < peer.latest.incarnation)
         return charged;
 
-    if (isSameStart && report.sequence <= peer.latest.sequence)
+    if (isSameStart && ! isNewer (peer, report))
         return charged;
 
     if (! isSameStart)
         peer.reportedTotals.clear();
 
+    // The totals of a peer that restarted begin at zero, so each counts in full.
+    if (isKnown && ! isSameStart)
+        peer.knownSlices = slicesOf (AccountPart());
+
     const auto unknown = std::chrono::duration<double> (std::min (now - knownSince, rateTime)).count();
 
     for (const auto& [account, use] : report.admitted)
     {
+        const auto isCovered = (peer.knownSlices >> sliceOf (account) & 1U) != 0;
+
         // A peer that isn't settled started at about the same time as this node, so its total counts in full.
-        if (isKnown || ! report.isSettled)
+        if (isCovered || ! report.isSettled || peer.reportedTotals.contains (account))
             charged[account] = use.tokens - amountIn (peer.reportedTotals, account);
         else if (const auto likely = std::min (use.tokens, use.tokensPerSecond * unknown); likely > 0.0)
             charged[account] = likely;
@@ -96,6 +108,14 @@
         peer.reportedTotals[account] = use.tokens;
     }
 
+    const auto slices = slicesOf (report.part);
+    const auto isSameRound = isSameStart && report.sequence == peer.latest.sequence;
+    peer.latestSlices = isSameRound ? peer.latestSlices | slices : slices;
+    peer.knownSlices |= slices;
+
+    if (isSameStart)
+        keepOtherParts (report, peer.latest);
+
     for (const auto& [account, tokens] : peer.assumed)
         charged[account] -= tokens;
 
@@ -213,7 +233,10 @@
 auto PeerTable::withNodes (PeerReport own, TimePoint now) const -> PeerReport
 {
     own.scope = ReportScope::nodesOfReader;
-    addTo (own.admitted, nodes.charged, nodes.perSecond, nodes.requestedRates);
+    const AccountSelection everything;
+    addTo (own.admitted, &AdmittedTokens::tokens, nodes.charged, everything);
+    addTo (own.admitted, &AdmittedTokens::tokensPerSecond, nodes.perSecond, everything);
+    addTo (own.admitted, &AdmittedTokens::requestedPerSecond, nodes.requestedRates, everything);
     clampAmounts (own.admitted);
     std::map<std::string, std::vector<double>, std::less<>> speeds;
 
@@ -239,12 +262,18 @@
     return own;
 }
 
-auto PeerTable::withAllBut (PeerReport own, std::string_view requester, TimePoint now) const -> PeerReport
+auto PeerTable::withAllBut (PeerReport own,
+                            std::string_view requester,
+                            TimePoint now,
+                            const AccountSelection& selection) const -> PeerReport
 {
     own.scope = ReportScope::allOthers;
+    own.part = selection.part;
     own.work.clear();
     own.nodes = static_cast<std::uint32_t> (countRecentNodes (now) + 1);
-    addTo (own.admitted, all.charged, all.perSecond, all.requestedRates);
+    addTo (own.admitted, &AdmittedTokens::tokens, all.charged, selection);
+    addTo (own.admitted, &AdmittedTokens::tokensPerSecond, all.perSecond, selection);
+    addTo (own.admitted, &AdmittedTokens::requestedPerSecond, all.requestedRates, selection);
 
     if (const auto found = peers.find (requester); found != peers.end())
     {
@@ -252,19 +281,31 @@
         own.nodes -= countedNodes (peer, now);
 
         for (const auto& [account, tokens] : peer.charged)
-            own.admitted[account].tokens -= tokens;
+            if (selection.contains (account))
+                own.admitted[account].tokens -= tokens;
 
         for (const auto& [account, use] : peer.latest.admitted)
-        {
-            own.admitted[account].tokensPerSecond -= use.tokensPerSecond;
-            own.admitted[account].requestedPerSecond -= use.requestedPerSecond;
-        }
+            if (selection.contains (account))
+            {
+                own.admitted[account].tokensPerSecond -= use.tokensPerSecond;
+                own.admitted[account].requestedPerSecond -= use.requestedPerSecond;
+            }
     }
 
     clampAmounts (own.admitted);
     return own;
 }
 
+/** @returns whether a report of the same start is not older than the latest one, nor a part that was received already.
+ */
+auto PeerTable::isNewer (const Peer& peer, const PeerReport& report) -> bool
+{
+    if (report.sequence != peer.latest.sequence)
+        return report.sequence > peer.latest.sequence;
+
+    return (peer.latestSlices & slicesOf (report.part)) == 0;
+}
+
 auto PeerTable::isRecent (const Peer& peer, TimePoint now) -> bool
 {
     return now - peer.receivedAt <= recentTime;
--- a/modules/snowrudder_serving/members/PeerTable.h
+++ b/modules/snowrudder_serving/members/PeerTable.h
@@ -73,9 +73,15 @@
 
         @param own        this node's report; becomes one of scope `allOthers`
         @param requester  the node that is left out
+        @param selection  the accounts to include
     */
-    [[nodiscard]] auto withAllBut (PeerReport own, std::string_view requester, TimePoint now) const
-        -> PeerReport;
+    [[nodiscard]] auto withAllBut (PeerReport own,
+                                   std::string_view requester,
+                                   TimePoint now,
+                                   const AccountSelection& selection = {}) const -> PeerReport;
+
+    /** @returns the number of client accounts that were charged for other nodes. */
+    [[nodiscard]] auto accountCount() const -> std::size_t { return all.charged.size(); }
 
     /** Nodes without a report for longer than this no longer count among those that share the limits. */
     static constexpr auto recentTime = Duration (2s);
@@ -100,6 +106,9 @@
         AccountAmounts charged;
         /** Tokens charged while the peer was silent, to be deducted when its next report arrives. */
         AccountAmounts assumed;
+        /** Slices of accounts that reports of this peer have covered, and those with the latest sequence number. */
+        std::uint64_t knownSlices = 0;
+        std::uint64_t latestSlices = 0;
     };
 
     /** Tokens charged for several nodes together, and the sums of their rates as last calculated. */
@@ -110,6 +119,7 @@
         AccountAmounts requestedRates;
     };
 
+    [[nodiscard]] static auto isNewer (const Peer& peer, const PeerReport& report) -> bool;
     [[nodiscard]] static auto isRecent (const Peer& peer, TimePoint now) -> bool;
     [[nodiscard]] static auto countedNodes (const Peer& peer, TimePoint now) -> std::uint32_t;
     auto addCharge (Peer& peer, const std::string& account, double tokens) -> void;
--- a/modules/snowrudder_serving/members/Readers.cpp
+++ b/modules/snowrudder_serving/members/Readers.cpp
@@ -17,12 +17,23 @@
     for (auto& [domain, names] : readers)
     {
         std::ranges::sort (names, {}, [] (const std::string& name) { return hashBytes (name); });
-        names.resize (std::min (names.size(), readersPerDomain));
+        names.resize (readerCount (names.size()));
     }
 
     return readers;
 }
 
+auto readersOf (const std::map<std::string, MemberInfo>& members) -> std::vector<ReaderInfo>
+{
+    std::vector<ReaderInfo> readers;
+
+    for (const auto& [domain, names] : chooseReaders (members))
+        for (auto rank = std::size_t { 0 }; rank < names.size(); ++rank)
+            readers.push_back ({ members.at (names[rank]).endpoint, domain, rank < collectorsPerDomain });
+
+    return readers;
+}
+
 auto formatMember (const MemberInfo& member) -> std::string
 {
     return member.endpoint + " " + member.failureDomain;
--- a/modules/snowrudder_serving/members/StoreUpdates.cpp
+++ b/modules/snowrudder_serving/members/StoreUpdates.cpp
@@ -1,5 +1,7 @@
 #include "StoreUpdates.h"
 
+#include "ReportTimes.h"
+
 #include <algorithm>
 
 namespace snowrudder
@@ -11,9 +13,6 @@
 /** The largest number of open queries: those of the last two seconds or so. */
 constexpr auto maxOpenQueries = std::size_t { 12 };
 
-/** The largest number of changes in one response: some 100 bytes each, in a datagram of 8 KB. */
-constexpr auto maxChangesPerResponse = std::size_t { 48 };
-
 /** The longest time for which one response makes its receiver keep missing entries. The next response arrives before it
     has passed and extends it. A reader that takes the store for unreachable because it alone is cut off can't make
     other nodes keep entries for longer than this.
@@ -37,6 +36,29 @@
     return sent;
 }
 
+/** Records what a response says of the members.
+
+    @returns whether it brought a newer summary
+*/
+auto recordMembers (StoreUpdateState& storeUpdates, StoreUpdateResponse& response, TimePoint sent) -> bool
+{
+    if (response.membersHash == 0)
+        return false;
+
+    storeUpdates.readerMembersHashAt = std::max (storeUpdates.readerMembersHashAt, sent);
+
+    // A reader with an older list doesn't know of the latest changes.
+    if (response.membersRevision >= storeUpdates.members.revision ||
+        response.membersHash == storeUpdates.members.hash)
+        storeUpdates.readerMembersHash = response.membersHash;
+
+    if (! response.members || response.members->revision <= storeUpdates.members.revision)
+        return false;
+
+    storeUpdates.members = std::move (*response.members);
+    return true;
+}
+
 /** @returns whether the responder has found, since its last response, that it had missed changes. */
 auto hasMissedMore (StoreUpdateState& storeUpdates, const StoreUpdateResponse& response) -> bool
 {
@@ -76,7 +98,12 @@
     if (storeUpdates.openQueries.size() > maxOpenQueries)
         storeUpdates.openQueries.pop_front();
 
-    return { std::move (node), storeUpdates.lastQueryNumber, directory.revision, {} };
+    return { std::move (node),
+             storeUpdates.lastQueryNumber,
+             directory.revision,
+             {},
+             storeUpdates.members.revision,
+             storeUpdates.members.hash };
 }
 
 auto makeStoreUpdateResponse (const StoreUpdateQuery& query,
@@ -84,7 +111,8 @@
                               const ConfigurationState& configuration,
                               const ReplicaDirectory& directory,
                               std::string node,
-                              TimePoint now) -> StoreUpdateResponse
+                              TimePoint now,
+                              std::size_t mostChangeBytes) -> StoreUpdateResponse
 {
     StoreUpdateResponse response;
     response.node = std::move (node);
@@ -97,9 +125,16 @@
     }
 
     response.directoryAge = now - std::max (storeUpdates.ownProvenAt, storeUpdates.provenAt);
-    response.changes = changesAfter (directory, query.directoryRevision, maxChangesPerResponse);
+    response.changes = changesAfter (directory, query.directoryRevision, mostChangeBytes);
     response.missedChanges = directory.missedChanges;
-    response.membersHash = storeUpdates.membersHash;
+    const auto& members = storeUpdates.members;
+    response.membersRevision = members.revision;
+    response.membersHash = members.hash;
+
+    // Nodes of small fleets list all members, since they send reports to all.
+    if (members.hash != query.membersHash && members.revision > query.membersRevision &&
+        reportsToReaders (members.count))
+        response.members = members;
 
     if (now < directory.keepMissingUntil)
         response.keepMissing = std::min (directory.keepMissingUntil - now, maxKeepMissing);
@@ -116,16 +151,11 @@
     StoreUpdateEffect effect;
     const auto sent = takeOpenQuery (storeUpdates, response.number);
 
-    if (sent && response.membersHash != 0)
-    {
-        storeUpdates.readerMembersHash = response.membersHash;
-        storeUpdates.readerMembersHashAt = *sent;
-    }
-
     if (! sent)
         return effect;
 
     effect.isMatched = true;
+    effect.members = recordMembers (storeUpdates, response, *sent);
     const auto provenAt = *sent - response.proofAge;
     const auto directoryProvenAt = *sent - response.directoryAge;
     effect.newerConfiguration =
@@ -159,7 +189,11 @@
     if (! response.changes.isComplete)
         return effect;
 
-    storeUpdates.provenAt = std::max (storeUpdates.provenAt, directoryProvenAt);
+    // With the oldest changes only, the directory is as old as before.
+    if (! response.changes.hasMore)
+        storeUpdates.provenAt = std::max (storeUpdates.provenAt, directoryProvenAt);
+
+    effect.hasMore = response.changes.hasMore;
     effect.directory = applyChanges (directory, std::move (response.changes), now);
     return effect;
 }
--- a/modules/snowrudder_serving/members/StoreUpdates.h
+++ b/modules/snowrudder_serving/members/StoreUpdates.h
@@ -2,6 +2,7 @@
 
 #include "../configuration/ConfigurationState.h"
 #include "../directory/ReplicaDirectory.h"
+#include "Readers.h"
 #include "SharedLoads.h"
 
 #include <cstdint>
@@ -23,6 +24,9 @@
     std::uint64_t directoryRevision = 0;
     /** Replica loads that the sender observed since its last query. */
     std::vector<SharedLoad> loads;
+    /** MembersSummary::revision and `hash` of the sender's latest one. */
+    std::uint64_t membersRevision = 0;
+    std::uint64_t membersHash = 0;
 };
 
 /** A reader's response to a StoreUpdateQuery: its current view of the state store. */
@@ -44,8 +48,11 @@
     Duration keepMissing {};
     /** Recent loads of replicas, whichever node observed them. */
     std::vector<SharedLoad> loads;
-    /** Hash of the members as the responder last listed them; zero while it has not. */
+    /** MembersSummary::revision and `hash` of the responder's latest one; zero while there is none. */
+    std::uint64_t membersRevision = 0;
     std::uint64_t membersHash = 0;
+    /** The responder's summary of the members, if it is newer than the requester's. */
+    std::optional<MembersSummary> members;
     std::vector<Rollout> rollouts;
     /** Whether the responder has read the operators' roll-out orders, so that an empty `rollouts` means that there are
         none.
@@ -71,6 +78,10 @@
     */
     std::uint64_t membersHash = 0;
     std::uint64_t readerMembersHash = 0;
+    /** When this node last listed the members. */
+    TimePoint membersListedAt = longAgo;
+    /** Summary of this node's own list, or a newer one that a reader sent. */
+    MembersSummary members;
     /** When the query was sent whose response gave `readerMembersHash`. */
     TimePoint readerMembersHashAt = longAgo;
     /** The latest time as of which the store itself responded to this node. */
@@ -120,15 +131,27 @@
 /** How long a reader's hash of the members is valid. Readers list the members every 2 s. */
 inline constexpr auto readerMembersValidity = Duration (3s);
 
+/** How long a node relies on summaries of the members before it lists them again. Only announcements of prompts need the
+    addresses of all members.
+*/
+inline constexpr auto membersSummaryValidity = Duration (20s);
+
 /** @returns whether the members must be listed at the store. Readers always list them; other nodes do if a reader's
-    list differs from their own or no reader has sent its hash recently. In a fleet of 295 nodes that all listed every
-    2 s, the lists made up 1,000 calls, weighted by their price, in 66 s, and a fifth of all bytes.
+    list differs from their own and it has not sent its summary, or no reader has sent its hash recently. In a fleet of
+    295 nodes that all listed every 2 s, the lists made up 1,000 calls, weighted by their price, in 66 s, and a fifth of
+    all bytes.
 */
 inline auto mustListMembers (const StoreUpdateState& storeUpdates, TimePoint now) -> bool
 {
-    return storeUpdates.isReader || storeUpdates.membersHash == 0 ||
-           storeUpdates.readerMembersHash != storeUpdates.membersHash ||
-           now - storeUpdates.readerMembersHashAt > readerMembersValidity;
+    if (storeUpdates.isReader || storeUpdates.membersHash == 0 ||
+        now - storeUpdates.readerMembersHashAt > readerMembersValidity)
+        return true;
+
+    if (storeUpdates.readerMembersHash == storeUpdates.membersHash)
+        return false;
+
+    const auto hasSummary = storeUpdates.members.hash == storeUpdates.readerMembersHash;
+    return ! hasSummary || now - storeUpdates.membersListedAt > membersSummaryValidity;
 }
 
 /** @returns whether a node must watch the replicas at the store itself. A list of its own is valid for as long as a
@@ -193,13 +216,20 @@
                            std::string node,
                            TimePoint now) -> StoreUpdateQuery;
 
-/** @returns the response to a query, without loads and roll-outs. */
+/** The approximate size of all changes in one response. The rest of a datagram of 8 KB holds loads and roll-outs. */
+inline constexpr auto maxChangeBytesPerResponse = std::size_t { 4 * 1024 };
+
+/** @returns the response to a query, without loads and roll-outs.
+
+    @param mostChangeBytes  the approximate size of all changes of replicas, unless those of one revision exceed it
+*/
 auto makeStoreUpdateResponse (const StoreUpdateQuery& query,
                               const StoreUpdateState& storeUpdates,
                               const ConfigurationState& configuration,
                               const ReplicaDirectory& directory,
                               std::string node,
-                              TimePoint now) -> StoreUpdateResponse;
+                              TimePoint now,
+                              std::size_t mostChangeBytes = maxChangeBytesPerResponse) -> StoreUpdateResponse;
 
 /** What a response changed. */
 struct StoreUpdateEffect
@@ -208,6 +238,10 @@
     bool isMatched = false;
     bool directory = false;
     bool newerConfiguration = false;
+    /** Whether the responder has more changes of replicas, to be queried at once. */
+    bool hasMore = false;
+    /** Whether it has sent a newer summary of the members. */
+    bool members = false;
 };
 
 /** Applies a response to one of this node's open queries; others are ignored. Ages are counted from the time at which
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -138,6 +138,11 @@
 
 auto ServingNode::applyConfiguration() -> void
 {
+    const auto fillsFrom = state.sharing.startTime + reportDelay (state.memberCount());
+
+    for (const auto& account : state.configuration.current->accounts)
+        state.quota.learnLimit (*account, state.settings.quotaTolerance, fillsFrom);
+
     const auto& bounds = state.configuration.current->bounds;
     ServerLimits limits;
     limits.headerBytes = bounds.headerBytes;
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -50,7 +50,8 @@
     {
         hasReplicas = hasReplicas || ! directory.entries.empty();
         rollouts.recordListedVersions (directory);
-        replicas.update (listedReplicas (directory), now);
+        const auto changes = takeListChanges (directory);
+        replicas.applyChanges (changes.changed, changes.removed, now);
     }
 
     /** @returns the number of nodes that share limits and replicas, including this one. */
@@ -63,10 +64,7 @@
     [[nodiscard]] auto memberCount() const -> std::size_t { return sharing.members.value_or (1); }
 
     /** @returns this node's role in the exchange of reports between nodes. */
-    [[nodiscard]] auto role() const -> ReportRole
-    {
-        return reportRole (memberCount(), storeUpdates.isReader);
-    }
+    [[nodiscard]] auto role() const -> ReportRole { return reportRole (memberCount(), isCollector); }
 
     /** @returns the maximum number of retries that this node may accumulate: its share of half of the fleet's fixed
         number, and at least 1. The other half is a reserve for nodes that discover each other late. With no retry at
@@ -107,6 +105,8 @@
     PeerTable peers;
     TrueTime trueTime;
     StoreUpdateState storeUpdates;
+    /** Whether this node collects the reports, usage and crash evidence of its failure domain; see Readers.h. */
+    bool isCollector = true;
     SharedLoads loads;
     /** Ends the pause before the next poll of the configuration. */
     const std::shared_ptr<Signal> configurationWake;
