--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -453,13 +453,17 @@
             first, byEndpoint.end(), [&] (const auto& other) { return other.first != first->first; });
         const std::span sharing (first, end);
 
+        const auto hasLater = [&sharing] (const ReplicaState& replica)
+        {
+            return std::ranges::any_of (sharing,
+                                        [&replica] (const AtEndpoint& other) {
+                                            return other.second->info.endpoint == replica.info.endpoint &&
+                                                   startedLater (*other.second, replica);
+                                        });
+        };
+
         for (const auto& [hash, replica] : sharing)
-            replica->isReplaced =
-                std::ranges::any_of (sharing,
-                                     [&] (const auto& other) {
-                                         return other.second->info.endpoint == replica->info.endpoint &&
-                                                startedLater (*other.second, *replica);
-                                     });
+            replica->isReplaced = hasLater (*replica);
 
         first = end;
     }
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -206,8 +206,10 @@
     template <typename Visitor>
     auto forEachOfHash (std::uint32_t hash, Visitor&& visit) -> void
     {
-        for (auto& [ofReplica, replica] : std::ranges::equal_range (byHash, hash, {}, &HashedReplica::first))
-            visit (*replica);
+        auto found = std::ranges::lower_bound (byHash, hash, {}, &HashedReplica::first);
+
+        for (; found != byHash.end() && found->first == hash; ++found)
+            visit (*found->second);
     }
 
     using HashedReplica = std::pair<std::uint32_t, ReplicaState*>;
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
@@ -23,6 +23,21 @@
         .info();
 }
 
+/** The largest number of entries in one list or message that are logged each by itself. A node on a tenth of a core would
+    take a quarter of a second to log thousands of them.
+*/
+constexpr auto maxLoggedEntries = std::size_t { 64 };
+
+/** Logs many entries that were received together by one line. */
+auto logMany (std::string_view source, std::size_t entries, std::uint64_t revision) -> void
+{
+    LogLine ("replicas_seen")
+        .with ("source", source)
+        .with ("replicas", entries)
+        .with ("revision", revision)
+        .info();
+}
+
 auto logRemoved (const DirectoryEntry& entry, std::string_view reason) -> void
 {
     LogLine ("replica_gone").with ("replica", entry.info.name).with ("reason", reason).info();
@@ -98,6 +113,58 @@
     forgetOldRemovals (directory, now);
 }
 
+/** @param isLogged  whether the change is logged by itself */
+auto mergeEntry (ReplicaDirectory& directory, DirectoryEntry entry, bool isLogged) -> void
+{
+    const auto known = directory.entries.find (entry.key);
+
+    // The entry had expired and was written again.
+    if (const auto removal = directory.removals.find (entry.key);
+        removal != directory.removals.end() && removal->second.revision < entry.revision)
+        directory.removals.erase (removal);
+
+    if (known == directory.entries.end())
+    {
+        if (isLogged)
+            logSeen (entry);
+
+        entry.contentRevision = entry.revision;
+        auto key = entry.key;
+        directory.unlistedChanges[key] = entry.info.name;
+        const auto added = directory.entries.emplace (std::move (key), std::move (entry)).first;
+        indexChange (directory, added->first, added->second.revision);
+        return;
+    }
+
+    if (entry.revision < known->second.revision)
+        return;
+
+    // A late write by an earlier incarnation of the replica.
+    if (entry.info.born != 0 && entry.info.born < known->second.info.born)
+    {
+        known->second.revision = entry.revision;
+        indexChange (directory, entry.key, entry.revision);
+        return;
+    }
+
+    if (isLogged &&
+        (entry.isLeaving != known->second.isLeaving || entry.info.born != known->second.info.born))
+        logSeen (entry);
+
+    if (entry.revision == known->second.revision)
+    {
+        known->second.isMissing = false;
+        return;
+    }
+
+    const auto hasSameContent =
+        entry.info == known->second.info && entry.isReclaimable == known->second.isReclaimable;
+    directory.unlistedChanges[known->first] = entry.info.name;
+    entry.contentRevision = hasSameContent ? known->second.contentRevision : entry.revision;
+    known->second = std::move (entry);
+    indexChange (directory, known->first, known->second.revision);
+}
+
 /** Approximate size in a message of an entry without its texts, and of a change of an entry that the receiver has. */
 constexpr auto entryBytes = std::size_t { 48 };
 constexpr auto knownChangeBytes = std::size_t { 14 };
@@ -207,50 +274,8 @@
 
 auto applyEntry (ReplicaDirectory& directory, DirectoryEntry entry) -> void
 {
-    const auto known = directory.entries.find (entry.key);
-
-    // The entry had expired and was written again.
-    if (const auto removal = directory.removals.find (entry.key);
-        removal != directory.removals.end() && removal->second.revision < entry.revision)
-        directory.removals.erase (removal);
-
-    if (known == directory.entries.end())
-    {
-        logSeen (entry);
-        entry.contentRevision = entry.revision;
-        auto key = entry.key;
-        directory.unlistedChanges[key] = entry.info.name;
-        const auto added = directory.entries.emplace (std::move (key), std::move (entry)).first;
-        indexChange (directory, added->first, added->second.revision);
-        return;
-    }
-
-    if (entry.revision < known->second.revision)
-        return;
-
-    // A late write by an earlier incarnation of the replica.
-    if (entry.info.born != 0 && entry.info.born < known->second.info.born)
-    {
-        known->second.revision = entry.revision;
-        indexChange (directory, entry.key, entry.revision);
-        return;
-    }
-
-    if (entry.isLeaving != known->second.isLeaving || entry.info.born != known->second.info.born)
-        logSeen (entry);
-
-    if (entry.revision == known->second.revision)
-    {
-        known->second.isMissing = false;
-        return;
-    }
-
-    const auto hasSameContent =
-        entry.info == known->second.info && entry.isReclaimable == known->second.isReclaimable;
-    directory.unlistedChanges[known->first] = entry.info.name;
-    entry.contentRevision = hasSameContent ? known->second.contentRevision : entry.revision;
-    known->second = std::move (entry);
-    indexChange (directory, known->first, known->second.revision);
+    constexpr auto isLogged = true;
+    mergeEntry (directory, std::move (entry), isLogged);
 }
 
 auto applyList (ReplicaDirectory& directory,
@@ -269,11 +294,17 @@
         applyRemoval (directory, unreadable.key, unreadable.removal, now);
     }
 
+    // A list that continues a known state has few changes.
+    const auto isLogged = directory.revision > 0 || listed.entries.size() <= maxLoggedEntries;
+
+    if (! isLogged)
+        logMany ("list", listed.entries.size(), revision);
+
     for (auto& entry : listed.entries)
     {
         present.insert (entry.key);
         isMissed = isMissed || (isCheck && wasMissed (directory, entry));
-        applyEntry (directory, std::move (entry));
+        mergeEntry (directory, std::move (entry), isLogged);
     }
 
     for (auto place = directory.entries.begin(); place != directory.entries.end();)
--- a/tests/unit/ReplicaTableTests.cpp
+++ b/tests/unit/ReplicaTableTests.cpp
@@ -256,6 +256,7 @@
             }
 
             std::vector<ListedReplica> all;
+            all.reserve (replicas.size());
 
             for (const auto& [name, entry] : replicas)
                 all.push_back (entry);
