--- a/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
@@ -200,8 +200,9 @@
         }
     }
 
+    // A node without any entry needs no removals.
     if (const auto found = directory.removals.find (key);
-        found != directory.removals.end() && found->second.revision == revision)
+        from > 0 && found != directory.removals.end() && found->second.revision == revision)
     {
         const auto& removal = found->second;
 
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -127,6 +127,7 @@
     message.set_directory_revision (query.directoryRevision);
     message.set_members_revision (query.membersRevision);
     message.set_members_hash (query.membersHash);
+    message.set_snapshot_revision (query.snapshotRevision);
     write (query.loads, *message.mutable_loads());
 }
 
@@ -157,6 +158,7 @@
     message.set_missed_changes (response.missedChanges);
     message.set_members_hash (response.membersHash);
     message.set_members_revision (response.membersRevision);
+    message.set_snapshot_revision (response.snapshotRevision);
 
     if (response.members)
         write (*response.members, *message.mutable_members());
@@ -367,8 +369,13 @@
 
 auto read (const schema::NewsQuestion& message) -> StoreUpdateQuery
 {
-    return { message.node(),         message.number(),           message.directory_revision(),
-             read (message.loads()), message.members_revision(), message.members_hash() };
+    return { message.node(),
+             message.number(),
+             message.directory_revision(),
+             read (message.loads()),
+             message.members_revision(),
+             message.members_hash(),
+             message.snapshot_revision() };
 }
 
 auto readMembers (const schema::NewsAnswer& message) -> MembersSummary
@@ -436,6 +443,7 @@
     response.missedChanges = message.missed_changes();
     response.membersHash = message.members_hash();
     response.membersRevision = message.members_revision();
+    response.snapshotRevision = message.snapshot_revision();
 
     if (message.has_members())
         response.members = readMembers (message);
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -21,6 +21,9 @@
 */
 constexpr auto storeUpdateInterval = 200ms;
 
+/** The interval of the queries of a node that waits for a snapshot of the replicas, without which it can't serve. */
+constexpr auto snapshotQueryInterval = 50ms;
+
 /** How long after a window's end readers go on sending its counts to each other, so that a holder of the duty receives
     them even if a notice was lost.
 */
@@ -177,9 +180,14 @@
 {
     const auto now = BootClock::now();
     recordLoads (query.loads, true);
+    const auto isForSnapshot = query.directoryRevision == 0 || query.snapshotRevision != 0;
+    const auto size = isForSnapshot ? maxSnapshotBytesPerResponse : maxChangeBytesPerResponse;
     auto response = makeStoreUpdateResponse (query, state.storeUpdates, state.configuration, state.directory,
-                                             state.settings.node, now);
-    response.loads = state.loads.recent (now);
+                                             state.settings.node, now, size);
+
+    if (! isForSnapshot)
+        response.loads = state.loads.recent (now);
+
     response.rollouts = state.rollouts.table.all();
     response.areRolloutsKnown = state.rollouts.table.isLoaded;
     auto datagram = encodeMessage (response, membership.secret(), now);
@@ -405,7 +413,8 @@
 {
     for (;;)
     {
-        co_await pauseFor (state.loop, storeUpdateInterval);
+        co_await pauseFor (state.loop,
+                           state.storeUpdates.awaitsSnapshot ? snapshotQueryInterval : storeUpdateInterval);
 
         if (! hasPeers())
             continue;
--- a/modules/snowrudder_serving/members/StoreUpdates.cpp
+++ b/modules/snowrudder_serving/members/StoreUpdates.cpp
@@ -36,6 +36,44 @@
     return sent;
 }
 
+/** Marks a response as the begin of a snapshot, or as one that continues the requester's. */
+auto addSnapshot (StoreUpdateResponse& response,
+                  const StoreUpdateQuery& query,
+                  const ReplicaDirectory& directory) -> void
+{
+    if (response.changes.revision == 0)
+        return;
+
+    if (query.directoryRevision == 0)
+        response.snapshotRevision = directory.revision;
+    else if (query.snapshotRevision != 0 && directory.removalsCompleteAfter <= query.snapshotRevision)
+        response.snapshotRevision = query.snapshotRevision;
+
+    response.changes.isComplete = response.changes.isComplete || response.snapshotRevision != 0;
+}
+
+/** Records that a response began or continued the snapshot that this node receives, or completed it. */
+auto recordSnapshot (StoreUpdateState& storeUpdates,
+                     ReplicaDirectory& directory,
+                     const StoreUpdateResponse& response) -> void
+{
+    if (response.snapshotRevision != 0)
+    {
+        const auto known = storeUpdates.snapshotRevision;
+        storeUpdates.snapshotRevision =
+            known == 0 ? response.snapshotRevision : std::min (known, response.snapshotRevision);
+        // Removals before the snapshot are not in it.
+        directory.removalsCompleteAfter =
+            std::max (directory.removalsCompleteAfter, response.snapshotRevision);
+    }
+
+    if (response.changes.hasMore)
+        return;
+
+    storeUpdates.awaitsSnapshot = false;
+    storeUpdates.snapshotRevision = 0;
+}
+
 /** Records what a response says of the members.
 
     @returns whether it brought a newer summary
@@ -103,7 +141,8 @@
              directory.revision,
              {},
              storeUpdates.members.revision,
-             storeUpdates.members.hash };
+             storeUpdates.members.hash,
+             storeUpdates.snapshotRevision };
 }
 
 auto makeStoreUpdateResponse (const StoreUpdateQuery& query,
@@ -125,7 +164,12 @@
     }
 
     response.directoryAge = now - std::max (storeUpdates.ownProvenAt, storeUpdates.provenAt);
-    response.changes = changesAfter (directory, query.directoryRevision, mostChangeBytes);
+
+    // A node that receives a snapshot itself has no complete directory to send.
+    if (! storeUpdates.awaitsSnapshot)
+        response.changes = changesAfter (directory, query.directoryRevision, mostChangeBytes);
+
+    addSnapshot (response, query, directory);
     response.missedChanges = directory.missedChanges;
     const auto& members = storeUpdates.members;
     response.membersRevision = members.revision;
@@ -166,7 +210,7 @@
 
     // Changes can't be applied before this node has a list of its own, and a responder that has just started has no
     // changes to send.
-    if (directory.revision == 0 || response.changes.revision == 0)
+    if (response.changes.revision == 0 || (directory.revision == 0 && ! storeUpdates.awaitsSnapshot))
         return effect;
 
     // A reader relies on its own store calls, unless it alone is cut off.
@@ -180,8 +224,9 @@
     // A reader that has just started doesn't know which entries were removed before, but the other reader does, so an
     // incomplete response alone is no reason to list: in a run with 30 restarts, half of 400 lists were made for such
     // responses.
-    const auto lacksChanges =
-        ! response.changes.isComplete && now - storeUpdates.provenAt > storeUpdateOverdueAge;
+    const auto lacksChanges = ! response.changes.isComplete &&
+                              now - storeUpdates.provenAt > storeUpdateOverdueAge &&
+                              ! storeUpdates.awaitsSnapshot;
 
     if (hasMissedMore (storeUpdates, response) || lacksChanges)
         storeUpdates.mustListReplicas = storeUpdates.mustListReplicas || ! storeUpdates.isReader;
@@ -193,6 +238,9 @@
     if (! response.changes.hasMore)
         storeUpdates.provenAt = std::max (storeUpdates.provenAt, directoryProvenAt);
 
+    if (storeUpdates.awaitsSnapshot)
+        recordSnapshot (storeUpdates, directory, response);
+
     effect.hasMore = response.changes.hasMore;
     effect.directory = applyChanges (directory, std::move (response.changes), now);
     return effect;
--- a/modules/snowrudder_serving/members/StoreUpdates.h
+++ b/modules/snowrudder_serving/members/StoreUpdates.h
@@ -27,6 +27,8 @@
     /** MembersSummary::revision and `hash` of the sender's latest one. */
     std::uint64_t membersRevision = 0;
     std::uint64_t membersHash = 0;
+    /** StoreUpdateState::snapshotRevision of the sender. */
+    std::uint64_t snapshotRevision = 0;
 };
 
 /** A reader's response to a StoreUpdateQuery: its current view of the state store. */
@@ -42,6 +44,10 @@
     */
     Duration directoryAge {};
     DirectoryChanges changes;
+    /** If `changes` begin or continue a snapshot of the directory: the revision as of which what the requester then has
+        was complete; otherwise 0.
+    */
+    std::uint64_t snapshotRevision = 0;
     /** ReplicaDirectory::missedChanges of the responder's directory. */
     std::uint64_t missedChanges = 0;
     /** How long the receiver is to keep entries that go missing, since they may return. */
@@ -92,6 +98,12 @@
     std::uint64_t newestConfigurationRevision = 0;
     /** Whether the replicas must be listed at the store again, since readers can't supply all missed changes. */
     bool mustListReplicas = true;
+    /** Whether this node, which has just started, receives all replicas from readers instead of listing them. */
+    bool awaitsSnapshot = false;
+    /** While it does, the store revision as of which the replicas that it has were complete: the oldest among those of
+        the readers that sent them; 0 before the first. A reader that knows all removals since then may send the rest.
+    */
+    std::uint64_t snapshotRevision = 0;
     /** Starts at random, so that a response to a process that ran before on this VM matches no query of this one. 32 bits
         make a collision unlikely enough and keep the messages short.
     */
@@ -216,6 +228,9 @@
                            std::string node,
                            TimePoint now) -> StoreUpdateQuery;
 
+/** The approximate size of the changes in one response that continues a snapshot, which holds no loads. */
+inline constexpr auto maxSnapshotBytesPerResponse = std::size_t { 6 * 1024 };
+
 /** The approximate size of all changes in one response. The rest of a datagram of 8 KB holds loads and roll-outs. */
 inline constexpr auto maxChangeBytesPerResponse = std::size_t { 4 * 1024 };
 
--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -71,6 +71,8 @@
     std::vector<StoredItem> items;
     /** The store's revision at the time of the response. */
     std::uint64_t revision = 0;
+    /** Whether there are more pages after those that were read. */
+    bool hasMore = false;
 };
 
 /** A condition of a transaction: the key must be at this revision, or must not exist where it is 0. */
@@ -122,6 +124,8 @@
 {
     std::function<Task<ReadItems> (std::string key, ReadFreshness age)> read;
     std::function<Task<ReadItems> (std::string prefix, ReadFreshness age)> list;
+    /** Like `list`, but reads only the first page. */
+    std::function<Task<ReadItems> (std::string prefix, ReadFreshness age)> listPage;
     /** Waits for changes of keys with a prefix after a revision, or until the wait time has passed. */
     std::function<Task<ReadItems> (std::string prefix, std::uint64_t after, Duration wait)> watch;
     std::function<Task<TransactionResult> (StoreTransaction transaction)> commit;
--- a/modules/snowrudder_serving/store/StoreCallMetrics.cpp
+++ b/modules/snowrudder_serving/store/StoreCallMetrics.cpp
@@ -69,6 +69,9 @@
     made.list = [call = std::move (store.list), newest = metricsOf ("lists"),
                  old = metricsOf ("old_lists")] (std::string prefix, ReadFreshness age)
     { return measured (age == ReadFreshness::newest ? newest : old, call (std::move (prefix), age)); };
+    made.listPage = [call = std::move (store.listPage), newest = metricsOf ("lists"),
+                     old = metricsOf ("old_lists")] (std::string prefix, ReadFreshness age)
+    { return measured (age == ReadFreshness::newest ? newest : old, call (std::move (prefix), age)); };
     made.watch = [call = std::move (store.watch),
                   of = countersOf ("watches")] (std::string prefix, std::uint64_t after, Duration wait)
     { return measured (of, call (std::move (prefix), after, wait)); };
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -1,5 +1,7 @@
 #include "StoreFollowers.h"
 
+#include <utility>
+
 namespace snowrudder
 {
 
@@ -28,6 +30,12 @@
 */
 constexpr auto watchTimeout = Duration (2s);
 
+/** How long a node that has just started waits for the next part of all replicas from its readers before it lists them
+    itself. The readers need about a second for their own lists.
+*/
+constexpr auto snapshotTimeout = Duration (3s);
+constexpr auto snapshotPollInterval = 20ms;
+
 /** Interval of lists, as watches may miss changes. */
 constexpr auto relistInterval = Duration (20s);
 
@@ -402,10 +410,50 @@
     co_return ListReason::afterGap;
 }
 
+/** Waits until the readers have sent all replicas to this node, which has just started. If each of a thousand nodes that
+    start together listed thousands of replicas, the store's link would be full for many seconds, and the calls that prove
+    the configuration would time out.
+
+    @returns whether it has all replicas; otherwise it has to list them
+*/
+auto receiveSnapshot (ServingState& state) -> Task<bool>
+{
+    auto& storeUpdates = state.storeUpdates;
+    storeUpdates.awaitsSnapshot = true;
+    auto revision = state.directory.revision;
+    const auto began = BootClock::now();
+    auto progressedAt = began;
+
+    const auto isKnownReader = [&state] { return state.sharing.members && state.storeUpdates.isReader; };
+
+    while (storeUpdates.awaitsSnapshot && ! isKnownReader() &&
+           BootClock::now() - progressedAt < snapshotTimeout)
+    {
+        co_await pauseFor (state.loop, snapshotPollInterval);
+
+        if (state.directory.revision != revision)
+            progressedAt = BootClock::now();
+
+        revision = state.directory.revision;
+    }
+
+    const auto isReceived = ! storeUpdates.awaitsSnapshot;
+    storeUpdates.awaitsSnapshot = false;
+    storeUpdates.snapshotRevision = 0;
+    LogLine ("replicas_from_readers")
+        .with ("complete", isReceived ? "yes" : "no")
+        .with ("replicas", state.directory.entries.size())
+        .with ("revision", state.directory.revision)
+        .with ("milliseconds", inMilliseconds (BootClock::now() - began))
+        .info();
+    co_return isReceived;
+}
+
 auto followReplicas (ServingState& state, const StateStore& store, const StoreFormats& formats) -> Task<void>
 {
     auto reason = ListReason::afterGap;
     auto failures = std::size_t { 0 };
+    auto isFirst = true;
 
     for (;;)
     {
@@ -416,7 +464,9 @@
         }
 
         const auto sentAt = BootClock::now();
-        const auto listed = co_await store.list (formats.replicaPrefix, ReadFreshness::newest);
+        auto call = isFirst ? store.listPage (formats.replicaPrefix, ReadFreshness::newest)
+                            : store.list (formats.replicaPrefix, ReadFreshness::newest);
+        const auto listed = co_await std::move (call);
         recordStoreOutcome (state, listed.outcome, "replicas");
 
         if (listed.outcome != StoreOutcome::done)
@@ -426,6 +476,14 @@
         }
 
         failures = 0;
+
+        if (std::exchange (isFirst, false) && listed.hasMore)
+        {
+            const auto isReceived = co_await receiveSnapshot (state);
+            state.storeUpdates.mustListReplicas = ! isReceived;
+            continue;
+        }
+
         state.storeUpdates.mustListReplicas = false;
         applyListResult (state, formats, listed, reason);
         reason = co_await watchReplicas (state, store, formats, sentAt);
--- a/tests/unit/LargeFleetTests.cpp
+++ b/tests/unit/LargeFleetTests.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <random>
 
@@ -325,3 +326,110 @@
         CHECK (static_cast<double> (bytes * nodesPerReader) <= 4.0 * bytesPerSecond);
     }
 }
+
+TEST_CASE ("a node that starts gets all replicas from readers, whichever of them answers")
+{
+    // Two readers have listed at different times, and know of no removal before their lists.
+    constexpr auto replicas = 1000U;
+
+    for (auto seed = 1U; seed <= 30; ++seed)
+    {
+        CAPTURE (seed);
+        std::mt19937 random (seed);
+        std::map<std::string, std::uint64_t> store;
+        auto revision = std::uint64_t { 100 };
+
+        for (auto number = 0U; number < replicas; ++number)
+            store["instance-" + std::to_string (number)] = ++revision;
+
+        std::array<StoreView, 2> readers;
+
+        const auto change = [&]
+        {
+            const auto name = "instance-" + std::to_string (random() % (replicas + 100));
+            const auto isRemoval = store.erase (name) > 0 && random() % 2 == 0;
+            ++revision;
+
+            if (! isRemoval)
+                store[name] = revision;
+
+            for (auto& reader : readers)
+            {
+                if (reader.directory.revision == 0)
+                    continue;
+
+                if (isRemoval)
+                    applyRemoval (reader.directory, "replicas/" + name, { revision, false }, start);
+                else
+                    applyEntry (reader.directory, replicaEntry (name, revision));
+
+                reader.directory.revision = revision;
+            }
+        };
+
+        const auto list = [&] (StoreView& reader)
+        {
+            ListedEntries listed;
+
+            for (const auto& [name, at] : store)
+                listed.entries.push_back (replicaEntry (name, at));
+
+            applyList (reader.directory, std::move (listed), revision, start);
+            reader.storeUpdates.ownProvenAt = start;
+        };
+
+        list (readers[0]);
+
+        for (auto count = 0; count < 20; ++count)
+            change();
+
+        list (readers[1]);
+        StoreView node;
+        node.storeUpdates.isReader = false;
+        node.storeUpdates.awaitsSnapshot = true;
+        auto queries = 0;
+
+        for (; node.storeUpdates.awaitsSnapshot && queries < 500; ++queries)
+        {
+            if (random() % 3 == 0)
+                change();
+
+            queryReader (node, readers[random() % 2], start);
+        }
+
+        CHECK (queries < 500);
+        queryReader (node, readers[0], start);
+        std::set<std::string> names;
+
+        for (const auto& [name, at] : store)
+            names.insert (name);
+
+        REQUIRE (replicaNames (node.directory) == names);
+        // It can't tell other nodes of what was removed before.
+        CHECK (node.directory.removalsCompleteAfter > 0);
+    }
+}
+
+TEST_CASE (
+    "a node that waits for a snapshot is no source of replicas, and one that has a list takes no snapshot")
+{
+    const auto reader = makeStoreView (true);
+    StoreView waiting;
+    waiting.storeUpdates.isReader = false;
+    waiting.storeUpdates.awaitsSnapshot = true;
+    StoreView other;
+    other.storeUpdates.isReader = false;
+    other.storeUpdates.awaitsSnapshot = true;
+    queryReader (waiting, reader, start);
+    CHECK_FALSE (waiting.storeUpdates.awaitsSnapshot);
+    CHECK (replicaNames (waiting.directory) == replicaNames (reader.directory));
+
+    waiting.storeUpdates.awaitsSnapshot = true;
+    queryReader (other, waiting, start);
+    CHECK (other.directory.entries.empty());
+
+    // Without a snapshot, a node without a list takes no changes.
+    other.storeUpdates.awaitsSnapshot = false;
+    queryReader (other, reader, start);
+    CHECK (other.directory.entries.empty());
+}
