--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -464,9 +464,14 @@
         }
 
         const auto sentAt = BootClock::now();
-        auto call = isFirst ? store.listPage (formats.replicaPrefix, ReadFreshness::newest)
-                            : store.list (formats.replicaPrefix, ReadFreshness::newest);
-        const auto listed = co_await std::move (call);
+        // Two calls in one conditional expression make GCC 12 destroy the key of the call that isn't made.
+        ReadItems listed;
+
+        if (isFirst)
+            listed = co_await store.listPage (formats.replicaPrefix, ReadFreshness::newest);
+        else
+            listed = co_await store.list (formats.replicaPrefix, ReadFreshness::newest);
+
         recordStoreOutcome (state, listed.outcome, "replicas");
 
         if (listed.outcome != StoreOutcome::done)
