Crash evidence is gathered only for nodes that have just been listed

Cause: when notices became divisible, crashLoop() gathered and copied all evidence in each round, at least five times a second, also when no node was new. Result: what is sent is unchanged; 245 of 246 unit tests (the other is known red), 14 of test_crashes and 43 of test_platform pass. The saving wasn't measured.

--- a/modules/snowrudder_serving/limits/SharedQuota.cpp
+++ b/modules/snowrudder_serving/limits/SharedQuota.cpp
@@ -384,8 +384,7 @@
         use = { state.total, state.admitted.ratePerSecond (startTime, now),
                 state.demand.ratePerSecond (startTime, now), std::nullopt };
 
-        // The bucket has a rate only after a request here. An adopted bucket without one has been charged but not
-        // refilled, so its level is meaningless.
+        // A bucket without a rate has been charged but not refilled, so its level is meaningless.
         if (state.hasInitialLevel && state.bucket.rate > 0.0)
             use.level = levelAt (state.bucket, now);
     }
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -352,8 +352,9 @@
             if (std::ranges::find (knownRecipients, recipient) == knownRecipients.end())
                 newRecipients.push_back (recipient);
 
-        if (const auto notice = allCrashes (state, BootClock::now()); ! notice.evidence.empty())
-            sendTo (newRecipients, notice);
+        if (! newRecipients.empty())
+            if (const auto notice = allCrashes (state, BootClock::now()); ! notice.evidence.empty())
+                sendTo (newRecipients, notice);
 
         knownRecipients = std::move (recipients);
 
