--- a/modules/snowrudder_net/client/ConnectionPool.h
+++ b/modules/snowrudder_net/client/ConnectionPool.h
@@ -62,6 +62,9 @@
     */
     auto setMaxIdle (std::size_t connections) -> void { maxIdle = std::min (connections, maxIdlePerAddress); }
 
+    /** Closes the idle connections to an address, as after a fault that may have silenced them. */
+    auto closeIdle (const tcp::endpoint& endpoint) -> void { idle.erase (endpoint); }
+
     /** Closes the connections that have reached their maximum idle time. */
     auto closeExpired (TimePoint now) -> void;
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -16,11 +16,6 @@
 */
 constexpr auto firstReportInterval = 20ms;
 
-/** How often loads of replicas are sent and store updates are queried. A replica of a model begins four requests a
-    second.
-*/
-constexpr auto storeUpdateInterval = 200ms;
-
 /** The interval of the queries of a node that waits for a snapshot of the replicas, without which it can't serve. */
 constexpr auto snapshotQueryInterval = 50ms;
 
--- a/modules/snowrudder_serving/members/StoreUpdates.h
+++ b/modules/snowrudder_serving/members/StoreUpdates.h
@@ -92,6 +92,8 @@
     TimePoint readerMembersHashAt = longAgo;
     /** The latest time as of which the store itself responded to this node. */
     TimePoint ownProvenAt = longAgo;
+    /** The latest time as of which this node's own calls to the store proved its directory of replicas complete. */
+    TimePoint ownDirectoryProvenAt = longAgo;
     /** The latest time up to which readers sent this node all changes of replicas. */
     TimePoint provenAt = longAgo;
     /** The newest configuration revision that any node has announced. */
@@ -114,6 +116,16 @@
     std::map<std::string, std::uint64_t, std::less<>> missedChanges;
 };
 
+/** How often loads of replicas are sent and store updates are queried. A replica of a model begins four requests a
+    second.
+*/
+inline constexpr auto storeUpdateInterval = Duration (200ms);
+
+/** The longest time from a query for store updates to its response: the network, and the event loops of a reader and a
+    follower on a tenth of a core.
+*/
+inline constexpr auto storeUpdateTransitTime = Duration (100ms);
+
 /** The age from which store updates no longer replace reading the store. A reader confirms its configuration every
     0.9 s, and a node queries its two readers in turn every 0.2 s, so updates stay younger than this while one of the
     readers is alive. The limit is below 2 s because a leaving replica must receive no requests after that time.
--- a/modules/snowrudder_serving/rollout/RolloutFollower.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutFollower.cpp
@@ -79,7 +79,7 @@
 
         while (known.outcome == StoreOutcome::done && state.storeUpdates.isReader)
         {
-            known = co_await store.watch (formats.rolloutPrefix, known.revision, watchTime);
+            known = co_await store.watch (formats.rolloutPrefix, known.revision, WatchTimes { watchTime });
 
             for (const auto& item : known.items)
                 applyOrder (state, formats, item);
--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -108,6 +108,15 @@
     Duration length {};
 };
 
+/** How long a watch takes. */
+struct WatchTimes
+{
+    /** How long the store waits for a change before it responds without one. */
+    Duration wait {};
+    /** How much longer the call may take, before the response counts as lost. */
+    Duration response = 800ms;
+};
+
 /** How old the data of a read or a list may be. */
 enum class ReadFreshness
 {
@@ -127,7 +136,7 @@
     /** Like `list`, but reads only the first page. */
     std::function<Task<ReadItems> (std::string prefix, ReadFreshness age)> listPage;
     /** Waits for changes of keys with a prefix after a revision, or until the wait time has passed. */
-    std::function<Task<ReadItems> (std::string prefix, std::uint64_t after, Duration wait)> watch;
+    std::function<Task<ReadItems> (std::string prefix, std::uint64_t after, WatchTimes times)> watch;
     std::function<Task<TransactionResult> (StoreTransaction transaction)> commit;
     std::function<Task<GrantedLease> (Duration length)> grantLease;
     std::function<Task<StoreOutcome> (std::uint64_t lease)> renewLease;
--- a/modules/snowrudder_serving/store/StoreCallMetrics.cpp
+++ b/modules/snowrudder_serving/store/StoreCallMetrics.cpp
@@ -73,8 +73,8 @@
                      old = metricsOf ("old_lists")] (std::string prefix, ReadFreshness age)
     { return measured (age == ReadFreshness::newest ? newest : old, call (std::move (prefix), age)); };
     made.watch = [call = std::move (store.watch),
-                  of = countersOf ("watches")] (std::string prefix, std::uint64_t after, Duration wait)
-    { return measured (of, call (std::move (prefix), after, wait)); };
+                  of = countersOf ("watches")] (std::string prefix, std::uint64_t after, WatchTimes times)
+    { return measured (of, call (std::move (prefix), after, times)); };
     made.commit = [call = std::move (store.commit), of = metricsOf ("transactions")] (
                       StoreTransaction transaction) { return measured (of, call (std::move (transaction))); };
     made.grantLease = [call = std::move (store.grantLease), of = metricsOf ("leases_granted")] (
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -1,5 +1,7 @@
 #include "StoreFollowers.h"
 
+#include "ReplicaWatchTimes.h"
+
 #include <utility>
 
 namespace snowrudder
@@ -24,12 +26,6 @@
 /** Interval at which a node whose readers read the store for it checks whether it must read the store itself. */
 constexpr auto recheckPause = 200ms;
 
-/** Maximum duration of one watch. A watch that was open when the network was cut never gets a response and hides
-    changes until it times out. With the drain time of 2 s, a leaving replica must be detected within 3 s of the end of
-    the cut.
-*/
-constexpr auto watchTimeout = Duration (2s);
-
 /** How long a node that has just started waits for the next part of all replicas from its readers before it lists them
     itself. The readers need about a second for their own lists.
 */
@@ -39,12 +35,6 @@
 /** Interval of lists, as watches may miss changes. */
 constexpr auto relistInterval = Duration (20s);
 
-/** Delay after a change before the next watch, so that changes that come together, as when many replicas start or are
-    reclaimed, are received in one batch. It is well below the time after which a leaving replica must get no new
-    requests (2 s as configured).
-*/
-constexpr auto batchingDelay = 400ms;
-
 /** @returns the pause after a failed call to the store.
 
     @param failures  number of consecutive failures, including this one; a single one may be due to a broken connection
@@ -358,6 +348,44 @@
     }
 }
 
+/** Makes one watch of the replicas and applies its changes.
+
+    @returns the outcome of the call
+*/
+auto watchOnce (ServingState& state, const StateStore& store, const StoreFormats& formats, WatchTimes times)
+    -> Task<StoreOutcome>
+{
+    const auto sentAt = BootClock::now();
+    const auto changed = co_await store.watch (formats.replicaPrefix, state.directory.revision, times);
+    const auto receivedAt = BootClock::now();
+    auto& provenAt = state.storeUpdates.ownDirectoryProvenAt;
+    recordStoreOutcome (state, changed.outcome, "replicas");
+
+    if (changed.outcome != StoreOutcome::done)
+    {
+        state.metrics.counter ("snowrudder_replica_watches_failed_total").add();
+        LogLine ("replica_watch_failed")
+            .with ("outcome", toString (changed.outcome))
+            .with ("revision", state.directory.revision)
+            .with ("call_milliseconds", inMilliseconds (receivedAt - sentAt))
+            .with ("proof_milliseconds", inMilliseconds (receivedAt - provenAt))
+            .warning();
+        co_return changed.outcome;
+    }
+
+    // An empty response does not advance the revision, as the watch may have missed changes without an error.
+    const auto hasChanges = ! changed.items.empty();
+    provenAt = std::max (provenAt, provenByWatch (sentAt, receivedAt, times.wait, hasChanges));
+
+    if (hasChanges)
+    {
+        applyWatchEvents (state, formats, changed);
+        co_await pauseFor (state.loop, batchingDelay);
+    }
+
+    co_return StoreOutcome::done;
+}
+
 /** Applies changes from watches until one may have missed changes, a check by a list is due, or other nodes read the
     store for this one.
 
@@ -386,21 +414,19 @@
             continue;
         }
 
-        const auto changed =
-            co_await store.watch (formats.replicaPrefix, state.directory.revision, watchTimeout);
-        recordStoreOutcome (state, changed.outcome, "replicas");
+        const auto times = nextWatchTimes (state.storeUpdates.ownDirectoryProvenAt, now);
+        auto outcome = co_await watchOnce (state, store, formats, times);
 
-        if (changed.outcome != StoreOutcome::done)
-        {
-            co_await pauseFor (state.loop, failurePause);
-            co_return ListReason::afterGap;
-        }
+        if (outcome == StoreOutcome::unknown)
+            outcome = co_await watchOnce (state, store, formats, catchUpTimes);
 
-        // An empty response does not advance the revision, as the watch may have missed changes without an error.
-        if (! changed.items.empty())
+        if (outcome != StoreOutcome::done)
         {
-            applyWatchEvents (state, formats, changed);
-            co_await pauseFor (state.loop, batchingDelay);
+            // After a time-out the list is due at once; a store that refuses calls is not called without a pause.
+            if (BootClock::now() - now < failurePause)
+                co_await pauseFor (state.loop, failurePause);
+
+            co_return ListReason::afterGap;
         }
 
         if (BootClock::now() >= listEnd)
@@ -491,6 +517,8 @@
 
         state.storeUpdates.mustListReplicas = false;
         applyListResult (state, formats, listed, reason);
+        state.storeUpdates.ownDirectoryProvenAt =
+            std::max (state.storeUpdates.ownDirectoryProvenAt, sentAt);
         reason = co_await watchReplicas (state, store, formats, sentAt);
     }
 }
