--- a/modules/snowrudder_serving/duties/LeadershipLoop.cpp
+++ b/modules/snowrudder_serving/duties/LeadershipLoop.cpp
@@ -80,7 +80,8 @@
     if (holder != nullptr)
     {
         own.otherHolderSeen = BootClock::now();
-        const auto changed = co_await store.watch (std::string (leaderKey), read.revision, WatchTimes { watchTime });
+        const auto changed =
+            co_await store.watch (std::string (leaderKey), read.revision, WatchTimes { watchTime });
 
         if (changed.outcome != StoreOutcome::done)
             co_await pauseFor (state.loop, jittered (failurePause));
--- a/modules/snowrudder_serving/store/ReplicaWatchTimes.h
+++ b/modules/snowrudder_serving/store/ReplicaWatchTimes.h
@@ -62,7 +62,8 @@
     The store sends an empty response at the end of the wait. One with changes may have been sent at any time before, but
     one that is in transit for longer than `watchResponseTimeout` counts as lost.
 */
-inline auto provenByWatch (TimePoint sentAt, TimePoint receivedAt, Duration wait, bool hasChanges) -> TimePoint
+inline auto provenByWatch (TimePoint sentAt, TimePoint receivedAt, Duration wait, bool hasChanges)
+    -> TimePoint
 {
     if (! hasChanges && receivedAt - sentAt >= wait)
         return sentAt + wait;
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -517,8 +517,7 @@
 
         state.storeUpdates.mustListReplicas = false;
         applyListResult (state, formats, listed, reason);
-        state.storeUpdates.ownDirectoryProvenAt =
-            std::max (state.storeUpdates.ownDirectoryProvenAt, sentAt);
+        state.storeUpdates.ownDirectoryProvenAt = std::max (state.storeUpdates.ownDirectoryProvenAt, sentAt);
         reason = co_await watchReplicas (state, store, formats, sentAt);
     }
 }
--- a/tests/unit/LeavingReplicaTests.cpp
+++ b/tests/unit/LeavingReplicaTests.cpp
@@ -47,7 +47,8 @@
 
     [[nodiscard]] auto entry (std::size_t number, bool isLeaving) const -> DirectoryEntry
     {
-        auto made = replicaEntry ("replica-" + std::to_string (number), isLeaving ? firstRevision + number + 1 : 1);
+        auto made =
+            replicaEntry ("replica-" + std::to_string (number), isLeaving ? firstRevision + number + 1 : 1);
         made.isLeaving = isLeaving;
         return made;
     }
@@ -285,8 +286,9 @@
             applyEntry (directory, store.entry (known - LeavingStore::firstRevision, true));
 
         directory.revision = std::max (directory.revision, revision);
-        provenAt = std::max (provenAt, isList ? reader.sentAt
-                                              : provenByWatch (reader.sentAt, now, reader.times.wait, hasChanges));
+        provenAt =
+            std::max (provenAt, isList ? reader.sentAt
+                                       : provenByWatch (reader.sentAt, now, reader.times.wait, hasChanges));
         beginCall (reader, ReadingNode::Call::watch, hasChanges && ! isList ? now + batchingDelay : now,
                    hasFaults);
     }
@@ -358,7 +360,8 @@
 {
     constexpr auto seeds = 300U;
 
-    for (const auto nodes : { std::size_t { 7 }, std::size_t { 83 }, std::size_t { 295 }, std::size_t { 986 } })
+    for (const auto nodes :
+         { std::size_t { 7 }, std::size_t { 83 }, std::size_t { 295 }, std::size_t { 986 } })
         for (auto seed = 1U; seed <= seeds; ++seed)
         {
             CAPTURE (nodes, seed);
--- a/tests/unit/StoreUpdateTests.cpp
+++ b/tests/unit/StoreUpdateTests.cpp
@@ -196,7 +196,8 @@
     CHECK (mustQueryStore (requester.storeUpdates, start + 4s));
 }
 
-TEST_CASE ("a reader that proves the configuration but can't read the replicas does not pass for a source of them")
+TEST_CASE (
+    "a reader that proves the configuration but can't read the replicas does not pass for a source of them")
 {
     auto reader = makeStoreView (true);
     auto requester = makeStoreView (false);
