Nodes keep to equal parts of the limit that a replica states

Callers' requests reached a replica that had stated a limit of 1 request a second 16 to 18 times in 4 s; 11 are allowed.

Cause: no code read the limit. Class: a statement of an upstream about itself that only some of the senders can see.

No message is needed before a request. The statement travels with the loads, before the loads of other replicas, and ends with an answer without one. A limited replica is passed by; where all of a service are, the request is refused at once and told when one of them takes the next request.

--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -2,6 +2,7 @@
 
 #include "../prefix/PrefixIndex.h"
 #include "PromptSpeed.h"
+#include "RateLimit.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
@@ -56,6 +57,8 @@
     leaving,
     /** Its circuit breaker is open after failures. */
     suspended,
+    /** It states how many requests a second it takes, and this router may send none at the moment. */
+    limited,
     /** It is known to have ended, or a later replica has its address; its entry is stale. */
     ended
 };
@@ -129,6 +132,14 @@
     std::vector<TimePoint> recentSendTimes;
     static constexpr auto keptSendTimes = std::size_t { 16 };
 
+    /** The limit that it stated last; nothing while it states none. */
+    std::optional<RateLimit> rateLimit;
+    /** When it last stated that it has a limit, or none. */
+    TimePoint rateLimitStatedAt = longAgo;
+
+    /** Whether it is replaced or states a limit: one check for both, since it is made for each replica and request. */
+    bool isRestricted = false;
+
     /** State of the circuit breaker. */
     std::uint32_t failuresInRow = 0;
     std::uint32_t timesOpened = 0;
@@ -142,13 +153,20 @@
     if (replica.leavingSince)
         return ReplicaAvailability::leaving;
 
-    if (replica.isReplaced || (replica.endedAt && now - *replica.endedAt < ReplicaState::staleEntryLifetime))
+    if (replica.endedAt && now - *replica.endedAt < ReplicaState::staleEntryLifetime)
         return ReplicaAvailability::ended;
 
     if (replica.openUntil && (now < *replica.openUntil || replica.isProbing))
         return ReplicaAvailability::suspended;
 
-    return ReplicaAvailability::usable;
+    if (! replica.isRestricted)
+        return ReplicaAvailability::usable;
+
+    if (replica.isReplaced)
+        return ReplicaAvailability::ended;
+
+    return replica.rateLimit && ! maySend (*replica.rateLimit, now) ? ReplicaAvailability::limited
+                                                                    : ReplicaAvailability::usable;
 }
 
 /** What the outcome of one attempt shows of the replica's health. */
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -183,6 +183,9 @@
     requireInvariant (availabilityOf (replica, now) == ReplicaAvailability::usable,
                       "a leaving upstream gets nothing new");
 
+    if (replica.rateLimit)
+        usePermission (*replica.rateLimit, now);
+
     replica.inFlight += 1;
     replica.recentSendTimes.push_back (now);
 
@@ -303,6 +306,97 @@
                    });
 }
 
+auto ReplicaTable::recordRateLimit (std::uint32_t hash,
+                                    std::optional<double> perSecond,
+                                    TimePoint statedAt,
+                                    TimePoint now) -> bool
+{
+    const std::lock_guard lock (mutex);
+    auto hasChanged = false;
+
+    forEachOfHash (hash,
+                   [&] (ReplicaState& replica)
+                   {
+                       if (statedAt <= replica.rateLimitStatedAt)
+                           return;
+
+                       replica.rateLimitStatedAt = statedAt;
+                       auto& limit = replica.rateLimit;
+                       const auto known = limit ? std::optional (limit->perSecond) : std::nullopt;
+
+                       if (known == perSecond)
+                           return;
+
+                       hasChanged = true;
+                       replica.isRestricted = replica.isReplaced || perSecond.has_value();
+
+                       if (! perSecond)
+                       {
+                           limit.reset();
+                           return;
+                       }
+
+                       if (! limit)
+                       {
+                           limit.emplace();
+                           limit->received = randomFraction();
+                           limit->countedAt = now;
+                       }
+
+                       limit->perSecond = *perSecond;
+                       limit->statedAt = statedAt;
+                       setOwnShare (*limit, rateShare, now);
+                   });
+
+    return hasChanged;
+}
+
+auto ReplicaTable::rateLimit (std::uint32_t hash) const -> std::optional<double>
+{
+    const std::lock_guard lock (mutex);
+    const auto found = std::ranges::lower_bound (byHash, hash, {}, &HashedReplica::first);
+
+    if (found == byHash.end() || found->first != hash || ! found->second->rateLimit)
+        return {};
+
+    return found->second->rateLimit->perSecond;
+}
+
+auto ReplicaTable::setRateShare (double share, TimePoint now) -> void
+{
+    const std::lock_guard lock (mutex);
+
+    if (share == rateShare)
+        return;
+
+    rateShare = share;
+
+    for (auto& [service, replicas] : services)
+        for (auto& replica : replicas)
+            if (replica.rateLimit)
+                setOwnShare (*replica.rateLimit, share, now);
+}
+
+auto ReplicaTable::limitedRetryDelay (const std::string& service, TimePoint now) const
+    -> std::optional<Duration>
+{
+    const std::lock_guard lock (mutex);
+    const auto found = services.find (service);
+    auto perSecond = 0.0;
+
+    if (found == services.end())
+        return {};
+
+    for (const auto& replica : found->second)
+        if (availabilityOf (replica, now) == ReplicaAvailability::limited)
+            perSecond += appliedLimit (replica.rateLimit->perSecond);
+
+    if (perSecond <= 0.0)
+        return {};
+
+    return std::chrono::duration_cast<Duration> (std::chrono::duration<double> (1.0 / perSecond));
+}
+
 auto ReplicaTable::markLeaving (ReplicaNumber number, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
@@ -377,16 +471,23 @@
     if (found == services.end())
         return capacity;
 
+    // Requests that no replica takes because of their limits must not wait in a queue: they are refused at once.
+    Capacity limited;
+
     for (const auto& replica : found->second)
     {
-        if (availabilityOf (replica, now) != ReplicaAvailability::usable)
+        const auto availability = availabilityOf (replica, now);
+        const auto isLimited = availability == ReplicaAvailability::limited;
+
+        if (availability != ReplicaAvailability::usable && ! isLimited)
             continue;
 
-        capacity.slots += replica.slots();
-        capacity.busy += std::min (estimatedRequests (replica, now), replica.slots());
+        auto& sum = isLimited ? limited : capacity;
+        sum.slots += replica.slots();
+        sum.busy += std::min (estimatedRequests (replica, now), replica.slots());
     }
 
-    return capacity;
+    return capacity.slots > 0.0 ? capacity : limited;
 }
 
 auto ReplicaTable::totals (const std::string& service) const -> Totals
@@ -463,7 +564,10 @@
         };
 
         for (const auto& [hash, replica] : sharing)
+        {
             replica->isReplaced = hasLater (*replica);
+            replica->isRestricted = replica->isReplaced || replica->rateLimit.has_value();
+        }
 
         first = end;
     }
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -126,6 +126,30 @@
     */
     auto recordForwardedLoad (std::uint32_t hash, const LoadReport& report, TimePoint reportedAt) -> void;
 
+    /** Records what a replica stated about its limit of requests a second, to this router or another one. A statement
+        that is older than the last one is ignored.
+
+        @param hash       from replicaHash()
+        @param perSecond  nothing where it stated no limit
+        @returns          whether the limit is new, has changed, or has ended
+    */
+    auto recordRateLimit (std::uint32_t hash,
+                          std::optional<double> perSecond,
+                          TimePoint statedAt,
+                          TimePoint now) -> bool;
+
+    /** @returns the limit that a replica stated last, or nothing while it states none. */
+    [[nodiscard]] auto rateLimit (std::uint32_t hash) const -> std::optional<double>;
+
+    /** Sets the part of each stated limit that this router may use, from 0 to 1. */
+    auto setRateShare (double share, TimePoint now) -> void;
+
+    /** @returns when a replica of the service takes a request from any router again, at the rate of their stated limits,
+        or nothing where none is unavailable because of its limit.
+    */
+    [[nodiscard]] auto limitedRetryDelay (const std::string& service, TimePoint now) const
+        -> std::optional<Duration>;
+
     /** Records a prompt that another router has just sent to a replica.
 
         @param hash    from replicaHash()
@@ -223,6 +247,8 @@
     std::map<std::string, PromptSpeed, std::less<>> promptSpeeds;
     PrefixIndex prefixes;
     BreakerLimits breaker;
+    /** This router's part of the limits that replicas state. */
+    double rateShare = 1.0;
     ReplicaNumber nextNumber = 1;
 };
 
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -102,6 +102,16 @@
         message.add_running (load.running);
         message.add_waiting (load.waiting);
         message.add_age_milliseconds (asMilliseconds (load.age));
+        const auto index = static_cast<std::uint32_t> (message.replica_size() - 1);
+
+        if (! load.hasLoad)
+            message.add_without_load (index);
+
+        if (! load.rateLimit)
+            continue;
+
+        message.add_limited (index);
+        message.add_requests_per_second (*load.rateLimit);
     }
 }
 
@@ -364,6 +374,16 @@
         loads.push_back ({ message.replica (index), message.running (index), message.waiting (index),
                            std::chrono::milliseconds (message.age_milliseconds (index)) });
 
+    for (const auto index : message.without_load())
+        if (index < loads.size())
+            loads[index].hasLoad = false;
+
+    const auto limits = std::min (message.limited_size(), message.requests_per_second_size());
+
+    for (auto entry = 0; entry < limits; ++entry)
+        if (message.limited (entry) < loads.size())
+            loads[message.limited (entry)].rateLimit = message.requests_per_second (entry);
+
     return loads;
 }
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -429,9 +429,16 @@
     const auto now = BootClock::now();
 
     for (const auto& load : loads)
-        if (state.loads.record (load, shouldForward, now))
+    {
+        if (! state.loads.record (load, shouldForward, now))
+            continue;
+
+        state.recordRateLimit (load.replica, load.rateLimit, now - load.age, now);
+
+        if (load.hasLoad)
             state.replicas.recordForwardedLoad (load.replica, { load.running, load.waiting, 0.0, false },
                                                 now - load.age);
+    }
 }
 
 auto PeerExchange::sendLoads (TimePoint now) -> void
--- a/modules/snowrudder_serving/members/SharedLoads.cpp
+++ b/modules/snowrudder_serving/members/SharedLoads.cpp
@@ -13,7 +13,7 @@
     if (load.age > maxLoadAge || receivedAt <= entry.receivedAt)
         return false;
 
-    entry = { load.running, load.waiting, receivedAt, shouldForward };
+    entry = { load.running, load.waiting, receivedAt, shouldForward, load.hasLoad, load.rateLimit };
     return true;
 }
 
@@ -44,14 +44,15 @@
     if (loads.size() <= maxLoads)
         return loads;
 
-    std::ranges::nth_element (loads, loads.begin() + maxLoads, {}, &SharedLoad::age);
+    const auto rank = [] (const SharedLoad& load) { return std::pair (! load.rateLimit, load.age); };
+    std::ranges::nth_element (loads, loads.begin() + maxLoads, {}, rank);
     loads.resize (maxLoads);
     return loads;
 }
 
 auto SharedLoads::asLoad (std::uint32_t replica, const Entry& entry, TimePoint now) -> SharedLoad
 {
-    return { replica, entry.running, entry.waiting, now - entry.receivedAt };
+    return { replica, entry.running, entry.waiting, now - entry.receivedAt, entry.hasLoad, entry.rateLimit };
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/SharedLoads.h
+++ b/modules/snowrudder_serving/members/SharedLoads.h
@@ -5,13 +5,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace snowrudder
 {
 
-/** A replica's load, as reported by the replica to some node in a response. */
+/** What a replica stated to some node in an answer: its load, and its limit of requests a second. */
 struct SharedLoad
 {
     /** Hash of the replica's name, from replicaHash(). */
@@ -20,6 +21,10 @@
     std::uint32_t waiting = 0;
     /** Time since the node received it. */
     Duration age {};
+    /** Whether the replica stated its load. */
+    bool hasLoad = true;
+    /** Requests a second that it takes from all nodes; nothing where it stated no limit. */
+    std::optional<double> rateLimit {};
 };
 
 /** Loads and roll-outs that a reader sends to the other readers. */
@@ -60,7 +65,8 @@
 
     /** Removes old loads.
 
-        @returns the recent loads, whichever node observed them; the newest `maxLoads` if there are more
+        @returns the recent loads, whichever node observed them; if there are more than `maxLoads`, those of replicas that
+                 state a limit, and the newest others
     */
     auto recent (TimePoint now) -> std::vector<SharedLoad>;
 
@@ -77,6 +83,8 @@
         std::uint32_t waiting = 0;
         TimePoint receivedAt {};
         bool shouldForward = false;
+        bool hasLoad = false;
+        std::optional<double> rateLimit {};
     };
 
     static auto asLoad (std::uint32_t replica, const Entry& entry, TimePoint now) -> SharedLoad;
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -174,6 +174,8 @@
         state.crashes.recheckUnconfirmed (state.probes, now);
         state.crashes.table().removeExpired (now);
 
+        state.replicas.setRateShare (state.rateShare (now), now);
+
         if (state.configuration.current)
             state.pool.setMaxIdle (maxIdleConnections (*state.configuration.current, state.memberCount()));
 
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -63,6 +63,33 @@
     /** @returns the number of nodes in the store's latest list, including this one; 1 before the first list. */
     [[nodiscard]] auto memberCount() const -> std::size_t { return sharing.members.value_or (1); }
 
+    /** @returns the part that this node may use of the limits that replicas state for all nodes together. */
+    [[nodiscard]] auto rateShare (TimePoint now) const -> double
+    {
+        return 1.0 / static_cast<double> (std::max (nodeCount (now), memberCount()));
+    }
+
+    /** Records what a replica stated about its limit of requests a second, to this node or another one. */
+    auto recordRateLimit (std::uint32_t replica,
+                          std::optional<double> perSecond,
+                          TimePoint statedAt,
+                          TimePoint now) -> void
+    {
+        const auto before = replicas.rateLimit (replica);
+
+        if (! replicas.recordRateLimit (replica, perSecond, statedAt, now))
+            return;
+
+        metrics.counter ("snowrudder_rate_limit_changes_total").add();
+        LogLine ("rate_limit_changed")
+            .with ("replica_hash", replica)
+            .with ("before", before.value_or (-1.0))
+            .with ("requests_per_second", perSecond.value_or (-1.0))
+            .with ("nodes", std::max (nodeCount (now), memberCount()))
+            .with ("age_milliseconds", inMilliseconds (now - statedAt))
+            .info();
+    }
+
     /** @returns this node's role in the exchange of reports between nodes. */
     [[nodiscard]] auto role() const -> ReportRole { return reportRole (memberCount(), isCollector); }
 
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -244,14 +244,18 @@
             .warning();
     }
 
-    if (answer.load)
+    if (! answer.unreadableRateLimit.empty())
     {
-        state.replicas.recordLoad (ticket.number, *answer.load, now);
-        state.loads.record (
-            { replicaHash (ticket.info.name), answer.load->running, answer.load->waiting, Duration::zero() },
-            true, now);
+        state.metrics.counter ("snowrudder_unreadable_rate_limits_total").add();
+        LogLine ("rate_limit_unreadable")
+            .with ("request", request.caller.id)
+            .with ("replica", ticket.info.name)
+            .with ("limit", answer.unreadableRateLimit)
+            .warning();
     }
 
+    recordStatements (answer, ticket, now);
+
     if (answer.isAddressReassigned)
         state.replicas.markLeaving (ticket.number, now);
 
@@ -282,6 +286,30 @@
     return {};
 }
 
+auto RoutedRequestRunner::recordStatements (const UpstreamAnswer& answer,
+                                            const ReplicaTicket& ticket,
+                                            TimePoint now) -> void
+{
+    const auto replica = replicaHash (ticket.info.name);
+    const auto known = state.replicas.rateLimit (replica);
+    const auto rateLimit = answer.unreadableRateLimit.empty() ? answer.rateLimit : known;
+
+    // An answer of another replica at its address says nothing of this one.
+    if (! answer.isAddressReassigned)
+        state.recordRateLimit (replica, rateLimit, now, now);
+
+    if (answer.load)
+        state.replicas.recordLoad (ticket.number, *answer.load, now);
+
+    if (! answer.load && ! rateLimit && ! known)
+        return;
+
+    const auto load = answer.load.value_or (LoadReport());
+    state.loads.record (
+        { replica, load.running, load.waiting, Duration::zero(), answer.load.has_value(), rateLimit }, true,
+        now);
+}
+
 auto RoutedRequestRunner::relayPlain (UpstreamCall& call) -> Task<Failure>
 {
     std::string body;
@@ -467,7 +495,9 @@
     {
         const auto isRefused = outcome.cause == FailureCause::refused;
         const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
-        problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)), shortRetryDelay);
+        const auto limitedDelay = state.replicas.limitedRetryDelay (request.service, BootClock::now());
+        problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
+                             std::max<Duration> (shortRetryDelay, limitedDelay.value_or (Duration::zero())));
     }
     else if (BootClock::now() >= request.deadline)
         problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -47,6 +47,7 @@
         -> void;
     auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>;
     auto processHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
+    auto recordStatements (const UpstreamAnswer& answer, const ReplicaTicket& ticket, TimePoint now) -> void;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
     auto relayStream (UpstreamCall& call) -> Task<Failure>;
     auto examineReplica (const AttemptOutcome& outcome) -> Task<std::string_view>;
--- a/modules/snowrudder_serving/request/UpstreamProtocol.h
+++ b/modules/snowrudder_serving/request/UpstreamProtocol.h
@@ -38,6 +38,10 @@
     std::optional<LoadReport> load;
     /** What of the load could not be read; empty where all of it could. */
     std::string unreadableLoad {};
+    /** Requests a second that the replica takes from all nodes together, if it states a limit. */
+    std::optional<double> rateLimit {};
+    /** The stated limit if it could not be read; otherwise empty. */
+    std::string unreadableRateLimit {};
 };
 
 /** The upstreams' protocol of a face: functions that encode and decode messages and make no decisions. */
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -216,6 +216,44 @@
     CHECK_FALSE (protocol.readAnswer (head, "9c41").belongsToRequest);
 }
 
+TEST_CASE ("a replica's limit of requests a second is a decimal number, and anything else is reported and "
+           "changes nothing")
+{
+    const auto protocol = platform::upstreamProtocol();
+    const auto read = [&protocol] (std::vector<std::string> values)
+    {
+        http::response_header<> head;
+        head.result (200);
+        head.set ("X-Request-Id", "9c41");
+        head.set ("X-Response-Signature", "signed");
+
+        for (const auto& value : values)
+            head.insert ("Server-Limit", value);
+
+        auto answer = protocol.readAnswer (head, "9c41");
+        CHECK (answer.belongsToRequest);
+        return answer;
+    };
+
+    CHECK (read ({ "1.25" }).rateLimit == Approx (1.25));
+    CHECK (read ({ " 0 " }).rateLimit == Approx (0.0));
+    CHECK_FALSE (read ({}).rateLimit);
+    CHECK (read ({}).unreadableRateLimit.empty());
+
+    const std::vector<std::vector<std::string>> unreadable {
+        { "" },         { "-1" },     { "nan" },
+        { "inf" },      { "1e3" },    { "1,2" },
+        { "10000000" }, { "1", "2" }, { std::string (9000, '9') }
+    };
+
+    for (const auto& values : unreadable)
+    {
+        CHECK_FALSE (read (values).rateLimit);
+        CHECK_FALSE (read (values).unreadableRateLimit.empty());
+        CHECK (read (values).unreadableRateLimit.size() <= 64);
+    }
+}
+
 TEST_CASE ("a load's parts that can't be read leave the others valid")
 {
     const auto protocol = platform::upstreamProtocol();
