Two test files as the linter asks

Cause: a local variable shadowed one of a fixture header that the file doesn't need, and a parameter was copied. Change: the include is gone, the parameter is a reference; no check was touched.

--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -220,7 +220,7 @@
            "changes nothing")
 {
     const auto protocol = platform::upstreamProtocol();
-    const auto read = [&protocol] (std::vector<std::string> values)
+    const auto read = [&protocol] (const std::vector<std::string>& values)
     {
         http::response_header<> head;
         head.result (200);
--- a/tests/unit/RateLimitTests.cpp
+++ b/tests/unit/RateLimitTests.cpp
@@ -1,4 +1,3 @@
-#include "RoutingFixtures.h"
 #include "ServingFixtures.h"
 
 #include "snowrudder_serving/members/DatagramCodec.h"
