The end of a routed request is logged with its answer's framing

The logs of the incident could not tell whether an answer that was taken as complete had ended inside an event or was reset between two. request_ended and attempt_failed now say how the answer is framed and how many bytes of an incomplete event had been received.

--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -220,6 +220,14 @@
     return length ? std::optional<std::uint64_t> (*length) : std::nullopt;
 }
 
+auto UpstreamCall::framing() const -> BodyFraming
+{
+    if (parser->need_eof())
+        return BodyFraming::endOfConnection;
+
+    return parser->chunked() ? BodyFraming::chunks : BodyFraming::length;
+}
+
 auto UpstreamCall::finish() -> void
 {
     currentStage = CallStage::finished;
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyFraming.h"
 #include "CallStage.h"
 #include "ConnectionPool.h"
 
@@ -87,6 +88,9 @@
     /** @returns the length of the body if the response header states it. */
     [[nodiscard]] auto contentLength() const -> std::optional<std::uint64_t>;
 
+    /** @returns how the end of the body is marked, once the header has been read. */
+    [[nodiscard]] auto framing() const -> BodyFraming;
+
     /** Closes the connection at the end of the call, as the bytes received on it can't be trusted. */
     auto preventReuse() -> void { reusable = false; }
 
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -101,12 +101,15 @@
         if (isCallerGone)
             break;
 
+        const auto partialEventBytes = events.partialEvent().size();
         const auto decision = decide (*outcome);
 
         attemptFailedLine (request.caller.id, attemptCount, *outcome, decision)
             .with ("replica", lastReplica.name)
             .with ("replica_address", addressState)
             .with ("fingerprint", toString (request.fingerprint))
+            .with ("framing", framingName())
+            .with ("partial_event_bytes", partialEventBytes)
             .with ("ran", toString (ranAfter (*outcome)))
             .info();
 
@@ -183,6 +186,7 @@
     UpstreamCall call (state.pool, parseEndpoint (ticket.info.endpoint), timeouts());
     currentCall = &call;
     attemptFirstByte.reset();
+    framing.reset();
     const auto outcome = co_await callReplica (call, ticket);
     currentCall = nullptr;
     recordForRollout (ticket, outcome, call);
@@ -227,6 +231,7 @@
                                        ReplicaTicket& ticket) -> Failure
 {
     const auto now = BootClock::now();
+    framing = call.framing();
 
     if (! answer.belongsToRequest)
     {
@@ -561,6 +566,8 @@
         .with ("sends", attemptCount)
         .with ("runs", possibleRuns())
         .with ("replica", lastReplica.name)
+        .with ("framing", framingName())
+        .with ("partial_event_bytes", events.partialEvent().size())
         .with ("prompt_tokens", request.caller.promptTokens)
         .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
         .with ("longest_pause_milliseconds", inMilliseconds (longestPause))
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -68,6 +68,11 @@
     [[nodiscard]] auto attemptFields (const ReplicaTicket& ticket) const -> AttemptFields;
     [[nodiscard]] auto timeouts() const -> CallTimeouts;
     [[nodiscard]] auto mayRunAgain() const -> bool;
+    /** @returns how the last attempt's answer is framed, for the log. */
+    [[nodiscard]] auto framingName() const -> std::string_view
+    {
+        return framing ? toString (*framing) : std::string_view ("none");
+    }
     [[nodiscard]] auto makeOutcome (const UpstreamCall& call, FailureCause cause) const -> AttemptOutcome;
 
     ServingState& state;
@@ -88,6 +93,8 @@
     std::optional<Duration> attemptFirstByte;
     /** Time from the request's arrival to receiving the head of the answer. */
     std::optional<Duration> firstByte;
+    /** How the answer of the current attempt is framed; empty until its head was received. */
+    std::optional<BodyFraming> framing;
     /** When events were last relayed, and the longest time between two of them: users notice such pauses in a slow
         stream.
     */
