Events whose lines end with CR are relayed when they are complete

Only LF and CRLF were taken as line ends, so that a stream with CR lines was held back to its end, its identifiers were not seen, and the own face read no event of it.

Measured: the new unit tests, each piece size from 1 byte to the whole stream.

--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -28,4 +28,5 @@
 #include "server/HttpServer.h"
 #include "server/ProblemResponse.h"
 #include "server/RunServer.h"
+#include "stream/EventBoundaries.h"
 #include "stream/EventReader.h"
--- a/modules/snowrudder_net/stream/EventReader.cpp
+++ b/modules/snowrudder_net/stream/EventReader.cpp
@@ -25,7 +25,13 @@
 
     for (;;)
     {
-        const auto end = buffer.find ('\n', position);
+        if (endedWithCarriageReturn && position < buffer.size())
+        {
+            position += buffer[position] == '\n' ? 1 : 0;
+            endedWithCarriageReturn = false;
+        }
+
+        const auto end = buffer.find_first_of ("\r\n", position);
 
         if (end == std::string::npos)
         {
@@ -34,12 +40,10 @@
             return {};
         }
 
-        auto line = std::string_view (buffer).substr (position, end - position);
+        const auto line = std::string_view (buffer).substr (position, end - position);
+        endedWithCarriageReturn = buffer[end] == '\r';
         position = end + 1;
 
-        if (line.ends_with ('\r'))
-            line.remove_suffix (1);
-
         if (parseLine (line))
         {
             wasReturned = true;
--- a/modules/snowrudder_net/stream/EventReader.h
+++ b/modules/snowrudder_net/stream/EventReader.h
@@ -8,7 +8,7 @@
 {
 
 /** Parses a byte stream into server-sent events (WHATWG HTML, section 9.2). Only `data` fields are kept; lines may end
-    with LF or CRLF.
+    with LF, CRLF or CR.
 */
 class EventReader
 {
@@ -32,6 +32,8 @@
     std::string data;
     bool hasData = false;
     bool wasReturned = false;
+    /** Whether the last line ended with CR, so that an LF right after it belongs to the same line end. */
+    bool endedWithCarriageReturn = false;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/relay/EventAssembler.cpp
+++ b/modules/snowrudder_serving/relay/EventAssembler.cpp
@@ -1,28 +1,10 @@
 #include "EventAssembler.h"
 
-#include <algorithm>
+#include "snowrudder_net/stream/EventBoundaries.h"
 
 namespace snowrudder
 {
 
-namespace
-{
-
-/** @returns the offset at which the last complete event ends, or 0. Events end with an empty line; lines end with LF
-    or CRLF.
-*/
-auto endOfCompleteEvents (std::string_view bytes) -> std::size_t
-{
-    constexpr auto notFound = std::string_view::npos;
-    const auto lineFeedEnd = bytes.rfind ("\n\n");
-    const auto crlfEnd = bytes.rfind ("\n\r\n");
-    const auto afterLineFeed = lineFeedEnd == notFound ? std::size_t { 0 } : lineFeedEnd + 2;
-    const auto afterCrlf = crlfEnd == notFound ? std::size_t { 0 } : crlfEnd + 3;
-    return std::max (afterLineFeed, afterCrlf);
-}
-
-} // namespace
-
 auto EventAssembler::add (std::string_view bytes) -> std::string_view
 {
     partial += bytes;
@@ -39,7 +21,8 @@
     auto position = events.rfind (field);
 
     // A field name is valid only at the start of a line.
-    while (position != std::string_view::npos && position != 0 && events[position - 1] != '\n')
+    while (position != std::string_view::npos && position != 0 && events[position - 1] != '\n' &&
+           events[position - 1] != '\r')
         position = events.rfind (field, position - 1);
 
     if (position == std::string_view::npos)
--- a/tests/unit/NetTests.cpp
+++ b/tests/unit/NetTests.cpp
@@ -2,6 +2,7 @@
 #include "snowrudder_fakes/snowrudder_fakes.h"
 #include "snowrudder_net/snowrudder_net.h"
 #include "snowrudder_platform/snowrudder_platform.h"
+#include "snowrudder_serving/relay/EventAssembler.h"
 
 #include <catch2/catch.hpp>
 
@@ -29,6 +30,53 @@
     }
 }
 
+TEST_CASE ("events whose lines end with CR are complete as soon as their empty line is received")
+{
+    for (const auto* lineEnd : { "\n", "\r\n", "\r" })
+    {
+        const auto end = std::string (lineEnd);
+        const auto text = "id: 7" + end + "data: one" + end + end + "id: 8" + end + "data: two" + end + end;
+
+        for (auto step = std::size_t { 1 }; step <= text.size(); ++step)
+        {
+            EventAssembler assembler;
+            EventReader reader;
+            std::string relayed;
+            std::vector<std::string> events;
+
+            for (auto begin = std::size_t { 0 }; begin < text.size(); begin += step)
+            {
+                relayed += assembler.add (std::string_view (text).substr (begin, step));
+                reader.add (std::string_view (text).substr (begin, step));
+
+                while (const auto data = reader.next())
+                    events.emplace_back (*data);
+            }
+
+            CHECK (relayed == text);
+            CHECK_FALSE (assembler.hasPartial());
+            CHECK (assembler.lastEventId() == "8");
+            CHECK (events == std::vector<std::string> { "one", "two" });
+        }
+    }
+}
+
+TEST_CASE ("the end of the last complete event is found at any end of the bytes")
+{
+    CHECK (endOfCompleteEvents ("") == 0);
+    CHECK (endOfCompleteEvents ("data: one") == 0);
+    CHECK (endOfCompleteEvents ("data: one\n") == 0);
+    CHECK (endOfCompleteEvents ("data: one\n\n") == 11);
+    CHECK (endOfCompleteEvents ("data: one\n\n\n") == 12);
+    CHECK (endOfCompleteEvents ("data: one\r\n\r") == 0);
+    CHECK (endOfCompleteEvents ("data: one\r\n\r\n") == 13);
+    CHECK (endOfCompleteEvents ("data: one\n\r\n") == 12);
+    CHECK (endOfCompleteEvents ("data: one\r\r") == 11);
+    CHECK (endOfCompleteEvents ("data: one\r\r\n") == 12);
+    CHECK (endOfCompleteEvents ("data: one\r\rdata: two\r") == 11);
+    CHECK (endOfCompleteEvents ("data: one\n\ndata: two\n") == 11);
+}
+
 TEST_CASE ("the pool keeps at most the configured number of idle connections per address")
 {
     asio::io_context loop (1);
