ORDER: a stream of events that ends inside an event has been broken off

Callers got a stream that a crash of its replica had broken off, framed as complete: an answer with neither length nor chunks ends with its connection, and any such end was taken for the end of the answer. What had come of the last event was relayed and the answer was ended with the last chunk.

UpstreamCall now decides by framing and content whether a body that has ended is whole, and reports any other end as an error, like a body that is shorter than its length. A stream that is framed by its connection and has no event at all counts as broken off, since a replica that fails before its first event leaves the same bytes.

--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -39,6 +39,21 @@
     return std::min<Duration> (std::chrono::milliseconds (whole * std::int64_t { 800 }), defaultMaxIdleTime);
 }
 
+template <typename Parser>
+auto framingOf (const Parser& parser) -> BodyFraming
+{
+    if (parser.need_eof())
+        return BodyFraming::endOfConnection;
+
+    return parser.chunked() ? BodyFraming::chunks : BodyFraming::length;
+}
+
+auto isEventStream (const http::response_header<>& header) -> bool
+{
+    const auto type = toView (header[http::field::content_type]);
+    return beast::iequals (toBeast (type.substr (0, type.find_first_of ("; \t"))), "text/event-stream");
+}
+
 } // namespace
 
 UpstreamCall::~UpstreamCall()
@@ -112,6 +127,7 @@
     }
 
     currentStage = CallStage::receiving;
+    bodyEnd = { framingOf (*parser), isEventStream (parser->get()) };
 
     if (parser->is_done())
         finish();
@@ -133,6 +149,9 @@
 
     while (bytes.empty() && ! isDone())
     {
+        if (parser->is_done())
+            co_return callerError (http::error::partial_message);
+
         auto& body = parser->get().body();
         body.data = bodyBuffer.data();
         body.size = bodyBuffer.size();
@@ -147,6 +166,9 @@
         if (error)
             co_return callerError (error);
 
+        if (bodyEnd.isEventStream)
+            addToTail (bodyEnd, bytes);
+
         if (parser->is_done())
             finish();
     }
@@ -220,16 +242,11 @@
     return length ? std::optional<std::uint64_t> (*length) : std::nullopt;
 }
 
-auto UpstreamCall::framing() const -> BodyFraming
-{
-    if (parser->need_eof())
-        return BodyFraming::endOfConnection;
-
-    return parser->chunked() ? BodyFraming::chunks : BodyFraming::length;
-}
-
 auto UpstreamCall::finish() -> void
 {
+    if (! isWhole (bodyEnd))
+        return;
+
     currentStage = CallStage::finished;
 
     reusable = parser->get().keep_alive() && ! parser->need_eof();
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "BodyFraming.h"
+#include "BodyEnd.h"
 #include "CallStage.h"
 #include "ConnectionPool.h"
 
@@ -59,6 +59,7 @@
     /** Reads the next available part of the response body: at least one byte, or none at the end of the body.
 
         @param bytes  is replaced by the part
+        @returns      http::error::partial_message if the body has ended and isWhole() says that it was broken off
     */
     auto readSome (std::string& bytes) -> Task<std::error_code>;
 
@@ -89,7 +90,7 @@
     [[nodiscard]] auto contentLength() const -> std::optional<std::uint64_t>;
 
     /** @returns how the end of the body is marked, once the header has been read. */
-    [[nodiscard]] auto framing() const -> BodyFraming;
+    [[nodiscard]] auto framing() const -> BodyFraming { return bodyEnd.framing; }
 
     /** Closes the connection at the end of the call, as the bytes received on it can't be trusted. */
     auto preventReuse() -> void { reusable = false; }
@@ -105,6 +106,7 @@
 
     using Parser = http::response_parser<http::buffer_body>;
 
+    /** Ends the call if the body that has been parsed to its end is whole. */
     auto finish() -> void;
 
     /** Parses the bytes that have been read already, without waiting.
@@ -127,6 +129,7 @@
     std::optional<Parser> parser;
     std::array<char, bodyBufferBytes> bodyBuffer;
     CallStage currentStage = CallStage::notSent;
+    BodyEnd bodyEnd;
     bool isHeadRequest = false;
     /** Whether the whole response was read and the connection may be used for another call. */
     bool reusable = false;
--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -10,6 +10,7 @@
 */
 #pragma once
 
+#include "client/BodyEnd.h"
 #include "client/BodyFraming.h"
 #include "client/ConnectionPool.h"
 #include "client/ProbeEndpoint.h"
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -359,7 +359,7 @@
             co_return Failure {};
     }
 
-    // Bytes after the last complete event are part of the body too.
+    // The rest of a body that isn't a stream of events, or empty lines after the last event.
     if (events.hasPartial())
         if (co_await exchange.writeBodyPart (events.partialEvent()))
             co_return Failure {};
