--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -112,6 +112,9 @@
 
     for (auto isInterim = true; isInterim;)
     {
+        if (cancelled)
+            co_return make_error_code (std::errc::operation_canceled);
+
         parser.emplace();
         parser->header_limit (maxHeaderBytes);
         parser->body_limit (std::numeric_limits<std::uint64_t>::max());
@@ -149,6 +152,9 @@
 
     while (bytes.empty() && ! isDone())
     {
+        if (cancelled)
+            co_return make_error_code (std::errc::operation_canceled);
+
         if (parser->is_done())
             co_return callerError (http::error::partial_message);
 
