ORDER: an answer that ends with its connection is reset when it is broken off

Towards a caller of HTTP/1.0 the end of the connection is the end of the answer, and we closed it in the same way whether the answer was whole or not, so that one that was broken off looked complete. Such a connection is now reset. With a length or chunks the caller sees the missing end itself, and a plain close keeps the bytes that are on their way.

--- a/modules/snowrudder_net/server/Exchange.cpp
+++ b/modules/snowrudder_net/server/Exchange.cpp
@@ -117,6 +117,7 @@
 
     // HTTP/1.0 has no chunked encoding: the end of the connection marks the end of the body.
     chunked = received.version() >= 11 && ! header.has_content_length();
+    endsWithConnection = ! chunked && ! header.has_content_length();
 
     if (received.version() < 11)
         closesAfterResponse = true;
--- a/modules/snowrudder_net/server/Exchange.h
+++ b/modules/snowrudder_net/server/Exchange.h
@@ -76,6 +76,11 @@
     [[nodiscard]] auto hasBegun() const -> bool { return begun; }
     [[nodiscard]] auto hasEnded() const -> bool { return ended; }
 
+    /** @returns whether only a reset of the connection shows the caller that the response is incomplete: its body ends
+        with the connection.
+    */
+    [[nodiscard]] auto mustReset() const -> bool { return begun && ! ended && endsWithConnection; }
+
     /** @returns whether the connection can serve another request. */
     [[nodiscard]] auto isKeepAlive() const -> bool
     {
@@ -110,6 +115,7 @@
     bool ended = false;
     bool closesAfterResponse = false;
     bool chunked = true;
+    bool endsWithConnection = false;
     std::shared_ptr<Watch> watch;
 };
 
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -26,6 +26,15 @@
     return ErrorKind::invalidRequest;
 }
 
+/** Closes a connection in a way that the peer sees as an error, not as the end of what it was sent. */
+auto resetConnection (tcp::socket& stream) -> void
+{
+    boost::system::error_code ignored;
+    stream.set_option (asio::socket_base::linger (true, 0), ignored);
+    // The destructor of a socket would turn the option off.
+    stream.close (ignored);
+}
+
 } // namespace
 
 HttpServer::HttpServer (asio::io_context& eventLoop,
@@ -160,6 +169,9 @@
         exchange.stopWatching();
         busy.fetch_sub (1);
 
+        if (exchange.mustReset())
+            resetConnection (stream);
+
         if (! exchange.isKeepAlive())
             co_return;
     }
