--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -275,6 +275,9 @@
         self.runs.append(call.headers["X-Request-Id"])
 
     def stream(self, call, how):
+        if "unframed" in how:
+            self.stream_without_framing(call, how)
+            return
         call.send_response(200)
         for name, text in self.headers(call).items():
             call.send_header(name, text)
@@ -295,6 +298,18 @@
         except OSError:
             self.gone.set()
 
+    def stream_without_framing(self, call, how):
+        """Answers with events, without a length or chunks: whole, with no event, or broken off inside the fourth event."""
+        call.close_connection = True
+        call.send_response(200)
+        for name, text in self.headers(call).items():
+            call.send_header(name, text)
+        call.send_header("Content-Type", "text/event-stream")
+        call.end_headers()
+        first = int(call.headers["Last-Event-Id"] or 0) + 1
+        whole = b"".join(f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(first, self.events + 1))
+        call.wfile.write({"unframed": whole, "end-unframed": b"", "break-unframed": whole[:whole.find(b"id: 4") + 9]}[how])
+
     @staticmethod
     def chunk(call, data):
         call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
