--- /dev/null
+++ b/tests/process/test_cut_nodes.py
@@ -0,0 +1,167 @@
+"""Tests that nodes that are cut off from all replicas serve their callers all the same, with real router processes."""
+import itertools
+import threading
+import time
+import unittest
+
+from harness import wait_until
+from paths import PathPlatform
+from platform_deployment import configuration
+
+CUT_TIME = 8.0
+"""Seconds for which nodes are cut off."""
+
+KINDS = ("/again/x", "/once/x", "/stream/x", "/resumed-stream/x")
+
+
+class Callers:
+    """Sends requests of all kinds to each node, each kind from a thread of its own. Every request is a first try."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.open = True
+        self.results = []
+        self.threads = [threading.Thread(target=self.send, args=(number, path), daemon=True)
+                        for number in range(len(platform.nodes)) for path in KINDS]
+
+    def send(self, number, path):
+        node = self.platform.nodes[number]
+        for count in itertools.count():
+            if not self.open:
+                return
+            began = time.monotonic()
+            try:
+                answer = node.call("POST", path, {"X-Deadline-Ms": "3000"}, f"{count}", id=f"{number}-{path[1:3]}-{count}")
+                whole = b"".join(b"id: %d\ndata: piece %d\n\n" % (event, event) for event in range(1, 7))
+                served = answer.status == 200 and ("stream" not in path or answer.body == whole)
+            except Exception:  # pylint: disable=broad-except  (whatever it is, the caller was not served)
+                served = False
+            self.results.append((began, number, path, served))
+            time.sleep(0.03)
+
+    def share(self, nodes, after, until):
+        tries = [served for began, number, _, served in list(self.results) if number in nodes and after <= began < until]
+        return sum(tries) / len(tries) if tries else None
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.open = False
+        for thread in self.threads:
+            thread.join(10)
+
+
+class CutNodes(unittest.TestCase):
+    def play(self, nodes, cut, new, kept, replicas=4):
+        with PathPlatform(nodes, replicas) as platform, Callers(platform) as callers:
+            time.sleep(1.5)
+            began = time.monotonic()
+            for node in cut:
+                platform.cut(node, new, kept)
+            time.sleep(CUT_TIME)
+            healed = time.monotonic()
+            for node in cut:
+                platform.heal(node)
+            time.sleep(6)
+            ended = time.monotonic()
+            callers.open = False
+            others = [node for node in range(nodes) if node not in cut]
+            logs = [node.log.read_text() for node in platform.nodes]
+            figures = {"cut, 3 s on": callers.share(cut, began + 3, healed), "cut, 1 s on": callers.share(cut, began + 1, healed),
+                       "others": callers.share(others, began, healed), "others, first 3 s": callers.share(others, began, began + 3),
+                       "healed": callers.share(cut, healed + 5, ended)}
+            runs = [run for run in platform.runs() if "-on-" in run]
+            return figures, logs, runs
+
+    def check(self, nodes, cut, new, kept, **more):
+        figures, logs, runs = self.play(nodes, cut, new, kept, **more)
+        self.assertGreaterEqual(figures["cut, 3 s on"], 0.95 * figures["others"], figures)
+        self.assertGreaterEqual(figures["cut, 1 s on"], 2 / 3 * figures["others"], figures)
+        self.assertGreaterEqual(min(figures["others"], figures["others, first 3 s"]), 0.99, figures)
+        self.assertEqual(figures["healed"], 1.0, figures)
+        self.assertEqual(len(runs), len(set(runs)), "a request that may not repeat ran twice")
+        self.assertEqual([line for log in logs for line in log.splitlines() if " crash_evidence " in line], [])
+        for number, log in enumerate(logs):
+            lost, regained = log.count(" replica_paths_lost "), log.count(" replica_paths_regained ")
+            self.assertEqual(lost, regained, f"node {number} still takes its paths for lost")
+            self.assertEqual(lost > 0, number in cut, f"node {number}")
+
+    def test_two_of_five_nodes_whose_new_and_open_connections_hang(self):
+        self.check(5, [0, 1], "hang", "hang")
+
+    def test_two_of_five_nodes_that_are_refused_and_whose_open_connections_are_reset(self):
+        self.check(5, [0, 1], "refused", "reset")
+
+    def test_two_of_five_nodes_that_are_refused_while_open_connections_live_on(self):
+        self.check(5, [0, 1], "refused", "live")
+
+    def test_two_of_five_nodes_whose_connections_are_accepted_and_reset(self):
+        self.check(5, [0, 1], "reset", "reset")
+
+    def test_all_but_one_of_five_nodes(self):
+        self.check(5, [0, 1, 2, 3], "hang", "hang")
+
+    def test_one_of_two_nodes(self):
+        self.check(2, [0], "hang", "live")
+
+
+class RequestsThroughOthers(unittest.TestCase):
+    """One of two nodes is cut off."""
+
+    def setUp(self):
+        routes = configuration()
+        self.platform = PathPlatform(2, 4, first=routes).__enter__()
+        self.addCleanup(self.platform.__exit__)
+        self.platform.cut(0, "refused", "reset")
+        self.node = self.platform.nodes[0]
+        wait_until(lambda: self.node.call("GET", "/again/x").status == 200 and
+                   " replica_paths_lost " in self.node.log.read_text(), "the cut node serves")
+
+    def test_a_caller_that_leaves_ends_the_run_within_half_a_second(self):
+        for replica in self.platform.replicas:
+            replica.events = 100
+            replica.behave = ["slow"]
+            replica.gone.clear()
+        caller = self.node.open_stream()
+        caller.recv(100)
+        caller.close()
+        left = time.monotonic()
+        wait_until(lambda: any(replica.gone.is_set() for replica in self.platform.replicas), "the run has ended")
+        # The replica notices it at its next event but one, and sends one each 0.3 s.
+        self.assertLess(time.monotonic() - left, 0.5 + 0.6)
+
+    def test_a_stream_that_a_replica_breaks_off_is_resumed(self):
+        for replica in self.platform.replicas:
+            replica.behave = behaviour = ["break"]
+        for replica in self.platform.replicas:
+            replica.behave = behaviour
+        answer = self.node.call("POST", "/resumed-stream/x", body="")
+        self.assertEqual((answer.status, behaviour), (200, []))
+        self.assertEqual(answer.body, b"".join(b"id: %d\ndata: piece %d\n\n" % (event, event) for event in range(1, 7)))
+
+    def test_a_broken_off_stream_is_not_complete(self):
+        for how in ("break-unframed", "break"):
+            for replica in self.platform.replicas:
+                replica.behave = [how]
+            with self.assertRaises(Exception):
+                self.node.call("POST", "/stream/x", body="")
+
+    def test_a_node_without_the_secret_gets_no_connection(self):
+        from harness import raw
+        name, port = self.platform.replicas[0].name, self.platform.replicas[0].port
+        asked = f"CONNECT {name}/127.0.0.1:{port}/1000 HTTP/1.1\r\nHost: x\r\nSnowrudder-Node: front-0;1;00\r\n\r\n"
+        self.assertTrue(raw(self.platform.nodes[1].peers, asked.encode()).startswith(b"HTTP/1.1 401 "))
+
+    def test_the_loss_of_the_node_that_relays_costs_only_what_it_relays(self):
+        self.platform.nodes[1].process.kill()
+        self.platform.nodes[1].process.wait()
+        self.assertEqual(self.node.call("GET", "/again/x").status, 503)
+        self.platform.nodes[1].start()
+        wait_until(lambda: self.node.call("GET", "/again/x").status == 200, "the cut node serves again")
+
+
+if __name__ == "__main__":
+    unittest.main()
