RECOVER: a node that is cut off from the replicas connects through other nodes

Callers of nodes that had lost their links to all replicas got 503: a node that can't reach a replica itself had no other way to one, and its circuit breakers took its own failures for those of the replicas. Other nodes believed it too: a refused connection of one node was proof of a crash at all.

A node takes its paths for lost when new connections to three replicas in a row fail, and connects through a node that reaches them from then on, until a connection of its own works. The connection is relayed, not the request, so that deadline, attempts, keys, limits and resuming stay where they are. Reports say which nodes reach replicas.

--- a/modules/snowrudder_net/client/ProbeEndpoint.cpp
+++ b/modules/snowrudder_net/client/ProbeEndpoint.cpp
@@ -17,6 +17,8 @@
             return "closes";
         case EndpointState::refuses:
             return "refuses";
+        case EndpointState::reachedByOthers:
+            return "reached_by_others";
         case EndpointState::silent:
             break;
     }
--- a/modules/snowrudder_net/client/ProbeEndpoint.h
+++ b/modules/snowrudder_net/client/ProbeEndpoint.h
@@ -16,7 +16,9 @@
     /** The connection is refused, as nothing listens on the address: the process has ended. */
     refuses,
     /** The connection was not established within the timeout: the VM or the network path to it may have failed. */
-    silent
+    silent,
+    /** The connection is refused here, but another node connects to the address. */
+    reachedByOthers
 };
 
 /** @returns the state's name as log lines have it. */
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -73,7 +73,9 @@
     if (mayReuse)
         connection = pool.acquireIdle (endpoint, BootClock::now());
 
-    if (connection)
+    isReused = connection != nullptr;
+
+    if (isReused)
         co_return std::error_code();
 
     connection = pool.createConnection();
@@ -89,6 +91,35 @@
     co_return callerError (error);
 }
 
+auto UpstreamCall::connectThrough (tcp::endpoint relay, HttpRequest request, Duration timeout)
+    -> Task<unsigned>
+{
+    constexpr auto noResponse = 0U;
+
+    if (cancelled)
+        co_return noResponse;
+
+    isRelayed = true;
+    connection = pool.createConnection();
+    startDeadline (timeouts.connect);
+
+    if (const auto [error] = co_await connection->stream.async_connect (relay, asTuple); error)
+        co_return noResponse;
+
+    boost::system::error_code ignored;
+    connection->stream.set_option (tcp::no_delay (true), ignored);
+    startDeadline (timeout);
+
+    if (const auto [error, bytes] = co_await http::async_write (connection->stream, request, asTuple); error)
+        co_return noResponse;
+
+    http::response_parser<http::empty_body> response;
+    response.skip (true);
+    const auto [error, bytes] =
+        co_await http::async_read_header (connection->stream, connection->buffer, response, asTuple);
+    co_return error || cancelled ? noResponse : response.get().result_int();
+}
+
 auto UpstreamCall::send (const HttpRequest& request) -> Task<std::error_code>
 {
     if (cancelled)
@@ -255,7 +286,7 @@
 
     currentStage = CallStage::finished;
 
-    reusable = parser->get().keep_alive() && ! parser->need_eof();
+    reusable = parser->get().keep_alive() && ! parser->need_eof() && ! isRelayed;
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -47,6 +47,15 @@
     */
     auto connect (bool mayReuse) -> Task<std::error_code>;
 
+    /** Connects to the upstream through another node, which relays the bytes of the connection in both directions.
+
+        @param relay    address of that node
+        @param request  asks it to connect to the upstream
+        @param timeout  limit for its response
+        @returns        the status of its response; 200 if the connection is established, 0 if there was no response
+    */
+    auto connectThrough (tcp::endpoint relay, HttpRequest request, Duration timeout) -> Task<unsigned>;
+
     /** Sends a request, header and body. */
     auto send (const HttpRequest& request) -> Task<std::error_code>;
 
@@ -78,6 +87,9 @@
     [[nodiscard]] auto stage() const -> CallStage { return currentStage; }
     [[nodiscard]] auto header() const -> const http::response_header<>& { return parser->get().base(); }
     [[nodiscard]] auto status() const -> unsigned { return parser->get().result_int(); }
+    /** @returns whether the connection was made for this call, and directly to the upstream. */
+    [[nodiscard]] auto isNewConnection() const -> bool { return ! isReused && ! isRelayed; }
+    [[nodiscard]] auto isThroughRelay() const -> bool { return isRelayed; }
     [[nodiscard]] auto isDone() const -> bool { return currentStage == CallStage::finished; }
 
     /** @returns whether the whole response has been received, with a 2xx status. */
@@ -131,6 +143,8 @@
     CallStage currentStage = CallStage::notSent;
     BodyEnd bodyEnd;
     bool isHeadRequest = false;
+    bool isReused = false;
+    bool isRelayed = false;
     /** Whether the whole response was read and the connection may be used for another call. */
     bool reusable = false;
     bool cancelled = false;
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "HttpServer.h"
 
+#include "../concurrency/ResetConnection.h"
+
 #include <sys/socket.h>
 
 namespace snowrudder
@@ -26,15 +28,6 @@
     return ErrorKind::invalidRequest;
 }
 
-/** Closes a connection in a way that the peer sees as an error, not as the end of what it was sent. */
-auto resetConnection (tcp::socket& stream) -> void
-{
-    boost::system::error_code ignored;
-    stream.set_option (asio::socket_base::linger (true, 0), ignored);
-    // The destructor of a socket would turn the option off.
-    stream.close (ignored);
-}
-
 } // namespace
 
 HttpServer::HttpServer (asio::io_context& eventLoop,
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
@@ -29,6 +29,7 @@
     {
         case FailureCause::noReplica:
         case FailureCause::connectFailed:
+        case FailureCause::pathLost:
         case FailureCause::misdirected:
             return ErrorKind::noReplica;
         case FailureCause::refused:
@@ -59,6 +60,8 @@
             return "no_replica";
         case FailureCause::connectFailed:
             return "connect_failed";
+        case FailureCause::pathLost:
+            return "path_lost";
         case FailureCause::refused:
             return "refused";
         case FailureCause::misdirected:
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.h
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.h
@@ -13,6 +13,8 @@
     noReplica,
     /** The connection could not be established. */
     connectFailed,
+    /** The router lost its way to the upstream, while other routers reach it. */
+    pathLost,
     /** The upstream answered that it did not run the request. */
     refused,
     /** Another replica answered at the address and did not run the request. */
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -250,6 +250,31 @@
     recordAttemptHealth (*replica, health, breaker, now);
 }
 
+auto ReplicaTable::addressOf (std::uint32_t hash) const -> std::optional<Address>
+{
+    const std::lock_guard lock (mutex);
+    std::optional<Address> address;
+    forEachOfHash (hash,
+                   [&address] (const ReplicaState& replica) {
+                       address = Address { replica.info.endpoint, replica.leavingSince.has_value() };
+                   });
+    return address;
+}
+
+auto ReplicaTable::closeBreakers() -> void
+{
+    const std::lock_guard lock (mutex);
+
+    for (auto& [service, replicas] : services)
+        for (auto& replica : replicas)
+        {
+            replica.failuresInRow = 0;
+            replica.timesOpened = 0;
+            replica.openUntil.reset();
+            replica.isProbing = false;
+        }
+}
+
 auto ReplicaTable::recordLoad (ReplicaNumber number, const LoadReport& report, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -116,6 +116,9 @@
     /** Ends a request's claim on its replica and updates the replica's circuit breaker. */
     auto release (const ReplicaTicket& ticket, AttemptHealth health, TimePoint now) -> void;
 
+    /** Closes all circuit breakers, as when the failures that opened them were those of this router's network. */
+    auto closeBreakers() -> void;
+
     /** Records the load that a replica reported to this router. */
     auto recordLoad (ReplicaNumber number, const LoadReport& report, TimePoint now) -> void;
 
@@ -179,6 +182,17 @@
 
     [[nodiscard]] auto listing (ReplicaNumber number) const -> ReplicaListing;
 
+    /** Where a listed replica is reached. */
+    struct Address
+    {
+        /** IP-NUMBER:PORT */
+        std::string endpoint;
+        bool isLeaving = false;
+    };
+
+    /** @param hash  from replicaHash() */
+    [[nodiscard]] auto addressOf (std::uint32_t hash) const -> std::optional<Address>;
+
     /** @returns whether another replica, or another incarnation of this one, is listed at its address. */
     [[nodiscard]] auto hasSuccessor (const ReplicaInfo& replica) const -> bool;
 
@@ -228,7 +242,7 @@
 
     /** Calls a function with each replica that has a name hash. The caller holds the lock. */
     template <typename Visitor>
-    auto forEachOfHash (std::uint32_t hash, Visitor&& visit) -> void
+    auto forEachOfHash (std::uint32_t hash, Visitor&& visit) const -> void
     {
         auto found = std::ranges::lower_bound (byHash, hash, {}, &HashedReplica::first);
 
--- a/modules/snowrudder_serving/crashes/CrashMonitor.cpp
+++ b/modules/snowrudder_serving/crashes/CrashMonitor.cpp
@@ -60,6 +60,10 @@
     if (listing == ReplicaListing::leaving)
         co_return "leaving";
 
+    // This node's path to the replica has failed, not the replica.
+    if (state == EndpointState::reachedByOthers)
+        co_return snowrudder::toString (state);
+
     if (const auto proof = crashProof (listing, state); ! proof.empty())
     {
         confirmCrash (attempt, proof);
--- a/modules/snowrudder_serving/crashes/SharedProbes.cpp
+++ b/modules/snowrudder_serving/crashes/SharedProbes.cpp
@@ -47,14 +47,27 @@
 
     const auto own = std::make_shared<Probe>();
     probes.insert_or_assign (endpoint, own);
-    own->state = co_await probeEndpoint (pool, parseEndpoint (endpoint), probeTimeout);
+    const auto state = co_await probeEndpoint (pool, parseEndpoint (endpoint), probeTimeout);
+    own->state = co_await confirmed (endpoint, state);
     own->ended = BootClock::now();
     co_return *own->state;
 }
 
 auto SharedProbes::probeListener (const std::string& endpoint) -> Task<EndpointState>
 {
-    return probeEndpoint (pool, parseEndpoint (endpoint), probeTimeout, listenerObservationTime);
+    const auto state =
+        co_await probeEndpoint (pool, parseEndpoint (endpoint), probeTimeout, listenerObservationTime);
+    co_return co_await confirmed (endpoint, state);
+}
+
+auto SharedProbes::confirmed (std::string endpoint, EndpointState state) -> Task<EndpointState>
+{
+    const auto isDown = state == EndpointState::refuses || state == EndpointState::closes;
+
+    if (! confirm || ! isDown)
+        co_return state;
+
+    co_return co_await confirm (std::move (endpoint), state);
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/crashes/SharedProbes.h
+++ b/modules/snowrudder_serving/crashes/SharedProbes.h
@@ -2,6 +2,7 @@
 
 #include "snowrudder_net/snowrudder_net.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,9 +30,16 @@
     /** Probes an address, and also whether its listener keeps the connection open. The probe is not shared. */
     auto probeListener (const std::string& endpoint) -> Task<EndpointState>;
 
+    /** Gives the final result of a probe, after asking other nodes about an address that refuses or closes connections
+        of this one. Set once, before the first probe; unset, the probe's own result counts.
+    */
+    std::function<auto(std::string endpoint, EndpointState)->Task<EndpointState>> confirm;
+
     [[nodiscard]] auto executor() -> asio::io_context::executor_type { return loop.get_executor(); }
 
 private:
+    auto confirmed (std::string endpoint, EndpointState state) -> Task<EndpointState>;
+
     struct Probe
     {
         std::optional<EndpointState> state;
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -30,6 +30,23 @@
         std::clamp<std::int64_t> (whole, 0, std::numeric_limits<std::int32_t>::max()));
 }
 
+constexpr auto portBits = 16U;
+
+/** The largest number of relay nodes that is read from a report. */
+constexpr auto maxRelaysRead = static_cast<int> (2 * relayNodesPerReaderReport);
+
+/** @returns the number that stands for a node's address in reports. */
+auto toNumber (const RelayNodes::Endpoint& node) -> std::uint64_t
+{
+    return std::uint64_t { node.address().to_v4().to_uint() } << portBits | node.port();
+}
+
+auto toEndpoint (std::uint64_t number) -> RelayNodes::Endpoint
+{
+    return { boost::asio::ip::address_v4 (static_cast<std::uint32_t> (number >> portBits)),
+             static_cast<std::uint16_t> (number) };
+}
+
 auto write (const PeerReport& report, schema::NodeReport& message) -> void
 {
     message.set_node (report.node);
@@ -42,6 +59,11 @@
     message.set_scope (static_cast<std::uint32_t> (report.scope));
     message.set_nodes (report.nodes);
     message.set_crash_digest (report.crashDigest);
+    message.set_paths_lost (report.arePathsLost);
+
+    for (const auto& node : report.relayNodes)
+        if (node.address().is_v4())
+            message.add_relay (toNumber (node));
 
     if (report.part.count > 1)
     {
@@ -275,6 +297,10 @@
     report.scope = readScope (message.scope());
     report.nodes = message.nodes();
     report.crashDigest = message.crash_digest();
+    report.arePathsLost = message.paths_lost();
+
+    for (auto index = 0; index < std::min (message.relay_size(), maxRelaysRead); ++index)
+        report.relayNodes.push_back (toEndpoint (message.relay (index)));
 
     if (message.parts() > 0)
         report.part = { message.part(), message.parts() };
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -144,6 +144,7 @@
         return;
 
     const auto now = BootClock::now();
+    recordRelayNodes (report, sender, now);
     const auto isFirst = state.peers.isFirst (report);
 
     if (isFirst || report.crashDigest != state.crashes.table().digest (now))
@@ -171,6 +172,14 @@
     state.quota.charge (state.peers.record (std::move (report), now), now);
 }
 
+auto PeerExchange::recordRelayNodes (const PeerReport& report, const Endpoint& sender, TimePoint now) -> void
+{
+    auto passedOn = report.relayNodes;
+    std::erase (passedOn, datagramEndpoint (state.settings.listenPeers));
+    recordRelayReport (state.relays, sender, ! report.arePathsLost && ! report.leaving, passedOn,
+                       randomNumber(), now);
+}
+
 auto PeerExchange::respond (const StoreUpdateQuery& query, const Endpoint& sender) -> void
 {
     const auto now = BootClock::now();
@@ -561,6 +570,7 @@
     report.configurationRevision = newestKnownConfigurationRevision (state.storeUpdates, state.configuration);
 
     report.crashDigest = state.crashes.table().digest (now);
+    report.arePathsLost = arePathsLost (state.paths);
 
     if (state.configuration.current)
         report.proofAge = now - state.configuration.provenAt;
@@ -585,6 +595,12 @@
 {
     auto report = makeOwnReport (now, selection);
 
+    if (scope != ReportScope::node)
+    {
+        const auto isForReader = scope == ReportScope::nodesOfReader;
+        report.relayNodes = sampleRelayNodes (state.relays, isForReader, randomNumber(), now);
+    }
+
     switch (scope)
     {
         case ReportScope::nodesOfReader:
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -38,6 +38,7 @@
 
     auto receiveLoop() -> Task<void>;
     auto handle (PeerReport report, const Endpoint& sender) -> void;
+    auto recordRelayNodes (const PeerReport& report, const Endpoint& sender, TimePoint now) -> void;
     auto respond (const StoreUpdateQuery& query, const Endpoint& sender) -> void;
     auto handle (StoreUpdateResponse response, const Endpoint& sender) -> void;
     auto handle (const LoadNotice& notice) -> void;
--- a/modules/snowrudder_serving/members/PeerReport.h
+++ b/modules/snowrudder_serving/members/PeerReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../paths/RelayNodes.h"
 #include "AccountPart.h"
 
 #include "snowrudder_core/snowrudder_core.h"
@@ -8,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snowrudder
 {
@@ -74,6 +76,10 @@
     bool leaving = false;
     /** Whether the node has run long enough to know what the others admit. */
     bool isSettled = false;
+    /** Whether the node can't connect to the replicas itself; see ReplicaPaths. */
+    bool arePathsLost = false;
+    /** Some nodes that can. */
+    std::vector<RelayNodes::Endpoint> relayNodes {};
     /** Digest of the requests that the node stops because replicas crashed under them; zero if there are none. */
     std::uint64_t crashDigest = 0;
     /** The accounts that `admitted` covers completely; of the others it may include some. */
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -1,6 +1,7 @@
 #include "ServingNode.h"
 
 #include "../gateway/RoutedGateway.h"
+#include "../paths/PathMonitor.h"
 #include "../rollout/RolloutLoops.h"
 #include "../store/StoreCallMetrics.h"
 
@@ -31,8 +32,10 @@
                           const ServingSettings& settings,
                           const std::function<ServingFace (ConnectionPool&)>& makeFace)
     : state (eventLoop, settings), face (makeFace (state.pool)), membership (state, face.store),
-      peers (state, membership)
+      peers (state, membership), relay (std::make_shared<ConnectionRelay> (state))
 {
+    state.probes.confirm = [this] (std::string endpoint, EndpointState own)
+    { return askOthersAbout (state, std::move (endpoint), own); };
     state.protocol = face.upstreams;
     face.store = withCallMetrics (std::move (face.store), state.metrics);
     state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
@@ -90,6 +93,9 @@
             return error;
     }
 
+    if (const auto error = relay->listen (parseEndpoint (state.settings.listenPeers)))
+        return error;
+
     return peers.start();
 }
 
@@ -171,6 +177,7 @@
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
 
+        checkPaths (state, now);
         state.crashes.recheckUnconfirmed (state.probes, now);
         state.crashes.table().removeExpired (now);
 
@@ -233,7 +240,8 @@
     state.isDrained = true;
     callers->drain();
 
-    while (BootClock::now() < end && (state.openRequests > 0 || callers->busyConnections() > 0))
+    while (BootClock::now() < end &&
+           (state.openRequests > 0 || callers->busyConnections() > 0 || state.relayedConnections > 0))
     {
         co_await pauseFor (state.loop, sweepInterval);
     }
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -2,6 +2,7 @@
 
 #include "../duties/DutyLoops.h"
 #include "../members/PeerExchange.h"
+#include "../paths/ConnectionRelay.h"
 #include "../store/StoreFollowers.h"
 #include "ServingState.h"
 
@@ -57,6 +58,7 @@
     ServingFace face;
     Membership membership;
     PeerExchange peers;
+    std::shared_ptr<ConnectionRelay> relay;
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
     std::shared_ptr<HttpServer> metricsServer;
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -12,6 +12,9 @@
 #include "../members/ReportRole.h"
 #include "../members/StoreUpdates.h"
 #include "../members/TrueTime.h"
+#include "../paths/DirectAttempts.h"
+#include "../paths/RelayNodes.h"
+#include "../paths/ReplicaPaths.h"
 #include "../queue/ServiceQueues.h"
 #include "../request/UpstreamProtocol.h"
 #include "../rollout/RolloutState.h"
@@ -135,6 +138,11 @@
     /** Whether this node collects the reports, usage and crash evidence of its failure domain; see Readers.h. */
     bool isCollector = true;
     SharedLoads loads;
+    ReplicaPaths paths;
+    RelayNodes relays;
+    DirectAttempts directAttempts;
+    /** Connections that this node relays for others. */
+    std::size_t relayedConnections = 0;
     /** Ends the pause before the next poll of the configuration. */
     const std::shared_ptr<Signal> configurationWake;
     /** Signs messages between nodes and keys the fingerprints of requests. Empty until the nodes have agreed on one. */
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "../attempt/AttemptErrors.h"
 #include "../crashes/SuspectRanking.h"
+#include "../paths/PathMonitor.h"
 #include "../queue/PermitGuard.h"
 #include "AnswerRelay.h"
 
@@ -101,6 +102,9 @@
         if (isCallerGone)
             break;
 
+        if (addressState != toString (EndpointState::reachedByOthers))
+            recordForRollout (outcome, 0);
+
         const auto partialEventBytes = events.partialEvent().size();
         const auto decision = decide (*outcome);
 
@@ -166,6 +170,7 @@
 
     lastNumber = ticket.number;
     lastReplica = ticket.info;
+    lastExpectedTokens = ticket.expectedTokens;
     const auto& chosen = taken->choice.candidates.front();
     const auto loadAge = taken->choice.loadAge;
     LogLine ("route")
@@ -189,7 +194,11 @@
     framing.reset();
     const auto outcome = co_await callReplica (call, ticket);
     currentCall = nullptr;
-    recordForRollout (ticket, outcome, call);
+    direct.reset();
+    recordNewConnectionEnd (call, outcome);
+
+    if (! outcome)
+        recordForRollout (outcome, call.status());
 
     const auto health = isCallerGone ? AttemptHealth::neutral
                         : outcome    ? attemptHealthOf (*outcome)
@@ -200,15 +209,22 @@
 
 auto RoutedRequestRunner::callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>
 {
-    // A reused connection may have been closed unnoticed by the replica, which fails the request; a request that must
-    // run at most once could then not be retried, so it gets a new connection.
-    if (co_await call.connect (request.route->isRepeatable()))
-        co_return makeOutcome (call, FailureCause::connectFailed);
+    if (auto failure = co_await connect (call))
+        co_return failure;
 
     auto& message = request.caller.message;
     state.protocol.setFields (message, attemptFields (ticket));
     sentAt = BootClock::now();
 
+    direct.reset();
+    std::optional<ListedAttempt> listed;
+
+    if (! call.isThroughRelay())
+    {
+        direct.emplace (DirectAttempt { call, mayRunAgain(), sentAt });
+        listed.emplace (state.directAttempts, *direct);
+    }
+
     if (message.method() == http::verb::head)
         call.expectNoBody();
 
@@ -226,12 +242,62 @@
     co_return co_await relayPlain (call);
 }
 
+auto RoutedRequestRunner::connect (UpstreamCall& call) -> Task<Failure>
+{
+    if (! connectsThroughOthers (state, BootClock::now()))
+    {
+        // A reused connection may have been closed unnoticed by the replica, which fails the request; a request that
+        // must run at most once could then not be retried, so it gets a new connection.
+        const auto error = co_await call.connect (request.route->isRepeatable());
+
+        if (! error)
+            co_return Failure {};
+
+        if (isCallerGone || BootClock::now() >= request.deadline)
+            co_return makeOutcome (call, FailureCause::connectFailed);
+
+        recordConnectFailure (state, lastReplica.name, BootClock::now());
+
+        if (! connectsThroughOthers (state, BootClock::now()))
+            co_return makeOutcome (call, FailureCause::connectFailed);
+    }
+
+    const auto outcome =
+        co_await connectThroughRelay (state, call, lastReplica, request.caller.id, request.deadline);
+
+    if (outcome == RelayOutcome::connected)
+        co_return Failure {};
+
+    // Only what other nodes reach is no replica's fault.
+    const auto isOwnFault = outcome == RelayOutcome::noRelay && state.paths.isReachedByOthers;
+    co_return makeOutcome (call, isOwnFault ? FailureCause::pathLost : FailureCause::connectFailed);
+}
+
+auto RoutedRequestRunner::recordNewConnectionEnd (const UpstreamCall& call, const Failure& outcome) -> void
+{
+    // A network may accept connections for a replica and then reset them.
+    if (outcome && outcome->cause == FailureCause::cut && outcome->stage != CallStage::receiving &&
+        call.isNewConnection())
+        recordConnectFailure (state, lastReplica.name, BootClock::now());
+}
+
+auto RoutedRequestRunner::recordBytes (const UpstreamCall& call) -> void
+{
+    if (! direct)
+        return;
+
+    direct->lastBytes = BootClock::now();
+    const auto connectedAt = call.isNewConnection() ? std::optional (sentAt) : std::nullopt;
+    recordReplicaContact (state, connectedAt, direct->lastBytes);
+}
+
 auto RoutedRequestRunner::processHead (UpstreamCall& call,
                                        const UpstreamAnswer& answer,
                                        ReplicaTicket& ticket) -> Failure
 {
     const auto now = BootClock::now();
     framing = call.framing();
+    recordBytes (call);
 
     if (! answer.belongsToRequest)
     {
@@ -322,6 +388,10 @@
     if (const auto error = co_await readAhead (call, body))
         co_return makeOutcome (call, failureCauseOf (error));
 
+    // The caller gets a part of the answer, so that no other replica can go on with it.
+    if (direct)
+        direct->mayContinueElsewhere = false;
+
     const std::string keepUpstreamId;
     const auto status = call.status();
     co_await relayAnswer (exchange, call, std::move (body), keepUpstreamId);
@@ -350,6 +420,7 @@
         if (const auto error = co_await call.readSome (piece))
             co_return makeOutcome (call, failureCauseOf (error));
 
+        recordBytes (call);
         const auto completeEvents = events.add (piece);
 
         if (! completeEvents.empty())
@@ -434,9 +505,7 @@
     return state.replicas.take (request.service, input, routedWeights(), now);
 }
 
-auto RoutedRequestRunner::recordForRollout (const ReplicaTicket& ticket,
-                                            const Failure& outcome,
-                                            const UpstreamCall& call) -> void
+auto RoutedRequestRunner::recordForRollout (const Failure& outcome, unsigned status) -> void
 {
     const auto isInconclusive = [&outcome]
     {
@@ -444,16 +513,16 @@
             return false;
 
         return ranAfter (*outcome) == Ran::no || outcome->cause == FailureCause::abandoned ||
-               outcome->cause == FailureCause::deadline;
+               outcome->cause == FailureCause::deadline || outcome->cause == FailureCause::pathLost;
     };
 
     if (attemptCount > 1 || isCallerGone || isInconclusive())
         return;
 
     constexpr auto serverErrors = 500U;
-    const auto isFailed = outcome.has_value() || call.status() >= serverErrors;
-    state.rollouts.recordAnswer (ticket.info, request.route->name, isFailed, attemptFirstByte,
-                                 ticket.expectedTokens,
+    const auto isFailed = outcome.has_value() || status >= serverErrors;
+    state.rollouts.recordAnswer (lastReplica, request.route->name, isFailed, attemptFirstByte,
+                                 lastExpectedTokens,
                                  state.replicas.promptSpeed (request.service).value_or (initialPromptSpeed));
 }
 
@@ -604,7 +673,12 @@
 
 auto RoutedRequestRunner::makeOutcome (const UpstreamCall& call, FailureCause cause) const -> AttemptOutcome
 {
-    return { call.stage(), isCallerGone ? FailureCause::abandoned : cause };
+    if (isCallerGone)
+        cause = FailureCause::abandoned;
+    else if (direct && direct->isLost)
+        cause = FailureCause::pathLost;
+
+    return { call.stage(), cause };
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -43,9 +43,13 @@
     auto selectReplica (const CrashAssessment& assessment) -> std::optional<TakenReplica>;
     auto selectByRule (ChoiceInput input, const VersionRule& rule, TimePoint now)
         -> std::optional<TakenReplica>;
-    auto recordForRollout (const ReplicaTicket& ticket, const Failure& outcome, const UpstreamCall& call)
-        -> void;
+    /** @param status  status of the answer, if there is one */
+    auto recordForRollout (const Failure& outcome, unsigned status) -> void;
     auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>;
+    /** Connects to `lastReplica`, through another node if this node has lost its paths. */
+    auto connect (UpstreamCall& call) -> Task<Failure>;
+    auto recordBytes (const UpstreamCall& call) -> void;
+    auto recordNewConnectionEnd (const UpstreamCall& call, const Failure& outcome) -> void;
     auto processHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
     auto recordStatements (const UpstreamAnswer& answer, const ReplicaTicket& ticket, TimePoint now) -> void;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
@@ -87,6 +91,7 @@
     /** The replica of the current attempt; `lastReplica` is empty if no replica was usable. */
     ReplicaNumber lastNumber = 0;
     ReplicaInfo lastReplica;
+    double lastExpectedTokens = 0.0;
     /** When the current attempt was sent. */
     TimePoint sentAt {};
     /** Time from sending the current attempt to receiving the head of its answer. */
@@ -101,6 +106,8 @@
     std::optional<TimePoint> lastEventsAt;
     Duration longestPause {};
     UpstreamCall* currentCall = nullptr;
+    /** The current attempt if its connection is a direct one. */
+    std::optional<DirectAttempt> direct;
     bool isCallerGone = false;
     bool isUsageCounted = false;
     /** Whether a retry was taken from the budget in advance, for an attempt on an unproven version. */
--- a/tests/process/paths.py
+++ b/tests/process/paths.py
@@ -21,8 +21,18 @@
     "refused" or "reset"; open ones "hang", are "reset" or "live" on."""
 
     def __init__(self, target):
-        super().__init__(target)
         self.fillers = []
+        super().__init__(target)
+
+    def accept(self):
+        # `self.listener` is replaced while the path is cut.
+        listener = self.listener
+        while True:
+            try:
+                caller, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.connect, args=(caller,), daemon=True).start()
 
     def cut(self, new, kept):
         if kept == "reset":
--- /dev/null
+++ b/tests/unit/PathWorld.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "snowrudder_serving/paths/RelayNodes.h"
+#include "snowrudder_serving/paths/ReplicaPaths.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace snowrudder::tests
+{
+
+/** How new connections behave on a path that is cut. */
+enum class CutKind
+{
+    hang,
+    refused,
+    /** Accepted, and reset when the request has been sent. */
+    reset
+};
+
+/** A fleet whose nodes are cut off from all replicas, in virtual time. Requests use new connections only. */
+class PathWorld
+{
+public:
+    PathWorld (std::size_t nodeCount, std::uint64_t seed);
+
+    /** Cuts nodes off at a time, until another. */
+    auto cut (const std::vector<std::size_t>& cutNodes, CutKind kind, Duration from, Duration until) -> void;
+
+    /** Ends a node's process at a time. */
+    auto stop (std::size_t node, Duration from) -> void;
+
+    auto run (Duration length) -> void;
+
+    /** @returns the share of the requests that nodes received in a time and served, of those nodes for which `isWanted` */
+    [[nodiscard]] auto servedShare (Duration from,
+                                    Duration until,
+                                    const std::function<bool (std::size_t)>& isWanted) const -> double;
+
+    [[nodiscard]] auto lostNodes() const -> std::size_t;
+    /** @returns the connections that each node has relayed. */
+    [[nodiscard]] auto relayed() const -> const std::vector<std::size_t>& { return relayedConnections; }
+    [[nodiscard]] auto mostRelayNodesKnown() const -> std::size_t;
+
+    [[nodiscard]] static auto domainOf (std::size_t node) -> std::size_t { return node % domains; }
+
+    static constexpr auto domains = std::size_t { 4 };
+    /** Time between two requests that a node receives. */
+    static constexpr auto requestInterval = Duration (120ms);
+
+private:
+    struct Node
+    {
+        ReplicaPaths paths;
+        RelayNodes relays;
+        bool isStopped = false;
+        std::optional<CutKind> cut;
+    };
+
+    struct Request
+    {
+        std::size_t node = 0;
+        Duration received {};
+        int attempts = 0;
+        /** The replica of the current attempt. */
+        std::uint32_t replica = 0;
+        bool isServed = false;
+    };
+
+    struct Event
+    {
+        Duration time {};
+        std::uint64_t order = 0;
+        std::function<void()> action;
+    };
+
+    struct Later
+    {
+        auto operator() (const Event& first, const Event& second) const -> bool
+        {
+            return std::pair (first.time, first.order) > std::pair (second.time, second.order);
+        }
+    };
+
+    auto at (Duration time, std::function<void()> action) -> void;
+    [[nodiscard]] auto now() const -> TimePoint;
+    [[nodiscard]] auto isReader (std::size_t node) const -> bool;
+    [[nodiscard]] auto isDelivered() -> bool;
+    auto receive (std::size_t node) -> void;
+    auto attempt (std::size_t request) -> void;
+    auto attemptThroughRelay (std::size_t request, int triesLeft) -> void;
+    auto retry (std::size_t request, Duration delay) -> void;
+    auto report (std::size_t node) -> void;
+    auto deliver (std::size_t sender, std::size_t receiver, const std::vector<RelayNodes::Endpoint>& passedOn)
+        -> void;
+    auto probe (std::size_t node) -> void;
+    [[nodiscard]] static auto endpointOf (std::size_t node) -> RelayNodes::Endpoint;
+
+    std::mt19937_64 random;
+    std::vector<Node> nodes;
+    std::vector<Request> requests;
+    std::vector<std::size_t> relayedConnections;
+    std::priority_queue<Event, std::vector<Event>, Later> events;
+    std::uint64_t nextOrder = 0;
+    Duration time {};
+};
+
+} // namespace snowrudder::tests
