--- a/tests/unit/AnswerEndTests.cpp
+++ b/tests/unit/AnswerEndTests.cpp
@@ -18,7 +18,11 @@
     const auto views = playAnswers (plans);
 
     for (auto index = std::size_t { 0 }; index < plans.size(); ++index)
-        CHECK (findFault (plans[index], views[index]) == "");
+    {
+        const auto fault = findFault (plans[index], views[index]);
+        INFO (fault);
+        CHECK (fault.empty());
+    }
 }
 
 } // namespace
--- a/tests/unit/BrokenAnswers.cpp
+++ b/tests/unit/BrokenAnswers.cpp
@@ -46,8 +46,11 @@
     std::vector<std::string> events;
 
     for (auto number = std::size_t { 1 }, count = 1 + draw.below (6); number <= count; ++number)
-        events.push_back ("id: " + std::to_string (number) + lineEnd +
-                          "data: " + std::string (1 + draw.below (size), 'd') + lineEnd + lineEnd);
+    {
+        auto& event = events.emplace_back ("id: ");
+        event.append (std::to_string (number)).append (lineEnd);
+        event.append ("data: ").append (1 + draw.below (size), 'd').append (lineEnd).append (lineEnd);
+    }
 
     return events;
 }
--- a/tests/unit/NetTests.cpp
+++ b/tests/unit/NetTests.cpp
@@ -34,8 +34,10 @@
 {
     for (const auto* lineEnd : { "\n", "\r\n", "\r" })
     {
-        const auto end = std::string (lineEnd);
-        const auto text = "id: 7" + end + "data: one" + end + end + "id: 8" + end + "data: two" + end + end;
+        std::string text;
+
+        for (const auto* line : { "id: 7", "data: one", "", "id: 8", "data: two", "" })
+            text.append (line).append (lineEnd);
 
         for (auto step = std::size_t { 1 }; step <= text.size(); ++step)
         {
