--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -95,6 +95,10 @@
         self.first = self.nodes[0] if self.nodes else None
         self.doors = []
 
+    def add_node(self, name):
+        self.nodes.append(Node(self, name))
+        self.first = self.nodes[0]
+
     def add_node_behind_door(self, zone="a"):
         door = Door(free_ports(1)[0], self.store)
         self.doors.append(door)
