--- a/modules/snowrudder_serving/paths/ConnectionRelay.cpp
+++ b/modules/snowrudder_serving/paths/ConnectionRelay.cpp
@@ -42,7 +42,10 @@
     tcp::socket replica;
     Watchdog::Watch nodeDeadline;
     Watchdog::Watch replicaDeadline;
+    /** The node that asked. */
     std::string nodeName;
+    /** Why it gets no connection, for the log; empty if it gets one or the replica can't be reached. */
+    std::string_view refusal;
 };
 
 ConnectionRelay::ConnectionRelay (ServingState& servingState)
@@ -111,6 +114,7 @@
         .with ("for", relayed.nodeName)
         .with ("replica", request ? request->replica : std::string())
         .with ("status", static_cast<unsigned> (status))
+        .with ("reason", relayed.refusal)
         .with ("relayed", state.relayedConnections)
         .info();
 
@@ -160,7 +164,9 @@
 
 auto ConnectionRelay::connect (Relayed& relayed, const RelayRequest& request) -> Task<http::status>
 {
-    if (const auto reason = refusalReason(); ! reason.empty())
+    relayed.refusal = refusalReason();
+
+    if (! relayed.refusal.empty())
         co_return relayUnavailable;
 
     auto endpoint = request.endpoint;
--- a/modules/snowrudder_serving/paths/ConnectionRelay.h
+++ b/modules/snowrudder_serving/paths/ConnectionRelay.h
@@ -39,6 +39,7 @@
     auto connect (Relayed& relayed, const RelayRequest& request) -> Task<http::status>;
     /** Relays bytes in one direction until the connection ends. */
     auto copy (Relayed& relayed, bool isFromReplica) -> Task<void>;
+    /** @returns why this node relays no connection now, for the log; empty if it does. */
     [[nodiscard]] auto refusalReason() const -> std::string_view;
 
     ServingState& state;
--- a/tests/unit/BrokenAnswers.cpp
+++ b/tests/unit/BrokenAnswers.cpp
@@ -18,7 +18,7 @@
 
 /** The time limit of requests whose replica stalls, and of all others, which must not reach it. */
 constexpr auto stallTimeLimit = 60ms;
-constexpr auto amplyTimeLimit = Duration (20s);
+constexpr auto ampleTimeLimit = Duration (20s);
 
 /** How long after a caller has left its run may go on at the replica. */
 constexpr auto allowedRunAfterLeaving = 500ms;
@@ -334,7 +334,7 @@
         request.accepted = BootClock::now();
         request.deadline =
             request.accepted +
-            (worker.plan->end == AnswerEnd::stall ? Duration (stallTimeLimit) : amplyTimeLimit);
+            (worker.plan->end == AnswerEnd::stall ? Duration (stallTimeLimit) : ampleTimeLimit);
         request.fingerprint = fingerprintOf ("secret", { worker.route.name, "GET", "host", "/", {} });
         RoutedRequestRunner runner (*state, exchange, std::move (request));
         co_await runner.run();
