--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -80,7 +80,8 @@
     """The stand-ins of the platform, and the nodes under test."""
 
     def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None, settings="", suspendable=False,
-                 expect_ready=True):
+                 expect_ready=True, versions=None):
+        """`versions` are the replicas' software versions, one each; without them all are of one version."""
         self.expect_ready = expect_ready
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-platform-"))
         self.store_port, self.cloud_port, *ports = free_ports(2 + replicas)
@@ -88,13 +89,17 @@
         self.replicas = [Replica(port, f"i-{number}") for number, port in enumerate(ports)]
         if first:
             self.store.put("op/config", first)
-        for replica in self.replicas:
-            self.store.put(f"servers/{replica.name}", replica.entry("svc"))
+        for replica, version in zip(self.replicas, versions or ["v1"] * replicas):
+            self.list_replica(replica, version)
         self.nodes = [Node(self, f"front-{number}", environment=environment, settings=settings, suspendable=suspendable)
                       for number in range(nodes)]
         self.first = self.nodes[0] if self.nodes else None
         self.doors = []
 
+    def list_replica(self, replica, version, **more):
+        replica.version = version
+        self.store.put(f"servers/{replica.name}", replica.entry("svc", version=version, **more))
+
     def add_node(self, name):
         self.nodes.append(Node(self, name))
         self.first = self.nodes[0]
