ORDER: a stream goes on only at the software version that began it

Cause: a continuation took whatever replica could run it. Nothing read the name under which a caller takes a stream up, and within one answer a retry excluded the replica that was tried, but not its version; a roll-out even sent the retry to the other one.

Change: the version of the replica whose head is relayed binds the request, before the rule of a roll-out. Where a stream began is recorded there and told to two nodes, chosen by the hash of its name, before its caller gets a part of it; who takes it up at another node asks three, once, for 150 ms at most. Without a record it goes on only where the service has had a single version for as long as a stream can be taken up: a node that has just started learns that from a registry in the store, which is written when versions come or go. A version that is new to its service gets no new streams for 1.5 s, longer than any list on which that conclusion rests. What can't go on is refused at once (503 stream_not_resumable, not run); a name that isn't well formed gets 400.

--- a/modules/snowrudder_core/errors/ErrorKind.cpp
+++ b/modules/snowrudder_core/errors/ErrorKind.cpp
@@ -82,6 +82,9 @@
         ErrorKind::crashesReplicas, "crashes_replicas", 503, Ran::no, seconds (600),
         "Replicas end when they run this request; it is not sent to any until it has not been seen for "
         "a while." },
+    ErrorDescription { ErrorKind::streamNotResumable, "stream_not_resumable", 503, Ran::no, noRetry,
+                       "It is not known which software version began this stream, or none of its replicas is "
+                       "left; begin anew." },
     ErrorDescription { ErrorKind::internal, "internal", 500, Ran::unknown, noRetry,
                        "The router failed in a way that it should not." },
 };
--- a/modules/snowrudder_core/errors/ErrorKind.h
+++ b/modules/snowrudder_core/errors/ErrorKind.h
@@ -41,6 +41,7 @@
     platformUnavailable,
     editUnknown,
     crashesReplicas,
+    streamNotResumable,
     internal
 };
 
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
@@ -42,6 +42,8 @@
             return ErrorKind::deadlineExceeded;
         case FailureCause::stopped:
             return ErrorKind::crashesReplicas;
+        case FailureCause::versionGone:
+            return ErrorKind::streamNotResumable;
         case FailureCause::cut:
         case FailureCause::failed:
         case FailureCause::moved:
@@ -58,6 +60,8 @@
     {
         case FailureCause::noReplica:
             return "no_replica";
+        case FailureCause::versionGone:
+            return "version_gone";
         case FailureCause::connectFailed:
             return "connect_failed";
         case FailureCause::pathLost:
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.h
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.h
@@ -11,6 +11,8 @@
 {
     /** No replica was usable. */
     noReplica,
+    /** No replica of the software version that began the stream is listed any more. */
+    versionGone,
     /** The connection could not be established. */
     connectFailed,
     /** The router lost its way to the upstream, while other routers reach it. */
--- a/modules/snowrudder_requests/retry/RetryDecision.cpp
+++ b/modules/snowrudder_requests/retry/RetryDecision.cpp
@@ -34,7 +34,7 @@
     decision.ran = isProvedNotRun ? Ran::no : Ran::unknown;
 
     if (outcome.cause == FailureCause::abandoned || outcome.cause == FailureCause::deadline ||
-        outcome.cause == FailureCause::stopped)
+        outcome.cause == FailureCause::stopped || outcome.cause == FailureCause::versionGone)
         return decision;
 
     if (! input.repeatable && ! isProvedNotRun)
--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -35,10 +35,15 @@
 
 auto hasAllowedVersion (const ChoiceInput& input, const ReplicaState& replica) -> bool
 {
-    if (! input.onlyVersion.empty() && replica.info.version != input.onlyVersion)
+    const auto& version = replica.info.version;
+
+    if (input.onlyVersion && version != *input.onlyVersion)
+        return false;
+
+    if (input.exceptVersion && version == *input.exceptVersion)
         return false;
 
-    return input.exceptVersion.empty() || replica.info.version != input.exceptVersion;
+    return std::ranges::find (input.heldBackVersions, version) == input.heldBackVersions.end();
 }
 
 auto matchedTokens (const ChoiceInput& input, ReplicaNumber number) -> double
@@ -256,7 +261,8 @@
     Choice choice;
     const auto others = countedOtherRouters (input.routers);
     const auto bound = longPromptBound (replicas, input, weights, now);
-    const auto isAnyVersionAllowed = input.onlyVersion.empty() && input.exceptVersion.empty();
+    const auto isAnyVersionAllowed =
+        ! input.onlyVersion && ! input.exceptVersion && input.heldBackVersions.empty();
     RankedFirst ranked (anchorOf (input, weights));
 
     for (auto index = std::size_t { 0 }; index < replicas.size(); ++index)
--- a/modules/snowrudder_routing/choice/ChooseReplica.h
+++ b/modules/snowrudder_routing/choice/ChooseReplica.h
@@ -81,9 +81,13 @@
     std::size_t routers = 1;
     /** Anchors of the requests that this one must not share replicas with; may hold its own. Empty: no restriction. */
     std::span<const std::uint64_t> separatedFrom;
-    /** Restricts the choice to replicas of one version, or to those of any other version. Empty: no restriction. */
-    std::string_view onlyVersion;
-    std::string_view exceptVersion;
+    /** Restricts the choice to replicas of one version, or to those of any other version. Not set: no restriction; an
+        empty name means the replicas that don't state a version.
+    */
+    std::optional<std::string_view> onlyVersion;
+    std::optional<std::string_view> exceptVersion;
+    /** Versions that are not chosen. */
+    std::span<const std::string> heldBackVersions;
     /** A random number that seeds the sample of replicas where there are many routers. */
     std::uint64_t draw = 0;
 };
--- a/modules/snowrudder_serving/attempt/AttemptErrors.cpp
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.cpp
@@ -33,6 +33,7 @@
         case FailureCause::failed:
             return AttemptHealth::failed;
         case FailureCause::noReplica:
+        case FailureCause::versionGone:
         case FailureCause::pathLost:
         case FailureCause::moved:
         case FailureCause::abandoned:
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -1,6 +1,7 @@
 #include "RoutedGateway.h"
 
 #include "../relay/RoutedRequestRunner.h"
+#include "../streams/ResumedStream.h"
 
 namespace snowrudder
 {
@@ -206,6 +207,9 @@
     if (request.route == nullptr)
         return makeProblem (ErrorKind::notFound);
 
+    if (request.route->kind == RouteKind::stream && ! caller.invalidResumption.empty())
+        return makeProblem (ErrorKind::invalidRequest, caller.invalidResumption);
+
     auto account = authenticate (state, caller, *request.route, now);
 
     if (auto* refusal = std::get_if<Problem> (&account))
@@ -268,7 +272,17 @@
         co_return;
     }
 
-    RoutedRequestRunner runner (state, exchange, std::get<RoutedRequest> (std::move (admitted)));
+    auto request = std::get<RoutedRequest> (std::move (admitted));
+
+    if (request.route->kind == RouteKind::stream && request.caller.resumesStream)
+        if (const auto refusal = co_await findResumedStream (state, request))
+        {
+            logRefusal (state, request.caller, *refusal, BootClock::now());
+            co_await exchange.respond (state.protocol.problem (*refusal, id));
+            co_return;
+        }
+
+    RoutedRequestRunner runner (state, exchange, std::move (request));
     co_await runner.run();
 }
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -55,6 +55,8 @@
 
 PeerExchange::PeerExchange (ServingState& servingState, Membership& fleetMembership)
     : state (servingState), membership (fleetMembership), socket (servingState.loop),
+      streamExchange (servingState, fleetMembership,
+                      [this] (const std::string& datagram, const Endpoint& target) { send (datagram, target); }),
       incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count())),
       crashWake (std::make_shared<Signal> (servingState.loop.get_executor()))
 {
@@ -113,7 +115,15 @@
         if (error || membership.secret().empty())
             continue;
 
-        auto message = decodeMessage (std::string_view (datagram.data(), size), membership.secret());
+        const std::string_view received (datagram.data(), size);
+
+        if (isStreamMessage (received))
+        {
+            streamExchange.receive (received, sender);
+            continue;
+        }
+
+        auto message = decodeMessage (received, membership.secret());
 
         if (! message)
             state.metrics.counter ("snowrudder_strange_datagrams_total").add();
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../node/ServingState.h"
+#include "../streams/StreamExchange.h"
 #include "DatagramCodec.h"
 #include "Membership.h"
 #include "PromptBudget.h"
@@ -33,6 +34,9 @@
     */
     auto announce (PromptNotice notice) -> void;
 
+    /** The messages on streams, which use the same socket. */
+    [[nodiscard]] auto streams() -> StreamExchange& { return streamExchange; }
+
 private:
     using Endpoint = Membership::Endpoint;
 
@@ -73,6 +77,7 @@
     ServingState& state;
     Membership& membership;
     asio::ip::udp::socket socket;
+    StreamExchange streamExchange;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     /** Whether the first report was sent. */
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -4,6 +4,7 @@
 #include "../paths/PathMonitor.h"
 #include "../rollout/RolloutLoops.h"
 #include "../store/StoreCallMetrics.h"
+#include "../streams/VersionRegistryLoop.h"
 
 #include <csignal>
 
@@ -39,6 +40,8 @@
     state.protocol = face.upstreams;
     face.store = withCallMetrics (std::move (face.store), state.metrics);
     state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
+    state.announceStream = [this] (KnownStream stream) { peers.streams().announce (stream); };
+    state.askForStream = [this] (StreamKey key) { return peers.streams().ask (key); };
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
     state.trueTime.compare (BootClock::now(), wallTimeNow().time_since_epoch());
 }
@@ -106,6 +109,7 @@
                     asio::detached);
     asio::co_spawn (state.loop, followReplicas (state, face.store, face.formats), asio::detached);
     asio::co_spawn (state.loop, membership.follow(), asio::detached);
+    asio::co_spawn (state.loop, keepVersionRegistry (state, face.store), asio::detached);
     asio::co_spawn (state.loop, sweepLoop(), asio::detached);
 
     const auto hasDuties =
@@ -177,6 +181,7 @@
         if (dropMissing (state.directory, now))
             state.publishDirectory (now);
 
+        state.versions.removeExpired (now);
         checkPaths (state, now);
         state.crashes.recheckUnconfirmed (state.probes, now);
         state.crashes.table().removeExpired (now);
@@ -225,6 +230,7 @@
     const auto end = asked + state.settings.grace - graceMargin;
     state.leaving = true;
     LogLine ("leaving").with ("open_requests", state.openRequests).info();
+    peers.streams().handOver();
     co_await releaseLeadership (state, face.store);
     // Before the drain wait: the store may be unavailable, and the grace time is running.
     co_await membership.leave();
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -18,6 +18,7 @@
 #include "../queue/ServiceQueues.h"
 #include "../request/UpstreamProtocol.h"
 #include "../rollout/RolloutState.h"
+#include "../streams/StreamContinuation.h"
 #include "ServingMetrics.h"
 #include "ServingSettings.h"
 
@@ -53,7 +54,13 @@
     {
         hasReplicas = hasReplicas || ! directory.entries.empty();
         rollouts.recordListedVersions (directory);
-        const auto changes = takeListChanges (directory);
+        applyReplicaChanges (takeListChanges (directory), now);
+    }
+
+    /** Applies changes of the listed replicas to their selection and to the versions that were seen. */
+    auto applyReplicaChanges (const ListChanges& changes, TimePoint now) -> void
+    {
+        versions.apply (changes, now);
         replicas.applyChanges (changes.changed, changes.removed, now);
     }
 
@@ -113,6 +120,12 @@
     UpstreamProtocol protocol;
     /** Announces to the other nodes a prompt that a replica has to process. Set once, before the first request. */
     std::function<void (PromptNotice)> announcePrompt;
+    /** Records where a stream began, here and at other nodes. Set once, before the first request. */
+    std::function<void (KnownStream)> announceStream = [this] (KnownStream stream)
+    { streamOrigins.record (stream, BootClock::now()); };
+    /** Asks other nodes where a stream began. Set once, before the first request. */
+    std::function<Task<StreamResponse> (StreamKey)> askForStream = [] (StreamKey) -> Task<StreamResponse>
+    { co_return std::nullopt; };
     ConnectionPool pool;
     SharedProbes probes;
     Metrics metrics;
@@ -127,6 +140,9 @@
     UsageWindows usage;
     UsageCollector usageOfOthers;
     RolloutState rollouts;
+    VersionHistory versions;
+    VersionRegistry versionRegistry;
+    StreamOriginTable streamOrigins;
     WorkMeter work;
     Leadership leadership;
     const LeadershipTimes leadershipTimes;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -4,6 +4,7 @@
 #include "../crashes/SuspectRanking.h"
 #include "../paths/PathMonitor.h"
 #include "../queue/PermitGuard.h"
+#include "../streams/ResumedStream.h"
 #include "AnswerRelay.h"
 
 #include <algorithm>
@@ -158,7 +159,8 @@
     {
         lastReplica = {};
         tried.clear();
-        co_return AttemptOutcome { CallStage::notSent, FailureCause::noReplica };
+        co_return AttemptOutcome { CallStage::notSent,
+                                   isVersionGone() ? FailureCause::versionGone : FailureCause::noReplica };
     }
 
     state.counts.attempts.add();
@@ -178,6 +180,7 @@
         .with ("service", request.service)
         .with ("attempt", attemptCount)
         .with ("replica", lastReplica.name)
+        .with ("software_version", lastReplica.version)
         .with ("score", chosen.score)
         .with ("uncached", chosen.uncachedTokens)
         .with ("believed", taken->choice.requestEstimate)
@@ -410,8 +413,12 @@
 auto RoutedRequestRunner::relayStream (UpstreamCall& call) -> Task<Failure>
 {
     if (! exchange.hasBegun())
+    {
+        bindVersion();
+
         if (co_await exchange.beginStream (relayedHead (call)))
             co_return Failure {};
+    }
 
     std::string piece;
 
@@ -476,6 +483,24 @@
     return hasReservedRetry ? rule : versionRule (false);
 }
 
+auto RoutedRequestRunner::bindVersion() -> void
+{
+    firstReplica = lastReplica.name;
+    request.requiredVersion = lastReplica.version;
+    announceStream (state, request, lastReplica);
+}
+
+auto RoutedRequestRunner::isVersionGone() const -> bool
+{
+    if (! request.requiredVersion)
+        return false;
+
+    const auto isAmbiguous =
+        ! firstReplica.empty() &&
+        state.versions.hasChangedVersion (shortReplicaHash (firstReplica), BootClock::now());
+    return isAmbiguous || state.versions.replicaCount ({ request.service, *request.requiredVersion }) == 0;
+}
+
 auto RoutedRequestRunner::selectReplica (const CrashAssessment& assessment) -> std::optional<TakenReplica>
 {
     const auto now = BootClock::now();
@@ -483,6 +508,22 @@
     auto input = choiceInput (prompt, tried, state.nodeCount (now), randomNumber());
     ranking.applyTo (input);
 
+    // The version of a stream goes before the rule of a roll-out.
+    if (request.requiredVersion)
+    {
+        if (isVersionGone())
+            return {};
+
+        input.onlyVersion = *request.requiredVersion;
+        return state.replicas.take (request.service, input, routedWeights(), now);
+    }
+
+    std::vector<std::string> heldBack;
+
+    if (request.route->kind == RouteKind::stream)
+        heldBack = state.versions.heldBack (request.service, state.versionRegistry, now);
+
+    input.heldBackVersions = heldBack;
     const auto rule = ruleForAttempt();
 
     if (auto taken = selectByRule (input, rule, now); taken || rule.kind != VersionRule::Kind::only)
@@ -516,7 +557,8 @@
                outcome->cause == FailureCause::deadline || outcome->cause == FailureCause::pathLost;
     };
 
-    if (attemptCount > 1 || isCallerGone || isInconclusive())
+    // A stream that a caller takes up goes to its version whatever the share on trial, and says little about a first event.
+    if (attemptCount > 1 || isCallerGone || request.caller.resumesStream || isInconclusive())
         return;
 
     constexpr auto serverErrors = 500U;
@@ -570,8 +612,10 @@
         const auto isRefused = outcome.cause == FailureCause::refused;
         const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
         const auto limitedDelay = state.replicas.limitedRetryDelay (request.service, BootClock::now());
-        problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
-                             std::max<Duration> (shortRetryDelay, limitedDelay.value_or (Duration::zero())));
+
+        if (outcome.cause != FailureCause::versionGone)
+            problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
+                                 std::max<Duration> (shortRetryDelay, limitedDelay.value_or (Duration::zero())));
     }
     else if (BootClock::now() >= request.deadline)
         problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -40,6 +40,10 @@
         reserved from the budget.
     */
     auto ruleForAttempt() -> VersionRule;
+    /** Binds the request to the version of the replica whose answer begins now. */
+    auto bindVersion() -> void;
+    /** @returns whether no replica of the version to which the request is bound can go on. */
+    [[nodiscard]] auto isVersionGone() const -> bool;
     auto selectReplica (const CrashAssessment& assessment) -> std::optional<TakenReplica>;
     auto selectByRule (ChoiceInput input, const VersionRule& rule, TimePoint now)
         -> std::optional<TakenReplica>;
@@ -108,6 +112,8 @@
     UpstreamCall* currentCall = nullptr;
     /** The current attempt if its connection is a direct one. */
     std::optional<DirectAttempt> direct;
+    /** Name of the replica that began the answer. */
+    std::string firstReplica;
     bool isCallerGone = false;
     bool isUsageCounted = false;
     /** Whether a retry was taken from the budget in advance, for an attempt on an unproven version. */
--- a/modules/snowrudder_serving/request/RoutedRequest.h
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../configuration/RoutingConfiguration.h"
+#include "../streams/StreamOriginTable.h"
 
 #include "snowrudder_net/snowrudder_net.h"
 #include "snowrudder_requests/crashes/RequestFingerprint.h"
@@ -41,6 +42,12 @@
     /** Whether the caller stated the token counts. */
     bool hasTokenCounts = false;
     std::vector<PromptPart> parts;
+    /** The attempt that began the stream that the caller takes up; empty if it names none. */
+    std::string resumedRequest;
+    /** Whether the caller takes up a stream, wherever it names that. */
+    bool resumesStream = false;
+    /** What of the name can't be used; empty if there is nothing. */
+    std::string invalidResumption;
     /** The message to send to a replica, without the fields that this node sets for each attempt. */
     HttpRequest message;
 };
@@ -55,6 +62,10 @@
     /** Null on public routes. */
     std::shared_ptr<const RoutedAccount> account;
     RequestFingerprint fingerprint;
+    /** Key of the stream that the caller takes up and its origin, where a node knew it. */
+    std::optional<KnownStream> resumedStream {};
+    /** The only version whose replicas may run the request. */
+    std::optional<std::string> requiredVersion {};
     /** When the request arrived. */
     TimePoint accepted {};
     /** When the answer must be complete at the caller. */
--- a/modules/snowrudder_serving/snowrudder_serving.h
+++ b/modules/snowrudder_serving/snowrudder_serving.h
@@ -11,6 +11,7 @@
     - relay/          execution of one request: attempts, and the relay of the answer
     - store/          interface to the state store, and the watches that follow its contents
     - directory/      the directory of replicas, from lists that may be outdated or incomplete
+    - streams/        which software version began a stream, so that it goes on at that version only
     - members/        the other nodes, and the messages that nodes send each other directly
     - limits/         account limits that are shared by all nodes
     - duties/         work that one node does for the whole fleet: leadership, usage reports
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -249,8 +249,12 @@
         else
             listed.unreadable.push_back ({ item.key, { item.revision, true } });
 
-    applyList (state.directory, std::move (listed), read.revision, BootClock::now(), reason);
-    state.publishDirectory (BootClock::now());
+    const auto now = BootClock::now();
+    applyList (state.directory, std::move (listed), read.revision, now, reason);
+    state.publishDirectory (now);
+
+    if (reason == ListReason::afterGap)
+        state.versions.recordGap (now);
 }
 
 auto applyWatchEvents (ServingState& state, const StoreFormats& formats, const ReadItems& read) -> void
@@ -464,6 +468,10 @@
     }
 
     const auto isReceived = ! storeUpdates.awaitsSnapshot;
+
+    if (isReceived)
+        state.versions.recordGap (BootClock::now());
+
     storeUpdates.awaitsSnapshot = false;
     storeUpdates.snapshotRevision = 0;
     LogLine ("replicas_from_readers")
--- /dev/null
+++ b/modules/snowrudder_serving/streams/StreamContinuation.cpp
@@ -0,0 +1,124 @@
+#include "StreamContinuation.h"
+
+#include "StreamHolders.h"
+
+#include <algorithm>
+
+namespace snowrudder
+{
+
+auto isConclusive (const StreamInquiry& inquiry) -> bool
+{
+    const auto known = std::ranges::count_if (inquiry.responses, &StreamResponse::has_value);
+    return inquiry.responses.size() >= inquiry.asked ||
+           static_cast<std::size_t> (known) >= std::min (streamHolders, inquiry.asked);
+}
+
+auto combine (const StreamInquiry& inquiry) -> StreamResponse
+{
+    StreamResponse combined;
+
+    for (const auto& response : inquiry.responses)
+    {
+        if (! response)
+            continue;
+
+        if (! combined)
+            combined = response;
+
+        combined->isConflicting =
+            combined->isConflicting || response->isConflicting || response->origin != combined->origin;
+    }
+
+    return combined;
+}
+
+auto toString (OriginSource source) -> std::string_view
+{
+    switch (source)
+    {
+        case OriginSource::ownRecord:
+            return "own_record";
+        case OriginSource::otherNode:
+            return "other_node";
+        case OriginSource::onlyVersion:
+            return "only_version";
+        case OriginSource::none:
+            break;
+    }
+
+    return "none";
+}
+
+auto toString (ContinuationOutcome outcome) -> std::string_view
+{
+    switch (outcome)
+    {
+        case ContinuationOutcome::goesOn:
+            return "goes_on";
+        case ContinuationOutcome::ambiguous:
+            return "ambiguous";
+        case ContinuationOutcome::versionGone:
+            return "version_gone";
+        case ContinuationOutcome::listTooOld:
+            return "list_too_old";
+        case ContinuationOutcome::unknown:
+            break;
+    }
+
+    return "unknown";
+}
+
+auto decideContinuation (const ContinuationInput& input,
+                         const VersionHistory& history,
+                         const VersionRegistry& registry,
+                         TimePoint now) -> Continuation
+{
+    Continuation continuation;
+    continuation.source = input.source;
+
+    if (now - input.provenAt > continuationListAge)
+    {
+        continuation.outcome = ContinuationOutcome::listTooOld;
+        return continuation;
+    }
+
+    if (input.stream)
+    {
+        if (input.stream->isConflicting || history.hasChangedVersion (input.stream->origin.replica, now))
+        {
+            continuation.outcome = ContinuationOutcome::ambiguous;
+            return continuation;
+        }
+
+        const auto found = history.find (input.stream->origin.version, input.services);
+
+        if (! found)
+        {
+            continuation.outcome = ContinuationOutcome::versionGone;
+            return continuation;
+        }
+
+        continuation.at = *found;
+    }
+    else
+    {
+        // With several services it isn't known which of them began the stream.
+        const auto isSingle = input.services.size() == 1 && input.isWithinMemory;
+        const auto only = isSingle
+                              ? history.onlyVersion (input.services.front(), registry, input.provenAt, now)
+                              : std::nullopt;
+
+        if (! only)
+            return continuation;
+
+        continuation.at = { input.services.front(), *only };
+        continuation.source = OriginSource::onlyVersion;
+    }
+
+    continuation.outcome = history.replicaCount (continuation.at) > 0 ? ContinuationOutcome::goesOn
+                                                                      : ContinuationOutcome::versionGone;
+    return continuation;
+}
+
+} // namespace snowrudder
--- a/tests/unit/BrokenAnswers.cpp
+++ b/tests/unit/BrokenAnswers.cpp
@@ -318,7 +318,7 @@
             changed.push_back ({ info, false });
         }
 
-        state->replicas.applyChanges (changed, worker.listed, BootClock::now());
+        state->applyReplicaChanges ({ std::move (changed), worker.listed }, BootClock::now());
         worker.listed = { name + "a", name + "b" };
     }
 
