--- a/modules/snowrudder_routing/choice/ChooseReplica.cpp
+++ b/modules/snowrudder_routing/choice/ChooseReplica.cpp
@@ -33,6 +33,11 @@
     return std::ranges::find (input.tried, number) != input.tried.end();
 }
 
+auto restrictsVersions (const ChoiceInput& input) -> bool
+{
+    return input.onlyVersion || input.exceptVersion || ! input.heldBackVersions.empty();
+}
+
 auto hasAllowedVersion (const ChoiceInput& input, const ReplicaState& replica) -> bool
 {
     const auto& version = replica.info.version;
@@ -261,8 +266,7 @@
     Choice choice;
     const auto others = countedOtherRouters (input.routers);
     const auto bound = longPromptBound (replicas, input, weights, now);
-    const auto isAnyVersionAllowed =
-        ! input.onlyVersion && ! input.exceptVersion && input.heldBackVersions.empty();
+    const auto areVersionsRestricted = restrictsVersions (input);
     RankedFirst ranked (anchorOf (input, weights));
 
     for (auto index = std::size_t { 0 }; index < replicas.size(); ++index)
@@ -272,7 +276,7 @@
         if (availabilityOf (replica, now) != ReplicaAvailability::usable)
             continue;
 
-        if (! isAnyVersionAllowed && ! hasAllowedVersion (input, replica))
+        if (areVersionsRestricted && ! hasAllowedVersion (input, replica))
             continue;
 
         ++choice.usable;
--- a/modules/snowrudder_serving/streams/ResumedStream.cpp
+++ b/modules/snowrudder_serving/streams/ResumedStream.cpp
@@ -18,11 +18,13 @@
     return streamKey (state.fleetSecret, { account, request.caller.host, request.caller.path, id });
 }
 
-auto decide (const ServingState& state, const RoutedRequest& request, StreamResponse stream, OriginSource source)
-    -> Continuation
+auto decide (const ServingState& state,
+             const RoutedRequest& request,
+             const StreamResponse& stream,
+             OriginSource source) -> Continuation
 {
     ContinuationInput input;
-    input.stream = std::move (stream);
+    input.stream = stream;
     input.source = source;
     input.isWithinMemory = request.route->timeout <= streamMemory / 2;
     input.provenAt = directoryProvenAt (state.storeUpdates);
@@ -81,8 +83,9 @@
 
     const auto continuation = decide (state, request, request.resumedStream, source);
     state.metrics
-        .counter (continuation.outcome == ContinuationOutcome::goesOn ? "snowrudder_streams_resumed_total"
-                                                                      : "snowrudder_streams_not_resumed_total")
+        .counter (continuation.outcome == ContinuationOutcome::goesOn
+                      ? "snowrudder_streams_resumed_total"
+                      : "snowrudder_streams_not_resumed_total")
         .add();
     log (request, continuation, began);
 
--- a/modules/snowrudder_serving/streams/StreamHolders.cpp
+++ b/modules/snowrudder_serving/streams/StreamHolders.cpp
@@ -40,6 +40,7 @@
     }
 
     std::vector<asio::ip::udp::endpoint> holders;
+    holders.reserve (first.size());
 
     for (const auto& ranked : first)
         holders.push_back (*ranked.second);
--- a/tests/unit/StreamWorld.cpp
+++ b/tests/unit/StreamWorld.cpp
@@ -493,6 +493,7 @@
         }
 
         std::vector<View> view;
+        view.reserve (listed.size());
 
         for (const auto& [name, version] : listed)
             view.push_back ({ name, version });
