--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -294,6 +294,67 @@
                 self.assertEqual((made.status, made.problem["kind"]), (503, "stream_not_resumable"))
                 self.assertLess(made.seconds, REFUSAL_TIME)
 
+    def test_streams_keep_their_versions_through_a_roll_out(self):
+        with self.deployment(3, ["v1", "v1", "v1"], settings="contracts=base,rollout\nbounds.exposure_share=0.1\n") as platform:
+            wait_until(lambda: any("duties_taken" in node.log.read_text() for node in platform.nodes), "the duties are taken")
+            self.settle(platform)
+            end = time.monotonic() + 16
+
+            def lane(lane):
+                chains = []
+                while time.monotonic() < end:
+                    name = f"{lane}-{len(chains)}"
+                    chain = [Try(platform.nodes[lane % 3], f"s-{name}-0")]
+                    if chain[0].has_events:
+                        for count in (1, 2):
+                            if chain[-1].has_events:
+                                chain.append(Try(platform.nodes[(lane + count) % 3], f"s-{name}-{count}", chain[0].id, chain[-1].last))
+                        chains.append(chain)
+                return chains
+
+            with concurrent.futures.ThreadPoolExecutor(16) as lanes:
+                running = [lanes.submit(lane, number) for number in range(16)]
+                time.sleep(1)
+                platform.store.put("op/rollout/svc", {"service": "svc", "target_version": "v2", "period_s": 10})
+                time.sleep(0.5)
+                for number, port in enumerate(free_ports(3)):
+                    other = Replica(port, f"new-{number}", events=200)
+                    platform.replicas.append(other)
+                    platform.list_replica(other, "v2")
+                chains = [chain for future in running for chain in future.result()]
+            self.assertEqual({version for chain in chains for version in self.versions_of(platform, chain[0].id)}, {"v1", "v2"})
+            self.check(platform, chains, CALM_SHARE)
+
+    def test_versions_that_are_missing_empty_or_long_are_versions_of_their_own(self):
+        with self.deployment(3, ["v1", "", "x" * 10_000, "x" * 10_000 + "y"]) as platform:
+            missing = Replica(free_ports(1)[0], "missing", events=200)
+            platform.replicas.append(missing)
+            missing.version = ""
+            entry = missing.entry("svc")
+            del entry["version"]
+            platform.store.put("servers/missing", entry)
+            self.settle(platform)
+            self.check(platform, self.taken_up(platform, lambda number, count: platform.nodes[(number + count) % 3]), CALM_SHARE)
+
+    def test_streams_go_on_while_the_store_is_briefly_away_and_are_refused_when_the_list_is_old(self):
+        with self.deployment(3, ["v1", "v1", "v2", "v2"], settings="bounds.revoke_ms=20000\n") as platform:
+            self.settle(platform)
+            begun = [self.begin(platform, number, platform.nodes[number % 3]) for number in range(STREAMS)]
+            platform.store.busy = True
+            soon = [[first, Try(platform.nodes[(number + 1) % 3], f"{first.id}-1", first.id, first.last)]
+                    for number, first in enumerate(begun[:6])]
+            self.check(platform, soon, CALM_SHARE)
+            time.sleep(4)
+            for number, first in enumerate(begun[6:12]):
+                late = Try(platform.nodes[number % 3], f"{first.id}-late", first.id, first.last)
+                self.assertEqual((late.status, late.problem["kind"]), (503, "stream_not_resumable"))
+                self.assertLess(late.seconds, REFUSAL_TIME)
+            platform.store.busy = False
+            time.sleep(3)
+            again = [[first, Try(platform.nodes[(number + 1) % 3], f"{first.id}-2", first.id, first.last)]
+                     for number, first in enumerate(begun[12:])]
+            self.check(platform, again, CALM_SHARE)
+
 
 if __name__ == "__main__":
     unittest.main()
