Soak: callers leave streams and take them up at any node, replicas of two versions

Three returning callers beside the others; the ledger checks that the events of a stream are of one software version, within an answer and over its tries.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -26,6 +26,10 @@
     keeps_connection: bool = False
     fault: str = ""
     """The fault of the answer itself; empty when it is correct."""
+    stream: str = ""
+    """The first request of the stream, where callers take streams up."""
+    signed_by: str = ""
+    """The replica that began the answer, where its caller received events of it."""
 
 
 @dataclasses.dataclass
@@ -58,6 +62,8 @@
         self.resumed_at = {}
         self.ends = []
         self.crashes = collections.defaultdict(list)
+        self.versions = {}
+        """The software version of each replica, by name."""
 
     def record_crash(self, body):
         with self.lock:
@@ -99,8 +105,25 @@
             found += self.check_end(end, limits)
         for body, crashes in self.crashes.items():
             found += self.check_crashes(body, sorted(crashes), limits)
+        found += self.check_streams(runs)
         return found
 
+    def check_streams(self, runs):
+        """The events of a stream are of one software version, within an answer and over all requests that take it up."""
+        versions = collections.defaultdict(dict)
+        for request in self.sent.values():
+            if not request.signed_by:
+                continue
+            replicas = [run.replica for run in sorted(runs[request.id], key=lambda run: run.at)]
+            if request.signed_by not in replicas:
+                yield f"{request.id} was answered by {request.signed_by}, which did not run it"
+                continue
+            for replica in replicas[replicas.index(request.signed_by):]:
+                versions[request.stream or request.id].setdefault(self.versions[replica], f"{request.id} at {replica}")
+        for stream, found in versions.items():
+            if len(found) > 1:
+                yield f"stream {stream} holds events of {found}"
+
     @staticmethod
     def check_end(end, limits):
         if not end.sent:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -231,7 +231,9 @@
     broken += duty_breaches(list(world.cloud.calls), world.ledger.resumed_at, RESUME_GRACE)
     served = sum(request.status == 200 for request in world.ledger.sent.values())
     (folder / "faults.txt").write_text("\n".join([*injected, *broken]) + "\n")
+    resumed = [request for request in world.ledger.sent.values() if request.stream]
     print(f"seed {seed}: {len(injected)} faults, {len(world.ledger.sent)} requests, {served} served, "
+          f"{sum(bool(request.signed_by) for request in resumed)} of {len(resumed)} streams taken up, "
           f"{sum(map(len, world.ledger.crashes.values()))} crashes, {len(broken)} broken", flush=True)
     return broken, folder
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,6 +29,9 @@
 ENTRY_EXPIRY_DELAY = 1.5
 # Seconds after which a process that does not end is killed; well above its grace period of 6 s.
 MAX_STOP_SECONDS = 15
+VERSIONS = ("v1", "v2")
+# Callers that leave streams and take them up at other nodes, beside the other callers.
+RETURNING_CALLERS = 3
 EXPECTED_EVENTS = [b"data: piece %d" % number for number in range(1, EVENTS + 1)]
 
 
@@ -83,6 +86,8 @@
         self.ids = itertools.count()
         self.callers = [threading.Thread(target=self.run_caller, args=(random.Random(f"{seed} {number}"), number), daemon=True)
                         for number in range(callers)]
+        self.callers += [threading.Thread(target=self.run_returning_caller, args=(random.Random(f"{seed} returning {number}"),),
+                                          daemon=True) for number in range(RETURNING_CALLERS)]
 
     # Writes of the operators and the replicas to the store
 
@@ -102,12 +107,14 @@
 
     def add_replica(self):
         replica = RecordedReplica(free_ports(1)[0], next(self.names), self.ledger, self.crash)
+        replica.version = random.Random(replica.name).choice(VERSIONS)
+        self.ledger.versions[replica.name] = replica.version
         self.replicas[replica.name] = replica
         self.proxies[replica.name] = Proxy(replica.port)
         self.enter(replica)
 
     def enter(self, replica, state="ready"):
-        entry = replica.entry("svc", state=state)
+        entry = replica.entry("svc", state=state, version=replica.version)
         entry["address"] = f"127.0.0.1:{self.proxies[replica.name].port}"
         self.store.put(f"servers/{replica.name}", entry)
 
@@ -184,6 +191,40 @@
                 node_index += 1
             time.sleep(draw.uniform(0, 0.05))
 
+    def run_returning_caller(self, draw):
+        """Begins streams, leaves each after some events, and takes it up at any node."""
+        while not self.stopping.is_set():
+            account = draw.choice(list(self.keys))
+            stream, last = "", ""
+            for _ in range(draw.randint(2, 4)):
+                request, last = self.read_events(draw.choice(self.nodes), account, stream, last, draw.randint(1, 2))
+                stream = stream or (request.id if last else "")
+                time.sleep(draw.choice((0, 0.05, draw.uniform(0, 2))))
+
+    def read_events(self, node, account, stream, last, wanted):
+        """Begins a stream, or takes one up, and leaves after some events; returns the request and the last event's id."""
+        key = self.keys[account][-1]
+        request = SentRequest(f"r-{next(self.ids)}", "resumed-stream", node.name, key, account, time.monotonic(), stream=stream)
+        self.ledger.record_request(request)
+        headers = {"Host": "one.example", "X-Request-Id": request.id, "X-Deadline-Ms": "5000", "X-Api-Key": key}
+        if stream:
+            headers |= {"Resumes": stream, "Last-Event-Id": last}
+        connection = http.client.HTTPConnection("127.0.0.1", node.front, timeout=9)
+        try:
+            connection.request("POST", "/resumed-stream/x", headers=headers)
+            answer = connection.getresponse()
+            request.status = answer.status if answer.status != 200 else 0
+            while answer.status == 200 and wanted and (line := answer.readline()):
+                if line.startswith(b"id:"):
+                    last = line.split()[1].decode()
+                    request.signed_by = answer.getheader("X-Response-Signature").removeprefix("signed-by-")
+                    wanted -= 1
+        except (OSError, http.client.HTTPException) as error:
+            request.error = type(error).__name__
+        connection.close()
+        request.ended = time.monotonic()
+        return request, last
+
     def send(self, draw, node, connection, kind=None, key=None, body=None):
         """Sends a request and reads its answer; returns the record of both."""
         kind = kind or draw.choice(list(KINDS))
