Streams on routes that can't be resumed need no records; the query of a stream names its request in the log

Such streams are never taken up at another node, so telling two nodes and holding back a new version for them served nobody. The log line stream_asked had a key in place of the request's identifier.

--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -41,7 +41,8 @@
     face.store = withCallMetrics (std::move (face.store), state.metrics);
     state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
     state.announceStream = [this] (KnownStream stream) { peers.streams().announce (stream); };
-    state.askForStream = [this] (StreamKey key) { return peers.streams().ask (key); };
+    state.askForStream = [this] (StreamKey key, std::string request)
+    { return peers.streams().ask (key, std::move (request)); };
     state.leadership.token = settings.node + "/" + toString (makeUuid (wallTimeNow()));
     state.trueTime.compare (BootClock::now(), wallTimeNow().time_since_epoch());
 }
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -123,9 +123,9 @@
     /** Records where a stream began, here and at other nodes. Set once, before the first request. */
     std::function<void (KnownStream)> announceStream = [this] (KnownStream stream)
     { streamOrigins.record (stream, BootClock::now()); };
-    /** Asks other nodes where a stream began. Set once, before the first request. */
-    std::function<Task<StreamResponse> (StreamKey)> askForStream = [] (StreamKey) -> Task<StreamResponse>
-    { co_return std::nullopt; };
+    /** Asks other nodes where a stream began that a request takes up. Set once, before the first request. */
+    std::function<Task<StreamResponse> (StreamKey, std::string)> askForStream =
+        [] (StreamKey, std::string) -> Task<StreamResponse> { co_return std::nullopt; };
     ConnectionPool pool;
     SharedProbes probes;
     Metrics metrics;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -495,9 +495,8 @@
     if (! request.requiredVersion)
         return false;
 
-    const auto isAmbiguous =
-        ! firstReplica.empty() &&
-        state.versions.hasChangedVersion (shortReplicaHash (firstReplica), BootClock::now());
+    const auto isAmbiguous = ! firstReplica.empty() && state.versions.hasChangedVersion (
+                                                           shortReplicaHash (firstReplica), BootClock::now());
     return isAmbiguous || state.versions.replicaCount ({ request.service, *request.requiredVersion }) == 0;
 }
 
@@ -520,7 +519,7 @@
 
     std::vector<std::string> heldBack;
 
-    if (request.route->kind == RouteKind::stream)
+    if (request.route->kind == RouteKind::stream && request.route->canResume)
         heldBack = state.versions.heldBack (request.service, state.versionRegistry, now);
 
     input.heldBackVersions = heldBack;
@@ -614,8 +613,9 @@
         const auto limitedDelay = state.replicas.limitedRetryDelay (request.service, BootClock::now());
 
         if (outcome.cause != FailureCause::versionGone)
-            problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
-                                 std::max<Duration> (shortRetryDelay, limitedDelay.value_or (Duration::zero())));
+            problem =
+                withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
+                           std::max<Duration> (shortRetryDelay, limitedDelay.value_or (Duration::zero())));
     }
     else if (BootClock::now() >= request.deadline)
         problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
--- a/modules/snowrudder_serving/streams/ResumedStream.cpp
+++ b/modules/snowrudder_serving/streams/ResumedStream.cpp
@@ -67,7 +67,7 @@
 
         if (! request.resumedStream)
         {
-            request.resumedStream = co_await state.askForStream (key);
+            request.resumedStream = co_await state.askForStream (key, request.caller.id);
             source = OriginSource::otherNode;
         }
     }
@@ -107,7 +107,8 @@
         return;
     }
 
-    if (request.caller.resumesStream)
+    // What isn't announced can't be taken up at another node, as the route says.
+    if (request.caller.resumesStream || ! request.route->canResume)
         return;
 
     const StreamOrigin origin { versionHash (request.service, replica.version),
--- a/modules/snowrudder_serving/streams/StreamExchange.cpp
+++ b/modules/snowrudder_serving/streams/StreamExchange.cpp
@@ -33,7 +33,7 @@
         sendTo (holder, StreamNotice { { stream } }, now);
 }
 
-auto StreamExchange::ask (StreamKey key) -> Task<StreamResponse>
+auto StreamExchange::ask (StreamKey key, std::string request) -> Task<StreamResponse>
 {
     const auto holders = holdersOf (key, membership.others(), askedHolders);
 
@@ -54,7 +54,7 @@
 
     const auto inquiry = std::move (openQueries.extract (number).mapped().inquiry);
     LogLine ("stream_asked")
-        .with ("key", key)
+        .with ("request", request)
         .with ("asked", inquiry.asked)
         .with ("responses", inquiry.responses.size())
         .with ("milliseconds", inMilliseconds (BootClock::now() - now))
--- a/modules/snowrudder_serving/streams/StreamExchange.h
+++ b/modules/snowrudder_serving/streams/StreamExchange.h
@@ -25,8 +25,11 @@
     /** Records a stream's origin here and at the nodes that hold it. */
     auto announce (KnownStream stream) -> void;
 
-    /** Asks the nodes that hold a stream, once, and waits for their responses or until `streamQueryTime` is over. */
-    auto ask (StreamKey key) -> Task<StreamResponse>;
+    /** Asks the nodes that hold a stream, once, and waits for their responses or until `streamQueryTime` is over.
+
+        @param request  the request that takes the stream up, for the log
+    */
+    auto ask (StreamKey key, std::string request) -> Task<StreamResponse>;
 
     /** Handles a datagram for which isStreamMessage() is true. */
     auto receive (std::string_view datagram, const Endpoint& sender) -> void;
