A new version gets streams at once where no other version takes work; formatting of the code of streams

Cause: a version that is new to its service got no streams for 1.5 s even if the last replica of the other one was leaving or gone, so that streams of the service would have been refused meanwhile. It is held back only while another version takes work. Unit test, which the old code fails by its second check.

--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -55,8 +55,10 @@
 
 PeerExchange::PeerExchange (ServingState& servingState, Membership& fleetMembership)
     : state (servingState), membership (fleetMembership), socket (servingState.loop),
-      streamExchange (servingState, fleetMembership,
-                      [this] (const std::string& datagram, const Endpoint& target) { send (datagram, target); }),
+      streamExchange (servingState,
+                      fleetMembership,
+                      [this] (const std::string& datagram, const Endpoint& target)
+                      { send (datagram, target); }),
       incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count())),
       crashWake (std::make_shared<Signal> (servingState.loop.get_executor()))
 {
--- a/modules/snowrudder_serving/streams/StreamMessages.cpp
+++ b/modules/snowrudder_serving/streams/StreamMessages.cpp
@@ -200,7 +200,8 @@
 auto encodeStreamMessage (const StreamMessage& message, std::string_view secret, TimePoint now) -> std::string
 {
     std::string body;
-    const auto kind = std::visit ([&] (const auto& content) { return writeBody (content, now, body); }, message);
+    const auto kind =
+        std::visit ([&] (const auto& content) { return writeBody (content, now, body); }, message);
     body.insert (body.begin(), static_cast<char> (kind));
     return body.substr (0, 1) + packedSignature (secret, body) + body.substr (1);
 }
--- a/modules/snowrudder_serving/streams/StreamMessages.h
+++ b/modules/snowrudder_serving/streams/StreamMessages.h
@@ -47,7 +47,8 @@
 /** @param secret  the secret of the fleet, which keys the signature
     @param now      the time to which the encoded ages are relative
 */
-auto encodeStreamMessage (const StreamMessage& message, std::string_view secret, TimePoint now) -> std::string;
+auto encodeStreamMessage (const StreamMessage& message, std::string_view secret, TimePoint now)
+    -> std::string;
 
 /** @returns the message of a datagram, or nothing if it is malformed or not signed with the fleet's secret. */
 auto decodeStreamMessage (std::string_view datagram, std::string_view secret, TimePoint now)
--- a/modules/snowrudder_serving/streams/VersionHistory.cpp
+++ b/modules/snowrudder_serving/streams/VersionHistory.cpp
@@ -53,8 +53,8 @@
     const auto isOld = [now] (TimePoint time) { return now - time > streamMemory; };
 
     for (auto& [service, versions] : services)
-        std::erase_if (versions,
-                       [&isOld] (const auto& seen) { return seen.second.goneAt && isOld (*seen.second.goneAt); });
+        std::erase_if (versions, [&isOld] (const auto& seen)
+                       { return seen.second.goneAt && isOld (*seen.second.goneAt); });
 
     std::erase_if (services, [] (const auto& service) { return service.second.empty(); });
     std::erase_if (changed, [&isOld] (const auto& change) { return isOld (change.second); });
@@ -127,13 +127,16 @@
         return held;
 
     const auto registered = registry.versions.find (service);
-    const auto first = std::ranges::min_element (known->second, {}, [] (const auto& seenVersion)
-                                                 { return seenVersion.second.firstSeen; })->second.firstSeen;
+    const auto first =
+        std::ranges::min_element (known->second, {},
+                                  [] (const auto& seenVersion) { return seenVersion.second.firstSeen; })
+            ->second.firstSeen;
 
     for (const auto& [version, state] : known->second)
     {
         // A node that has just started sees all versions for the first time; those in the registry are not new.
-        const auto isRegistered = registered != registry.versions.end() && registered->second.contains (version);
+        const auto isRegistered =
+            registered != registry.versions.end() && registered->second.contains (version);
         const auto isFirst = state.firstSeen == first && registry.readAt &&
                              (registered == registry.versions.end() || isRegistered);
 
@@ -141,6 +144,13 @@
             held.push_back (version);
     }
 
+    // Streams are not refused for the sake of a version that takes none.
+    const auto takesStreams = [&held] (const auto& seenVersion)
+    { return seenVersion.second.active > 0 && std::ranges::find (held, seenVersion.first) == held.end(); };
+
+    if (registry.readAt && std::ranges::none_of (known->second, takesStreams))
+        held.clear();
+
     return held;
 }
 
--- a/modules/snowrudder_serving/streams/VersionHistory.h
+++ b/modules/snowrudder_serving/streams/VersionHistory.h
@@ -67,9 +67,12 @@
                ! (registry.readAt && *registry.readAt >= completeSince);
     }
 
-    /** @returns the versions of a service that get no new streams yet; see newVersionDelay. */
-    [[nodiscard]] auto heldBack (std::string_view service, const VersionRegistry& registry, TimePoint now) const
-        -> std::vector<std::string>;
+    /** @returns the versions of a service that get no new streams yet; see newVersionDelay. None where no other version has
+        replicas that take work.
+    */
+    [[nodiscard]] auto heldBack (std::string_view service,
+                                 const VersionRegistry& registry,
+                                 TimePoint now) const -> std::vector<std::string>;
 
     /** @returns whether a replica of this name was seen with two versions, so that it isn't known which of them began a
         stream there.
@@ -79,7 +82,8 @@
     /** @returns the registry as this node would have it: with all versions that it has seen, and without those that it knows
         to be gone for longer than `streamMemory`.
     */
-    [[nodiscard]] auto updated (const VersionsByService& registered, TimePoint now) const -> VersionsByService;
+    [[nodiscard]] auto updated (const VersionsByService& registered, TimePoint now) const
+        -> VersionsByService;
 
 private:
     struct SeenVersion
--- a/modules/snowrudder_serving/streams/VersionRegistryLoop.cpp
+++ b/modules/snowrudder_serving/streams/VersionRegistryLoop.cpp
@@ -151,8 +151,8 @@
 
         const auto updated = state.versions.updated (state.versionRegistry.versions, now);
         const auto isNew = lacksVersion (state.versionRegistry.versions, updated);
-        co_await pauseFor (state.loop, std::chrono::duration_cast<Duration> ((isNew ? writeDelay : pruneDelay) *
-                                                                            randomFraction()));
+        co_await pauseFor (state.loop, std::chrono::duration_cast<Duration> (
+                                           (isNew ? writeDelay : pruneDelay) * randomFraction()));
 
         if (! isUpToDate() && ! co_await writeRegistry (state, store))
             co_await pauseFor (state.loop, jittered (failurePause));
--- a/tests/unit/StreamVersionTests.cpp
+++ b/tests/unit/StreamVersionTests.cpp
@@ -266,6 +266,20 @@
     CHECK (history.heldBack ("service", registry, now + 10s + newVersionDelay).empty());
 }
 
+TEST_CASE ("a new version gets streams at once when no replica of another one takes work")
+{
+    VersionHistory history;
+    const VersionRegistry registry { { { "service", { "v1" } } }, 1, now };
+    history.apply ({ { listed ("a", "v1") }, {} }, now);
+    history.recordGap (now);
+    history.apply ({ { listed ("b", "v2") }, {} }, now + 10s);
+    CHECK (history.heldBack ("service", registry, now + 10s).size() == 1);
+    history.apply ({ { listed ("a", "v1", true) }, {} }, now + 10s);
+    CHECK (history.heldBack ("service", registry, now + 10s).empty());
+    history.apply ({ {}, { "a" } }, now + 10s);
+    CHECK (history.heldBack ("service", registry, now + 10s).empty());
+}
+
 TEST_CASE ("a node that has just started holds back the versions that are not registered")
 {
     VersionHistory history;
