A node reads the registry of versions only when it needs it

Suspected, no run shows it: each node read the registry as it started, 300 reads at one moment beside their lists, again after every failure and every list. Change: only nodes that write it, those that list several versions, and those where a request waits for it read it. Measured: unit tests pass but for the known red one; the process tests of streams were running.

--- a/modules/snowrudder_serving/streams/ResumedStream.cpp
+++ b/modules/snowrudder_serving/streams/ResumedStream.cpp
@@ -79,7 +79,10 @@
 
     while (! request.resumedStream && BootClock::now() < registryEnd &&
            state.versions.needsRegistry (state.versionRegistry, BootClock::now()))
+    {
+        state.versionRegistry.isWanted = true;
         co_await pauseFor (state.loop, registryPollInterval);
+    }
 
     const auto continuation = decide (state, request, request.resumedStream, source);
     state.metrics
--- a/modules/snowrudder_serving/streams/VersionHistory.cpp
+++ b/modules/snowrudder_serving/streams/VersionHistory.cpp
@@ -154,6 +154,11 @@
     return held;
 }
 
+auto VersionHistory::hasSeveralVersions() const -> bool
+{
+    return std::ranges::any_of (services, [] (const auto& service) { return service.second.size() > 1; });
+}
+
 auto VersionHistory::hasChangedVersion (std::uint16_t replica, TimePoint now) const -> bool
 {
     const auto found = changed.find (replica);
--- a/modules/snowrudder_serving/streams/VersionHistory.h
+++ b/modules/snowrudder_serving/streams/VersionHistory.h
@@ -74,6 +74,9 @@
                                  const VersionRegistry& registry,
                                  TimePoint now) const -> std::vector<std::string>;
 
+    /** @returns whether any service has had more than one version. */
+    [[nodiscard]] auto hasSeveralVersions() const -> bool;
+
     /** @returns whether a replica of this name was seen with two versions, so that it isn't known which of them began a
         stream there.
     */
--- a/modules/snowrudder_serving/streams/VersionRegistry.h
+++ b/modules/snowrudder_serving/streams/VersionRegistry.h
@@ -26,6 +26,8 @@
     std::optional<TimePoint> readAt;
     /** Whether the store's item is well formed. */
     bool isValid = true;
+    /** Whether a request waits for it. */
+    bool isWanted = false;
 };
 
 /** @returns the registry as the store keeps it, JSON. */
--- a/modules/snowrudder_serving/streams/VersionRegistryLoop.cpp
+++ b/modules/snowrudder_serving/streams/VersionRegistryLoop.cpp
@@ -126,8 +126,14 @@
         if (! state.hasReplicas)
             continue;
 
+        const auto isWriter = state.storeUpdates.isReader && state.sharing.members;
+
         if (state.versions.needsRegistry (state.versionRegistry, now))
         {
+            // Hundreds of nodes that start together would read it at the same moment, and most never need it.
+            if (! isWriter && ! state.versionRegistry.isWanted && ! state.versions.hasSeveralVersions())
+                continue;
+
             if (! co_await readRegistry (state, store))
                 co_await pauseFor (state.loop, jittered (failurePause));
 
@@ -136,7 +142,7 @@
 
         const auto isListCurrent = now - directoryProvenAt (state.storeUpdates) < storeUpdateAgeLimit;
 
-        if (! state.storeUpdates.isReader || ! state.sharing.members || ! isListCurrent ||
+        if (! isWriter || ! isListCurrent ||
             ! (state.versionRegistry.isValid || state.versions.isCovered (now)))
             continue;
 
