Logs: what an answer says of its replica's leaving and rest

Change: the platform's face reads both fields; answer_stated logs them with the age of the request, leaving_unreadable and rest_unreadable what could not be read. Nothing decides by them yet. The five kinds of unreadable statements are logged by one function, with the events and fields as they were.

--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -336,36 +336,8 @@
         return makeOutcome (call, FailureCause::invalid);
     }
 
-    if (! answer.unreadableLoad.empty())
-    {
-        state.metrics.counter ("snowrudder_unreadable_loads_total").add();
-        LogLine ("load_unreadable")
-            .with ("request", request.caller.id)
-            .with ("replica", ticket.info.name)
-            .with ("load", answer.unreadableLoad)
-            .warning();
-    }
-
-    if (! answer.unreadableRateLimit.empty())
-    {
-        state.metrics.counter ("snowrudder_unreadable_rate_limits_total").add();
-        LogLine ("rate_limit_unreadable")
-            .with ("request", request.caller.id)
-            .with ("replica", ticket.info.name)
-            .with ("limit", answer.unreadableRateLimit)
-            .warning();
-    }
-
-    if (! answer.unreadableRejectionLimit.empty())
-    {
-        state.metrics.counter ("snowrudder_unreadable_rejection_limits_total").add();
-        LogLine ("rejection_limit_unreadable")
-            .with ("request", request.caller.id)
-            .with ("replica", ticket.info.name)
-            .with ("limit", answer.unreadableRejectionLimit)
-            .warning();
-    }
-
+    logUnreadable (answer);
+    logStated (answer, now);
     recordStatements (answer, ticket, now);
 
     if (answer.isAddressReassigned)
@@ -398,6 +370,44 @@
     return {};
 }
 
+auto RoutedRequestRunner::logUnreadable (const UpstreamAnswer& answer) const -> void
+{
+    const auto log = [this] (std::string_view statement, std::string_view field, const std::string& text)
+    {
+        if (text.empty())
+            return;
+
+        const std::string name (statement);
+        state.metrics.counter ("snowrudder_unreadable_" + name + "s_total").add();
+        LogLine (name + "_unreadable")
+            .with ("request", request.caller.id)
+            .with ("replica", lastReplica.name)
+            .with (field, text)
+            .warning();
+    };
+
+    log ("load", "load", answer.unreadableLoad);
+    log ("rate_limit", "limit", answer.unreadableRateLimit);
+    log ("rejection_limit", "limit", answer.unreadableRejectionLimit);
+    log ("leaving", "leaving", answer.unreadableLeaving);
+    log ("rest", "rest", answer.unreadableRest);
+}
+
+auto RoutedRequestRunner::logStated (const UpstreamAnswer& answer, TimePoint now) const -> void
+{
+    if (! answer.statesLeaving && ! answer.rest)
+        return;
+
+    LogLine ("answer_stated")
+        .with ("request", request.caller.id)
+        .with ("replica", lastReplica.name)
+        .with ("service", request.service)
+        .with ("leaving", answer.statesLeaving ? "yes" : "no")
+        .with ("rest_milliseconds", answer.rest ? inMilliseconds (*answer.rest) : -1.0)
+        .with ("sent_milliseconds", inMilliseconds (now - sentAt))
+        .info();
+}
+
 auto RoutedRequestRunner::recordStatements (const UpstreamAnswer& answer,
                                             const ReplicaTicket& ticket,
                                             TimePoint now) -> void
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -59,6 +59,9 @@
     auto recordBytes (const UpstreamCall& call) -> void;
     auto recordNewConnectionEnd (const UpstreamCall& call, const Failure& outcome) -> void;
     auto processHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
+    /** Logs what a replica states of itself and could not be read, and what it states of leaving and rest. */
+    auto logUnreadable (const UpstreamAnswer& answer) const -> void;
+    auto logStated (const UpstreamAnswer& answer, TimePoint now) const -> void;
     auto recordStatements (const UpstreamAnswer& answer, const ReplicaTicket& ticket, TimePoint now) -> void;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
     auto relayStream (UpstreamCall& call) -> Task<Failure>;
--- a/modules/snowrudder_serving/request/UpstreamProtocol.h
+++ b/modules/snowrudder_serving/request/UpstreamProtocol.h
@@ -46,6 +46,14 @@
     std::optional<double> rejectionLimit {};
     /** The stated number if it could not be read; otherwise empty. */
     std::string unreadableRejectionLimit {};
+    /** Whether the replica states that it is leaving. */
+    bool statesLeaving = false;
+    /** What it states on leaving if that could not be read; otherwise empty. */
+    std::string unreadableLeaving {};
+    /** For how long the replica, which rejects the request, asks this node for no further ones. */
+    std::optional<Duration> rest {};
+    /** The stated time if it could not be read; otherwise empty. */
+    std::string unreadableRest {};
 };
 
 /** The upstreams' protocol of a face: functions that encode and decode messages and make no decisions. */
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -329,6 +329,89 @@
     }
 }
 
+TEST_CASE ("a replica states that it is leaving by a single 1, and anything else is reported and changes nothing")
+{
+    const auto protocol = platform::upstreamProtocol();
+    const auto read = [&protocol] (unsigned status, const std::vector<std::string>& values)
+    {
+        http::response_header<> head;
+        head.result (status);
+        head.set ("X-Request-Id", "9c41");
+        head.set ("X-Response-Signature", "signed");
+
+        for (const auto& value : values)
+            head.insert ("Server-Leaving", value);
+
+        return protocol.readAnswer (head, "9c41");
+    };
+
+    for (const auto status : { 200U, 404U, 500U, 503U })
+    {
+        CHECK (read (status, { "1" }).statesLeaving);
+        CHECK (read (status, { " 1 " }).unreadableLeaving.empty());
+    }
+
+    CHECK_FALSE (read (200, {}).statesLeaving);
+    CHECK (read (200, {}).unreadableLeaving.empty());
+
+    const std::vector<std::vector<std::string>> unreadable { { "" },     { "0" },   { "2" },
+                                                             { "true" }, { "1.0" }, { "1", "1" },
+                                                             { "1, 1" }, { "-1" },  { std::string (9000, '1') } };
+
+    for (const auto& values : unreadable)
+    {
+        CHECK_FALSE (read (200, values).statesLeaving);
+        CHECK_FALSE (read (200, values).unreadableLeaving.empty());
+        CHECK (read (200, values).unreadableLeaving.size() <= 64);
+    }
+}
+
+TEST_CASE ("a replica asks for rest as it rejects a request with 503, in seconds, and anything else changes nothing")
+{
+    const auto protocol = platform::upstreamProtocol();
+    const auto read = [&protocol] (unsigned status, const std::vector<std::string>& values)
+    {
+        http::response_header<> head;
+        head.result (status);
+        head.set ("X-Request-Id", "9c41");
+        head.set ("X-Not-Executed", "1");
+
+        for (const auto& value : values)
+            head.insert ("Retry-After", value);
+
+        return protocol.readAnswer (head, "9c41");
+    };
+
+    CHECK (read (503, { "3" }).rest == Duration (3s));
+    CHECK (read (503, { " 0.25 " }).rest == Duration (250ms));
+    CHECK (read (503, { "0" }).rest == Duration (0s));
+    CHECK (read (503, { "3600" }).rest == Duration (1h));
+    CHECK_FALSE (read (503, {}).rest);
+    CHECK (read (503, {}).unreadableRest.empty());
+
+    for (const auto status : { 200U, 404U, 421U, 429U, 500U })
+    {
+        CHECK_FALSE (read (status, { "3" }).rest);
+        CHECK (read (status, { "x" }).unreadableRest.empty());
+    }
+
+    const std::vector<std::vector<std::string>> unreadable {
+        { "" },         { "-1" },
+        { "nan" },      { "inf" },
+        { "1e3" },      { "1,2" },
+        { "100000" },   { "1", "2" },
+        { "3 s" },      { "Fri, 04 Dec 2026 10:00:00 GMT" },
+        { "0x10" },     { std::string (9000, '9') }
+    };
+
+    for (const auto& values : unreadable)
+    {
+        CHECK_FALSE (read (503, values).rest);
+        CHECK_FALSE (read (503, values).unreadableRest.empty());
+        CHECK (read (503, values).unreadableRest.size() <= 64);
+    }
+}
+
 TEST_CASE ("a load's parts that can't be read leave the others valid")
 {
     const auto protocol = platform::upstreamProtocol();
