--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -233,6 +233,13 @@
         self.runs = []
         self.run_times = []
         self.rate_limit = None
+        # What it states in its answers: that it is leaving (the header's text), and the rest that it asks for in rejections.
+        self.leaving = None
+        self.rest = None
+        # Whether it rejects all requests; and the time, caller and status of each of its answers.
+        self.rejects = False
+        self.rejected = []
+        self.arrivals = []
         self.gone = threading.Event()
         self.server = Server(port, self)
 
@@ -242,10 +249,28 @@
 
     def headers(self, call):
         headers = {"X-Request-Id": call.headers["X-Request-Id"], "X-Response-Signature": f"signed-by-{self.name}"}
-        return headers if self.rate_limit is None else {**headers, "Server-Limit": str(self.rate_limit)}
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = str(self.rate_limit)
+        if self.leaving is not None:
+            headers["Server-Leaving"] = self.leaving
+        return headers
+
+    def reject(self, call):
+        """Answers 503 without running the request."""
+        headers = {"X-Request-Id": call.headers["X-Request-Id"], "X-Not-Executed": "1"}
+        if self.leaving is not None:
+            headers["Server-Leaving"] = self.leaving
+        if self.rest is not None:
+            headers["Retry-After"] = str(self.rest)
+        self.rejected.append((time.monotonic(), call.headers["X-Request-Id"], self.rest))
+        call.answer(503, {}, headers)
 
     def handle(self, call, body):
         self.seen.append((call.command, call.path, dict(call.headers.items()), body))
+        self.arrivals.append((time.monotonic(), call.headers["X-Request-Id"]))
+        if self.rejects:
+            self.reject(call)
+            return
         how = self.behave.pop(0) if self.behave else "well"
         if how == "shed":
             call.answer(503, {}, {"X-Not-Executed": "1"})
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -14,7 +14,7 @@
 from ledger import End, Ledger, Run, SentRequest, duty_breaches  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
-LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.0, "answer": 7.0, "stop": 7.0}
+LIMITS = {"revoke": 3.0, "drain": 3.0, "contact": 3.0, "answer": 7.0, "stop": 7.0, "told": 2.0, "rest": 0.5}
 
 
 class Checks(unittest.TestCase):
@@ -94,6 +94,29 @@
         self.run_at("r-9", at=23.0)
         self.assert_breach("ran 4 times more after it had ended three replicas, 4 in all")
 
+    def test_a_request_at_a_replica_that_said_that_it_leaves_counts_unless_the_node_was_interrupted(self):
+        self.ledger.told["front-0", "i-0"] = 8.0
+        self.ledger.arrivals["i-0"] = [(9.9, "r-0"), (10.05, "r-1")]
+        self.send("r-0", began=9.9)
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+        self.send(began=10.01)
+        self.assert_breach("after front-0 passed on that it leaves")
+        self.ledger.disturbed["front-0"].append([9.0, 9.5])
+        self.assert_breach("after front-0 passed on that it leaves")
+        self.ledger.interrupted["front-0"].append([9.0, 9.5])
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+
+    def test_more_than_two_requests_in_a_rest(self):
+        for number in range(4):
+            self.send(f"r-{number}", began=10.0 + number)
+            self.ledger.arrivals["i-0"].append((10.0 + number, f"r-{number}"))
+        self.ledger.rests = [("i-0", "r-0", 10.0, 2.5)]
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+        self.ledger.rests = [("i-0", "r-0", 10.0, 3.5)]
+        self.assert_breach("in a rest of 3.5 s")
+        self.ledger.disturbed["front-0"].append([11.0, 11.5])
+        self.assertEqual(self.ledger.breaches(LIMITS), [])
+
     def test_duties_done_twice_or_out_of_turn(self):
         twice = [(1.0, "/usage", "a", 5, {"window_id": 1, "counts": {"x": 1}}),
                  (2.0, "/usage", "a", 5, {"window_id": 1, "counts": {"x": 2}})]
@@ -155,6 +178,12 @@
             self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
             shutil.rmtree(folder)
 
+    def test_runs_in_which_replicas_state_leaving_and_rest_keep_every_promise(self):
+        for seed in (8, 9):
+            broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=5, callers=8, statements=True)
+            self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
+            shutil.rmtree(folder)
+
     def test_runs_in_which_vms_are_suspended_keep_every_promise(self):
         for seed in (5, 6):
             broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=4, callers=8, suspensions=True)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -59,6 +59,14 @@
         self.revoked = {}
         self.leaving_since = {}
         self.disturbed = collections.defaultdict(list)
+        self.interrupted = collections.defaultdict(list)
+        """Times in which a node's process was ended, restarted, frozen or suspended."""
+        self.told = {}
+        """When a node first passed on an answer of a replica which says that it leaves, by node and replica."""
+        self.rests = []
+        """Requests for rest: replica, the request that was rejected, when, and for how long."""
+        self.arrivals = collections.defaultdict(list)
+        """Times and requests that reached a replica, rejected or not."""
         self.resumed_at = {}
         self.ends = []
         self.crashes = collections.defaultdict(list)
@@ -77,18 +85,39 @@
         with self.lock:
             self.runs.append(run)
 
-    @contextlib.contextmanager
     def disturbance(self, nodes, after=0.0):
         """Marks nodes as disturbed by a fault during the context and for `after` seconds more."""
+        return self.span(self.disturbed, nodes, after)
+
+    def interruption(self, nodes):
+        """Marks nodes whose processes are ended, restarted, frozen or suspended during the context."""
+        return self.span(self.interrupted, nodes, 0.0)
+
+    @contextlib.contextmanager
+    def span(self, spans, nodes, after):
         span = [time.monotonic(), float("inf")]
         with self.lock:
             for node in nodes:
-                self.disturbed[node].append(span)
+                spans[node].append(span)
         try:
             yield
         finally:
             span[1] = time.monotonic() + after
 
+    def record_told(self, node, replica):
+        with self.lock:
+            self.told.setdefault((node, replica), time.monotonic())
+
+    def record_arrival(self, replica, request, rest=None):
+        """`rest`: seconds, if the replica rejects the request and asks for rest"""
+        with self.lock:
+            self.arrivals[replica].append((time.monotonic(), request))
+            if rest is not None:
+                self.rests.append((replica, request, time.monotonic(), rest))
+
+    def is_uninterrupted(self, node, since, until):
+        return all(ended < since or began > until for began, ended in self.interrupted[node])
+
     def is_undisturbed(self, node, began, ended, contact):
         """Whether no fault disturbed a node from `contact` seconds before `began` until `ended`."""
         return all(until + contact < began or since > ended for since, until in self.disturbed[node])
@@ -106,8 +135,30 @@
         for body, crashes in self.crashes.items():
             found += self.check_crashes(body, sorted(crashes), limits)
         found += self.check_streams(runs)
+        found += self.check_told(limits)
+        found += self.check_rests(limits)
         return found
 
+    def check_told(self, limits):
+        """A node that passed on that a replica leaves sends it no request that its caller sends later than the limit. Only what
+        interrupts the node's process excuses it."""
+        for (node, replica), told in self.told.items():
+            for at, id in self.arrivals[replica]:
+                request = self.sent.get(id)
+                if request is None or request.node != node or request.began <= told + limits["told"]:
+                    continue
+                if self.is_uninterrupted(node, told, at):
+                    yield f"{id} reached {replica} {at - told:.1f} s after {node} passed on that it leaves"
+
+    def check_rests(self, limits):
+        """At most two requests of a node reach a replica in a rest. What interrupts or cuts off the node excuses it."""
+        for replica, rejected, asked, rest in self.rests:
+            node = self.sent[rejected].node if rejected in self.sent else ""
+            late = [id for at, id in self.arrivals[replica] if asked + limits["rest"] < at < asked + rest
+                    and id in self.sent and self.sent[id].node == node]
+            if len(late) > 2 and self.is_undisturbed(node, asked, asked + rest, 0.0):
+                yield f"{len(late)} requests of {node} reached {replica} in a rest of {rest} s: {late[:5]}"
+
     def check_streams(self, runs):
         """The events of a stream are of one software version, within an answer and over all requests that take it up."""
         versions = collections.defaultdict(dict)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
     python3 tests/soak/soak.py --seed 100 --count 50       fifty seeds, one after the other
     python3 tests/soak/soak.py --regressions               the seeds in regressions.txt, which have failed before
     python3 tests/soak/soak.py --seed 100 --suspensions    suspends VMs besides
+    python3 tests/soak/soak.py --seed 100 --statements     replicas say in answers that they leave, or ask for rest, besides
 
 A seed always gives the same faults at the same times; the timing of the processes is not deterministic. The folder of a
 failed run, which has the nodes' logs, is kept and its path is printed.
@@ -26,7 +27,7 @@
 
 # In seconds. The nodes' setting for revoked keys is 2.5; the others are the platform's limits for a small site. Those for an
 # answer and a stop have a margin for a busy host.
-LIMITS = {"revoke": 2.5, "drain": 3.0, "contact": 3.0, "answer": 7.0, "stop": 7.0}
+LIMITS = {"revoke": 2.5, "drain": 3.0, "contact": 3.0, "answer": 7.0, "stop": 7.0, "told": 2.0, "rest": 0.5}
 RESUME_GRACE = 0.3
 
 # Seconds from the start of one suspension to the start of the next, and how long one lasts. Some outlast all leases.
@@ -35,6 +36,11 @@
 HERD_SHARE = 0.3
 """Share of the suspensions that are of all nodes which no other fault uses."""
 
+# Seconds from one replica's statement to the next, how long a replica rejects, and the rest that it asks for.
+STATEMENT_GAP = (0.4, 2.0)
+REJECTION_TIME = (0.05, 0.6)
+REST_TIME = (0.3, 2.0)
+
 OUTAGES = ("silent", "busy")
 REPLICA_TROUBLES = ("cut", "fail", "shed", "surplus", "break", "slow")
 
@@ -75,7 +81,7 @@
         node = self.claim_node(draw)
         if node is None:
             return
-        with self.world.ledger.disturbance([node.name]):
+        with self.world.ledger.disturbance([node.name]), self.world.ledger.interruption([node.name]):
             act(node)
         self.busy_nodes.discard(node)
 
@@ -102,6 +108,29 @@
             self.running_threads[-1].start()
             time.sleep(draw.uniform(*SUSPENSION_GAP))
 
+    def state(self, end, draw):
+        """Lets replicas say in answers that they leave, or reject and ask for rest, until a time. The faults of a seed stay the
+        same without it."""
+        while time.monotonic() < end:
+            fault = draw.choice((self.leaving_stated, self.rest_asked))
+            self.running_threads.append(threading.Thread(target=fault, args=(random.Random(draw.random()),), daemon=True))
+            self.running_threads[-1].start()
+            time.sleep(draw.uniform(*STATEMENT_GAP))
+
+    def leaving_stated(self, draw):
+        if len(self.world.replicas) > 2:
+            self.world.state_leaving(draw.choice(list(self.world.replicas)), draw.random() < 0.5)
+
+    def rest_asked(self, draw):
+        """One replica, some or all reject for a while."""
+        replicas = list(self.world.replicas.values())
+        resting = draw.sample(replicas, draw.choice((1, draw.randint(1, len(replicas)), len(replicas)))) if replicas else []
+        for replica in resting:
+            replica.rest, replica.rejects = round(draw.uniform(*REST_TIME), 3), True
+        time.sleep(draw.uniform(*REJECTION_TIME))
+        for replica in resting:
+            replica.rejects = False
+
     def node_suspended(self, seconds, draw):
         def act(node):
             node.suspend()
@@ -112,7 +141,8 @@
     def herd_suspended(self, seconds, draw):
         herd = [node for node in self.world.nodes if node not in self.busy_nodes]
         self.busy_nodes.update(herd)
-        with self.world.ledger.disturbance([node.name for node in herd]):
+        names = [node.name for node in herd]
+        with self.world.ledger.disturbance(names), self.world.ledger.interruption(names):
             for node in herd:
                 node.suspend()
             time.sleep(seconds)
@@ -201,10 +231,11 @@
         self.world.revoke(draw.choice(list(self.world.keys)))
 
 
-def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False):
+def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False, statements=False):
     """Runs one seed; returns the broken guarantees and the folder of the logs.
 
-    `suspensions`: whether VMs are suspended besides the seed's other faults"""
+    `suspensions`: whether VMs are suspended besides the seed's other faults
+    `statements`: whether replicas say in answers that they leave, or ask for rest, besides"""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"snowrudder-soak-{seed}-"))
     world = World(seed, folder, nodes, replicas, callers, suspensions)
     draw = random.Random(seed)
@@ -216,11 +247,16 @@
         if suspensions:
             suspender = threading.Thread(target=faults.suspend_nodes, args=(began + seconds, random.Random(f"{seed} suspensions")))
             suspender.start()
+        if statements:
+            stating = threading.Thread(target=faults.state, args=(began + seconds, random.Random(f"{seed} statements")))
+            stating.start()
         while time.monotonic() - began < seconds:
             time.sleep(draw.uniform(0.3, 1.5))
             injected.append(f"{time.monotonic() - began:6.1f} {faults.inject()}")
         if suspensions:
             suspender.join()
+        if statements:
+            stating.join()
         faults.wait()
         world.heal()
         time.sleep(LIMITS["contact"])
@@ -234,7 +270,8 @@
     resumed = [request for request in world.ledger.sent.values() if request.stream]
     print(f"seed {seed}: {len(injected)} faults, {len(world.ledger.sent)} requests, {served} served, "
           f"{sum(bool(request.signed_by) for request in resumed)} of {len(resumed)} streams taken up, "
-          f"{sum(map(len, world.ledger.crashes.values()))} crashes, {len(broken)} broken", flush=True)
+          f"{sum(map(len, world.ledger.crashes.values()))} crashes, {len(world.ledger.told)} told of leaving, "
+          f"{len(world.ledger.rests)} asked for rest, {len(broken)} broken", flush=True)
     return broken, folder
 
 
@@ -254,13 +291,16 @@
     options.add_argument("--callers", type=int, default=12)
     options.add_argument("--regressions", action="store_true", help="plays the seeds of regressions.txt")
     options.add_argument("--suspensions", action="store_true", help="suspends VMs besides the seed's other faults")
+    options.add_argument("--statements", action="store_true",
+                         help="replicas say in answers that they leave, or ask for rest, besides the seed's other faults")
     given = options.parse_args()
     seeds = range(given.seed, given.seed + given.count)
     if given.regressions:
         seeds = regressions()
     failed = 0
     for seed in seeds:
-        broken, folder = run_seed(seed, given.seconds, given.nodes, given.replicas, given.callers, given.suspensions)
+        broken, folder = run_seed(seed, given.seconds, given.nodes, given.replicas, given.callers, given.suspensions,
+                                  given.statements)
         failed += bool(broken)
         for line in broken[:10]:
             print(f"  {line}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -48,8 +48,13 @@
         self.connections.add(call.connection)
         super().handle(call, body)
 
+    def reject(self, call):
+        self.ledger.record_arrival(self.name, call.headers["X-Request-Id"], self.rest)
+        super().reject(call)
+
     def note_run(self, call):
         super().note_run(call)
+        self.ledger.record_arrival(self.name, call.headers["X-Request-Id"])
         self.ledger.record_run(Run(call.headers["X-Request-Id"], self.name, call.headers["X-Tenant"], time.monotonic()))
         body = self.seen[-1][3].decode()
         if body.startswith(FATAL):
@@ -134,6 +139,25 @@
 
         threading.Thread(target=end, daemon=True).start()
 
+    def state_leaving(self, name, stays_listed):
+        """Lets a replica say in its answers that it leaves, while the store lists it as ready, or no more and then again. Another
+        one starts; the replica keeps serving for 6 s."""
+        replica = self.replicas.pop(name)
+        replica.leaving = "1"
+        self.add_replica()
+
+        def end():
+            for _ in range(6):
+                time.sleep(1)
+                if not stays_listed:
+                    self.store.remove(f"servers/{name}")
+                self.enter(replica)
+            self.store.remove(f"servers/{name}")
+            replica.server.shutdown()
+            replica.server.server_close()
+
+        threading.Thread(target=end, daemon=True).start()
+
     def crash(self, replica, body):
         """Closes a replica's connections at once. Another one replaces it later, and then its entry is removed."""
         if self.replicas.pop(replica.name, None) is None:
@@ -239,6 +263,8 @@
             answer = connection.getresponse()
             body = answer.read()
             request.status = answer.status
+            if answer.getheader("Server-Leaving") == "1":
+                self.ledger.record_told(node.name, (answer.getheader("X-Response-Signature") or "").removeprefix("signed-by-"))
             request.fault = self.find_fault(request, answer, body)
             request.keeps_connection = not answer.will_close
         except (OSError, http.client.HTTPException) as error:
