DRAIN: replicas that say in answers that they leave get no more requests

Cause: nothing read the field; only the store's entry counted, and that came 12 s late or never in an outage. Change: what an answer shows of leaving is kept by incarnation in the directory, beside the store's entry, beyond its lapses and lists, and read by choice, orders, roll-outs, versions and path checks alike; 421 is recorded the same way (the table had a mark that only the choice saw). It is checked once more right before the send. Nodes tell each other, three times, unless the store says it within 150 ms. Where all replicas leave, the refusal names when ordered ones are expected, at least 1 s. Tests: StaleEntryTests and ReplicaTableTests marked a replica as leaving by a function that is gone; they list it as leaving now. retryDelay() was limitedRetryDelay().

--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/** The least delay after which callers return while all replicas leave: others should have started, or may at any time. */
+constexpr auto minStartDelay = Duration (1s);
+
 /** The replica's name, its VM, its address and its start time identify one incarnation. */
 auto isSameIncarnation (const ReplicaInfo& first, const ReplicaInfo& second) -> bool
 {
@@ -523,32 +526,50 @@
     return hasFull;
 }
 
-auto ReplicaTable::limitedRetryDelay (const std::string& service, TimePoint now) const
-    -> std::optional<Duration>
+auto ReplicaTable::retryDelay (const std::string& service,
+                               std::optional<Duration> startTime,
+                               TimePoint now) const -> std::optional<Duration>
 {
     const std::lock_guard lock (mutex);
     const auto found = services.find (service);
-    auto perSecond = 0.0;
 
     if (found == services.end())
-        return {};
+        return startTime;
+
+    std::optional<Duration> earliest;
+    const auto consider = [&earliest] (Duration delay)
+    { earliest = std::min (earliest.value_or (delay), std::max (delay, Duration::zero())); };
+    auto perSecond = 0.0;
 
     for (const auto& replica : found->second)
-        if (availabilityOf (replica, now) == ReplicaAvailability::limited)
-            perSecond += appliedLimit (replica.rateLimit->perSecond);
+        switch (availabilityOf (replica, now))
+        {
+            case ReplicaAvailability::limited:
+                perSecond += appliedLimit (replica.rateLimit->perSecond);
+                break;
+            case ReplicaAvailability::leaving:
+                consider (std::max (*replica.leavingSince + startTime.value_or (minStartDelay) - now,
+                                    minStartDelay));
+                break;
+            case ReplicaAvailability::usable:
+            case ReplicaAvailability::full:
+            // Another router may reach it.
+            case ReplicaAvailability::suspended:
+            case ReplicaAvailability::ended:
+                return {};
+        }
 
-    if (perSecond <= 0.0)
-        return {};
+    if (perSecond > 0.0)
+        consider (std::chrono::duration_cast<Duration> (std::chrono::duration<double> (1.0 / perSecond)));
 
-    return std::chrono::duration_cast<Duration> (std::chrono::duration<double> (1.0 / perSecond));
+    return earliest;
 }
 
-auto ReplicaTable::markLeaving (ReplicaNumber number, TimePoint now) -> void
+auto ReplicaTable::isWithdrawn (ReplicaNumber number, TimePoint now) const -> bool
 {
     const std::lock_guard lock (mutex);
-
-    if (auto* replica = find (number); replica != nullptr && ! replica->leavingSince)
-        replica->leavingSince = now;
+    const auto* replica = find (number);
+    return replica != nullptr && availabilityOf (*replica, now) == ReplicaAvailability::leaving;
 }
 
 auto ReplicaTable::markEnded (std::uint64_t incarnation, TimePoint at) -> void
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -170,11 +170,14 @@
                                          const std::vector<ReplicaNumber>& tried,
                                          TimePoint now) const -> bool;
 
-    /** @returns when a replica of the service takes a request from any router again, at the rate of their stated limits,
-        or nothing where none is unavailable because of its limit.
+    /** @returns when a replica of the service is expected to take a request again, or nothing where one may do so at any
+        moment, at least for another router.
+
+        @param startTime  how long a replica takes to start that is ordered for one that leaves, if any is
     */
-    [[nodiscard]] auto limitedRetryDelay (const std::string& service, TimePoint now) const
-        -> std::optional<Duration>;
+    [[nodiscard]] auto retryDelay (const std::string& service,
+                                   std::optional<Duration> startTime,
+                                   TimePoint now) const -> std::optional<Duration>;
 
     /** Records a prompt that another router has just sent to a replica.
 
@@ -183,8 +186,8 @@
     */
     auto recordAnnouncedPrompt (std::uint32_t hash, double tokens, TimePoint now) -> void;
 
-    /** Marks a replica as leaving: it gets no new requests from now on. */
-    auto markLeaving (ReplicaNumber number, TimePoint now) -> void;
+    /** @returns whether a replica that was chosen for a request is to get none any more. */
+    [[nodiscard]] auto isWithdrawn (ReplicaNumber number, TimePoint now) const -> bool;
 
     /** Marks an incarnation of a replica as ended. It gets no requests until its entry has had time to expire, unless a
         later load report shows that it is alive.
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
@@ -54,7 +54,7 @@
 */
 auto isDroppedWhenMissing (ReplicaDirectory& directory, DirectoryEntry& entry, TimePoint now) -> bool
 {
-    if (now < directory.keepMissingUntil && ! entry.isLeaving)
+    if (now < directory.keepMissingUntil && ! leaves (entry))
     {
         entry.isMissing = true;
         return false;
@@ -122,6 +122,7 @@
 auto mergeEntry (ReplicaDirectory& directory, DirectoryEntry entry, bool isLogged) -> void
 {
     const auto known = directory.entries.find (entry.key);
+    entry.isShownLeaving = directory.shownLeaving.contains (incarnationHash (entry.info));
 
     // The entry had expired and was written again.
     if (const auto removal = directory.removals.find (entry.key);
@@ -419,6 +420,44 @@
     return ! changes.removed.empty() || ! changes.entries.empty() || ! changes.known.empty();
 }
 
+auto recordShownLeaving (ReplicaDirectory& directory, std::uint64_t incarnation, TimePoint now) -> bool
+{
+    const auto [known, isNew] = directory.shownLeaving.insert_or_assign (incarnation, now);
+
+    if (! isNew)
+        return false;
+
+    std::set<std::uint64_t> listed;
+
+    for (auto& [key, entry] : directory.entries)
+    {
+        const auto other = incarnationHash (entry.info);
+        listed.insert (other);
+
+        if (other != incarnation)
+            continue;
+
+        entry.isShownLeaving = true;
+        directory.unlistedChanges[key] = entry.info.name;
+    }
+
+    std::erase_if (directory.shownLeaving,
+                   [&] (const auto& shown) {
+                       return now - shown.second > ReplicaDirectory::shownLeavingKept &&
+                              ! listed.contains (shown.first);
+                   });
+    return true;
+}
+
+auto nameOf (const ReplicaDirectory& directory, std::uint64_t incarnation) -> std::string
+{
+    for (const auto& [key, entry] : directory.entries)
+        if (incarnationHash (entry.info) == incarnation)
+            return entry.info.name;
+
+    return {};
+}
+
 auto dropMissing (ReplicaDirectory& directory, TimePoint now) -> bool
 {
     if (now < directory.keepMissingUntil)
@@ -443,7 +482,7 @@
 
     for (const auto& [key, name] : std::exchange (directory.unlistedChanges, {}))
         if (const auto found = directory.entries.find (key); found != directory.entries.end())
-            changes.changed.push_back ({ found->second.info, found->second.isLeaving });
+            changes.changed.push_back ({ found->second.info, leaves (found->second) });
         else
             changes.removed.push_back (name);
 
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.h
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.h
@@ -19,7 +19,10 @@
     /** The key of the item, which is different for each incarnation of a replica. */
     std::string key;
     ReplicaInfo info;
+    /** Whether the store says that it is leaving. */
     bool isLeaving = false;
+    /** Whether an answer showed that it is leaving; see recordShownLeaving(). It isn't part of the store's entry. */
+    bool isShownLeaving = false;
     /** Whether the platform may reclaim it at short notice. */
     bool isReclaimable = false;
     /** The store's revision of the entry. */
@@ -33,6 +36,12 @@
     bool isMissing = false;
 };
 
+/** @returns whether a replica gets no new requests and doesn't count as one that serves. */
+inline auto leaves (const DirectoryEntry& entry) -> bool
+{
+    return entry.isLeaving || entry.isShownLeaving;
+}
+
 /** The removal of an entry. */
 struct EntryRemoval
 {
@@ -65,6 +74,10 @@
     std::map<std::string, std::string> unlistedChanges;
     /** `removals` contains all removals after this revision. */
     std::uint64_t removalsCompleteAfter = 0;
+    /** When answers last showed that incarnations are leaving, by incarnationHash(). It outlives their entries, which may
+        lapse and be written again.
+    */
+    std::map<std::uint64_t, TimePoint> shownLeaving;
     /** Number of lists that contained changes which earlier watches should have returned but did not. */
     std::uint64_t missedChanges = 0;
 
@@ -72,6 +85,11 @@
         number of removals instead of a time would be used up at once when a service of thousands of replicas shrinks.
     */
     static constexpr auto removalsKept = Duration (20s);
+
+    /** How long it is known of an incarnation without an entry that it is leaving. An entry that lapsed in an outage of the
+        store is written again within seconds of its return.
+    */
+    static constexpr auto shownLeavingKept = Duration (10min);
 };
 
 /** An entry that the store no longer has, or that can't be parsed. */
@@ -157,6 +175,17 @@
 */
 auto applyChanges (ReplicaDirectory& directory, DirectoryChanges changes, TimePoint now) -> bool;
 
+/** Records that an answer showed that an incarnation of a replica is leaving: its own statement, or that another replica
+    has its address. This holds until the incarnation ends, whatever the store says of it.
+
+    @param incarnation  from incarnationHash()
+    @returns            whether this was not known
+*/
+auto recordShownLeaving (ReplicaDirectory& directory, std::uint64_t incarnation, TimePoint now) -> bool;
+
+/** @returns the name of the replica with an incarnation; empty if it has no entry. */
+auto nameOf (const ReplicaDirectory& directory, std::uint64_t incarnation) -> std::string;
+
 /** Removes the entries that are still missing after `keepMissingUntil`.
 
     @returns whether there were any
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -47,7 +47,7 @@
 
     for (const auto& [key, entry] : directory.entries)
     {
-        if (entry.info.service != service || entry.isLeaving)
+        if (entry.info.service != service || leaves (entry))
             continue;
 
         auto& ofDomain = serving[entry.info.failureDomain];
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -247,6 +247,14 @@
     write (notice.loads, *message.mutable_loads());
 }
 
+auto write (const LeavingNotice& notice, schema::LeavingNotice& message) -> void
+{
+    message.set_node (notice.node);
+
+    for (const auto incarnation : notice.incarnations)
+        message.add_incarnations (incarnation);
+}
+
 auto write (const PromptNotice& notice, schema::PromptNotice& message) -> void
 {
     message.set_node (notice.node);
@@ -645,6 +653,12 @@
     return moveHalf (notice.evidence, second.evidence);
 }
 
+auto split (LeavingNotice& notice, LeavingNotice& second) -> bool
+{
+    second.node = notice.node;
+    return moveHalf (notice.incarnations, second.incarnations);
+}
+
 auto split (LoadNotice& notice, LoadNotice& second) -> bool
 {
     second.node = notice.node;
@@ -731,6 +745,8 @@
         write (*usage, *datagram.mutable_usage());
     else if (const auto* crashes = std::get_if<CrashNotice> (&message))
         write (*crashes, now, *datagram.mutable_crashes());
+    else if (const auto* leaving = std::get_if<LeavingNotice> (&message))
+        write (*leaving, *datagram.mutable_leaving());
     else if (const auto* configurationQuery = std::get_if<ConfigurationQuery> (&message))
         write (*configurationQuery, *datagram.mutable_configuration_question());
     else if (const auto* part = std::get_if<ConfigurationPart> (&message))
@@ -792,6 +808,11 @@
     if (message.has_crashes() && ! message.crashes().node().empty())
         return read (message.crashes(), now);
 
+    if (message.has_leaving() && ! message.leaving().node().empty())
+        return LeavingNotice { message.leaving().node(),
+                               { message.leaving().incarnations().begin(),
+                                 message.leaving().incarnations().end() } };
+
     if (message.has_configuration_question() && ! message.configuration_question().node().empty())
         return read (message.configuration_question());
 
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -2,6 +2,7 @@
 
 #include "../configuration/ConfigurationTransfer.h"
 #include "CrashNotice.h"
+#include "LeavingNotice.h"
 #include "PeerReport.h"
 #include "StoreUpdates.h"
 #include "UsageNotice.h"
@@ -28,6 +29,7 @@
                                  PromptNotice,
                                  UsageNotice,
                                  CrashNotice,
+                                 LeavingNotice,
                                  ConfigurationQuery,
                                  ConfigurationPart>;
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -27,12 +27,12 @@
 /** The interval between notices of new crash evidence. New evidence is sent at once and then twice more, since it must
     reach all nodes before a request is stopped, even if datagrams are lost.
 */
-constexpr auto crashInterval = 60ms;
+constexpr auto newsInterval = 60ms;
 
-/** How long crashLoop() waits for a signal at most. A success that clears a request sends no signal, and so is
+/** How long newsLoop() waits for a signal at most. A success that clears a request sends no signal, and so is
     announced within this time.
 */
-constexpr auto idleCrashWait = 200ms;
+constexpr auto idleNewsWait = 200ms;
 
 /** The least time between two notices of all crash evidence that are sent to nodes with other evidence. */
 constexpr auto allCrashesInterval = Duration (100ms);
@@ -60,9 +60,9 @@
                       [this] (const std::string& datagram, const Endpoint& target)
                       { send (datagram, target); }),
       incarnation (static_cast<std::uint64_t> (wallTimeNow().time_since_epoch().count())),
-      crashWake (std::make_shared<Signal> (servingState.loop.get_executor()))
+      newsWake (std::make_shared<Signal> (servingState.loop.get_executor()))
 {
-    state.crashes.onNewEvidence = [wake = crashWake] { wake->notify(); };
+    state.crashes.onNewEvidence = [wake = newsWake] { wake->notify(); };
     state.crashes.evidence().isTrialNode = [this] (std::uint64_t part)
     {
         const auto fleet = state.fleetPosition();
@@ -91,7 +91,7 @@
     asio::co_spawn (state.loop, storeUpdateLoop(), asio::detached);
     asio::co_spawn (state.loop, configurationLoop(), asio::detached);
     asio::co_spawn (state.loop, usageLoop(), asio::detached);
-    asio::co_spawn (state.loop, crashLoop(), asio::detached);
+    asio::co_spawn (state.loop, newsLoop(), asio::detached);
     return {};
 }
 
@@ -148,6 +148,8 @@
         else if (const auto* crashes = std::get_if<CrashNotice> (&*message))
             state.crashes.receiveEvidence (crashes->evidence, crashes->node,
                                            state.role() == ReportRole::reader, BootClock::now());
+        else if (const auto* leaving = std::get_if<LeavingNotice> (&*message))
+            handle (*leaving);
         else if (const auto* asked = std::get_if<ConfigurationQuery> (&*message))
             sendTo ({ sender }, answerConfigurationQuery (state.sending, state.configuration, *asked, sender,
                                                           state.settings.node, BootClock::now()));
@@ -253,6 +255,23 @@
         state.rollouts.merge (rollout, notice.node);
 }
 
+auto PeerExchange::handle (const LeavingNotice& notice) -> void
+{
+    const auto now = BootClock::now();
+    const auto shouldForward = state.role() == ReportRole::reader;
+    auto hasNews = false;
+
+    for (const auto leaving : notice.incarnations)
+        if (state.showLeaving (leaving, "node", notice.node, now) && shouldForward)
+        {
+            addLeavingNews (state.leavingNews, leaving, true, now);
+            hasNews = true;
+        }
+
+    if (hasNews)
+        newsWake->notify();
+}
+
 auto PeerExchange::handle (StoreUpdateResponse response, const Endpoint& sender) -> void
 {
     const auto now = BootClock::now();
@@ -458,14 +477,14 @@
         sendToCollectors (notice);
 }
 
-auto PeerExchange::crashLoop() -> Task<void>
+auto PeerExchange::newsLoop() -> Task<void>
 {
     std::vector<Endpoint> knownRecipients;
 
     for (;;)
     {
         // Sends all evidence to nodes that weren't listed yet when it was first sent.
-        auto recipients = hasPeers() ? crashRecipients() : std::vector<Endpoint>();
+        auto recipients = hasPeers() ? newsRecipients() : std::vector<Endpoint>();
 
         std::vector<Endpoint> newRecipients;
 
@@ -474,15 +493,23 @@
                 newRecipients.push_back (recipient);
 
         if (! newRecipients.empty())
+        {
             if (const auto notice = allCrashes (state, BootClock::now()); ! notice.evidence.empty())
                 sendTo (newRecipients, notice);
 
+            if (const LeavingNotice notice { state.settings.node, allLeavingNews (state.directory) };
+                ! notice.incarnations.empty())
+                sendTo (newRecipients, notice);
+        }
+
         knownRecipients = std::move (recipients);
+        const auto hasSentCrashes = hasPeers() && sendNewCrashes();
+        const auto hasSentLeaving = hasPeers() && sendLeavingNews (BootClock::now());
 
-        if (! hasPeers() || ! sendNewCrashes())
-            co_await crashWake->wait (BootClock::now() + idleCrashWait);
+        if (hasSentCrashes || hasSentLeaving)
+            co_await pauseFor (state.loop, newsInterval);
         else
-            co_await pauseFor (state.loop, crashInterval);
+            co_await newsWake->wait (BootClock::now() + idleNewsWait);
     }
 }
 
@@ -493,7 +520,19 @@
     if (notice.evidence.empty())
         return false;
 
-    sendTo (crashRecipients(), notice);
+    sendTo (newsRecipients(), notice);
+    return true;
+}
+
+auto PeerExchange::sendLeavingNews (TimePoint now) -> bool
+{
+    const LeavingNotice notice { state.settings.node,
+                                 takeLeavingNews (state.leavingNews, state.directory, now) };
+
+    if (notice.incarnations.empty())
+        return false;
+
+    sendTo (newsRecipients(), notice);
     return true;
 }
 
@@ -511,7 +550,7 @@
     sendTo ({ target }, notice);
 }
 
-auto PeerExchange::crashRecipients() const -> std::vector<Endpoint>
+auto PeerExchange::newsRecipients() const -> std::vector<Endpoint>
 {
     switch (state.role())
     {
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -51,6 +51,7 @@
     auto respond (const StoreUpdateQuery& query, const Endpoint& sender) -> void;
     auto handle (StoreUpdateResponse response, const Endpoint& sender) -> void;
     auto handle (const LoadNotice& notice) -> void;
+    auto handle (const LeavingNotice& notice) -> void;
     auto handle (ConfigurationPart part, const Endpoint& sender) -> void;
     auto configurationLoop() -> Task<void>;
     auto queryConfiguration (TimePoint now) -> void;
@@ -60,10 +61,11 @@
     auto usageLoop() -> Task<void>;
     auto sendUsage (TimePoint now) -> void;
     auto sendRolloutCounts() -> void;
-    auto crashLoop() -> Task<void>;
+    auto newsLoop() -> Task<void>;
     auto sendNewCrashes() -> bool;
+    auto sendLeavingNews (TimePoint now) -> bool;
     auto sendAllCrashes (const Endpoint& target, TimePoint now) -> void;
-    [[nodiscard]] auto crashRecipients() const -> std::vector<Endpoint>;
+    [[nodiscard]] auto newsRecipients() const -> std::vector<Endpoint>;
     auto recordLoads (const std::vector<SharedLoad>& loads, bool shouldForward) -> void;
     auto sendLoads (TimePoint now) -> void;
     auto send (const std::string& datagram, const Endpoint& target) -> void;
@@ -92,8 +94,8 @@
     bool hasSentFirstReport = false;
     /** Whether this node reported directly to all others in the last round. */
     bool wasDirect = true;
-    /** Wakes crashLoop() when there is new crash evidence. */
-    std::shared_ptr<Signal> crashWake;
+    /** Wakes newsLoop() when there is new crash evidence, or another node's news of a replica that is leaving. */
+    std::shared_ptr<Signal> newsWake;
     TimePoint allCrashesSentAt = longAgo;
     ReportRoute route;
     PromptBudget promptBudget;
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -10,6 +10,7 @@
 #include "../duties/UsageCollector.h"
 #include "../duties/UsageWindows.h"
 #include "../limits/QuotaSharing.h"
+#include "../members/LeavingNotice.h"
 #include "../members/PeerTable.h"
 #include "../members/ReportRole.h"
 #include "../members/StoreUpdates.h"
@@ -97,6 +98,29 @@
         replicas.applyChanges (changes.changed, changes.removed, now);
     }
 
+    /** Records that an answer showed to this node or another one that a replica is leaving, so that it gets no more requests.
+
+        @param source  how it is known, for the log
+        @param by      the request whose answer showed it, or the node that told it, for the log
+        @returns       whether this was not known
+    */
+    auto showLeaving (std::uint64_t incarnation, std::string_view source, std::string_view by, TimePoint now)
+        -> bool
+    {
+        if (! recordShownLeaving (directory, incarnation, now))
+            return false;
+
+        metrics.counter ("snowrudder_replicas_shown_leaving_total").add();
+        LogLine ("replica_shown_leaving")
+            .with ("replica", nameOf (directory, incarnation))
+            .with ("incarnation", incarnation)
+            .with ("source", source)
+            .with ("by", by)
+            .info();
+        publishDirectory (now);
+        return true;
+    }
+
     /** @returns the number of nodes that share limits and replicas, including this one. */
     [[nodiscard]] auto nodeCount (TimePoint now) const -> std::size_t
     {
@@ -219,6 +243,7 @@
     /** Whether this node collects the reports, usage and crash evidence of its failure domain; see Readers.h. */
     bool isCollector = true;
     SharedLoads loads;
+    LeavingNews leavingNews;
     ReplicaPaths paths;
     RelayNodes relays;
     DirectAttempts directAttempts;
--- a/modules/snowrudder_serving/paths/PathMonitor.cpp
+++ b/modules/snowrudder_serving/paths/PathMonitor.cpp
@@ -76,7 +76,7 @@
     std::vector<std::string> others;
 
     for (const auto& [key, entry] : state.directory.entries)
-        if (! entry.isLeaving && entry.info.name != replica)
+        if (! leaves (entry) && entry.info.name != replica)
             (entry.info.service == service ? sameService : others).push_back (entry.info.endpoint);
 
     return sameService.empty() ? others : sameService;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -243,6 +243,10 @@
     if (auto failure = co_await connect (call))
         co_return failure;
 
+    // While the connection was made, other answers may have shown that the replica is to get no request.
+    if (state.replicas.isWithdrawn (ticket.number, BootClock::now()))
+        co_return AttemptOutcome { CallStage::notSent, FailureCause::moved };
+
     auto& message = request.caller.message;
     state.protocol.setFields (message, attemptFields (ticket));
     sentAt = BootClock::now();
@@ -339,9 +343,7 @@
     logUnreadable (answer);
     logStated (answer, now);
     recordStatements (answer, ticket, now);
-
-    if (answer.isAddressReassigned)
-        state.replicas.markLeaving (ticket.number, now);
+    recordLeaving (answer, now);
 
     if (answer.wasNotRun)
         return makeOutcome (call,
@@ -408,6 +410,17 @@
         .info();
 }
 
+auto RoutedRequestRunner::recordLeaving (const UpstreamAnswer& answer, TimePoint now) -> void
+{
+    const auto incarnation = incarnationHash (lastReplica);
+
+    // The answer is that of another replica, which says nothing of this one but that it has its address.
+    if (answer.isAddressReassigned)
+        state.showLeaving (incarnation, "address_reassigned", request.caller.id, now);
+    else if (answer.statesLeaving && state.showLeaving (incarnation, "answer", request.caller.id, now))
+        addLeavingNews (state.leavingNews, incarnation, false, now);
+}
+
 auto RoutedRequestRunner::recordStatements (const UpstreamAnswer& answer,
                                             const ReplicaTicket& ticket,
                                             TimePoint now) -> void
@@ -677,12 +690,11 @@
     {
         const auto isRefused = outcome.cause == FailureCause::refused;
         const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
-        const auto limitedDelay = state.replicas.limitedRetryDelay (request.service, BootClock::now());
+        const auto delay = state.replicas.retryDelay (request.service, startTime(), BootClock::now());
 
         if (outcome.cause != FailureCause::versionGone)
-            problem =
-                withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
-                           std::max<Duration> (shortRetryDelay, limitedDelay.value_or (Duration::zero())));
+            problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
+                                 std::max<Duration> (shortRetryDelay, delay.value_or (Duration::zero())));
     }
     else if (BootClock::now() >= request.deadline)
         problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
@@ -692,6 +704,17 @@
     co_await respondWithProblem (std::move (problem));
 }
 
+auto RoutedRequestRunner::startTime() const -> std::optional<Duration>
+{
+    const auto& services = request.configuration->services;
+    const auto found = services.find (request.service);
+
+    if (found == services.end() || ! found->second.scaling)
+        return {};
+
+    return found->second.scaling->bootTime;
+}
+
 auto RoutedRequestRunner::respondWithProblem (Problem problem) -> Task<void>
 {
     const auto status = errorDescription (problem.kind).status;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -63,11 +63,15 @@
     auto logUnreadable (const UpstreamAnswer& answer) const -> void;
     auto logStated (const UpstreamAnswer& answer, TimePoint now) const -> void;
     auto recordStatements (const UpstreamAnswer& answer, const ReplicaTicket& ticket, TimePoint now) -> void;
+    /** Records what an answer shows of its replica's leaving. */
+    auto recordLeaving (const UpstreamAnswer& answer, TimePoint now) -> void;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
     auto relayStream (UpstreamCall& call) -> Task<Failure>;
     auto examineReplica (const AttemptOutcome& outcome) -> Task<std::string_view>;
     auto decide (const AttemptOutcome& outcome) -> RetryDecision;
     auto respondWithFailure (const AttemptOutcome& outcome, const RetryDecision& decision) -> Task<void>;
+    /** @returns how long a replica takes to start that is ordered, if replicas of the service are. */
+    [[nodiscard]] auto startTime() const -> std::optional<Duration>;
     auto respondWithProblem (Problem problem) -> Task<void>;
     auto countUsage() -> void;
     auto recordSuccess (const UpstreamCall& call) -> void;
--- a/modules/snowrudder_serving/rollout/RolloutState.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutState.cpp
@@ -148,7 +148,7 @@
                                 [&] (const auto& known)
                                 {
                                     const auto& entry = known.second;
-                                    return entry.info.service == service && ! entry.isLeaving &&
+                                    return entry.info.service == service && ! leaves (entry) &&
                                            entry.info.version != version;
                                 });
 }
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -329,7 +329,8 @@
     }
 }
 
-TEST_CASE ("a replica states that it is leaving by a single 1, and anything else is reported and changes nothing")
+TEST_CASE (
+    "a replica states that it is leaving by a single 1, and anything else is reported and changes nothing")
 {
     const auto protocol = platform::upstreamProtocol();
     const auto read = [&protocol] (unsigned status, const std::vector<std::string>& values)
@@ -354,9 +355,11 @@
     CHECK_FALSE (read (200, {}).statesLeaving);
     CHECK (read (200, {}).unreadableLeaving.empty());
 
-    const std::vector<std::vector<std::string>> unreadable { { "" },     { "0" },   { "2" },
-                                                             { "true" }, { "1.0" }, { "1", "1" },
-                                                             { "1, 1" }, { "-1" },  { std::string (9000, '1') } };
+    const std::vector<std::vector<std::string>> unreadable {
+        { "" },     { "0" },   { "2" },
+        { "true" }, { "1.0" }, { "1", "1" },
+        { "1, 1" }, { "-1" },  { std::string (9000, '1') }
+    };
 
     for (const auto& values : unreadable)
     {
@@ -366,7 +369,8 @@
     }
 }
 
-TEST_CASE ("a replica asks for rest as it rejects a request with 503, in seconds, and anything else changes nothing")
+TEST_CASE (
+    "a replica asks for rest as it rejects a request with 503, in seconds, and anything else changes nothing")
 {
     const auto protocol = platform::upstreamProtocol();
     const auto read = [&protocol] (unsigned status, const std::vector<std::string>& values)
@@ -396,12 +400,12 @@
     }
 
     const std::vector<std::vector<std::string>> unreadable {
-        { "" },         { "-1" },
-        { "nan" },      { "inf" },
-        { "1e3" },      { "1,2" },
-        { "100000" },   { "1", "2" },
-        { "3 s" },      { "Fri, 04 Dec 2026 10:00:00 GMT" },
-        { "0x10" },     { std::string (9000, '9') }
+        { "" },       { "-1" },
+        { "nan" },    { "inf" },
+        { "1e3" },    { "1,2" },
+        { "100000" }, { "1", "2" },
+        { "3 s" },    { "Fri, 04 Dec 2026 10:00:00 GMT" },
+        { "0x10" },   { std::string (9000, '9') }
     };
 
     for (const auto& values : unreadable)
--- a/tests/unit/RateLimitTests.cpp
+++ b/tests/unit/RateLimitTests.cpp
@@ -184,15 +184,15 @@
     CHECK (sent <= 13);
     // Uses the permission that may have come since the last request: its times begin at random.
     take (start + 20s);
-    REQUIRE (table.limitedRetryDelay ("model", start + 20s));
-    CHECK (*table.limitedRetryDelay ("model", start + 20s) > 1s);
+    REQUIRE (table.retryDelay ("model", std::nullopt, start + 20s));
+    CHECK (*table.retryDelay ("model", std::nullopt, start + 20s) > 1s);
     // While no replica may be used, requests are not queued for one.
     CHECK (table.capacity ("model", start + 20s).slots > 0.0);
 
     CHECK (table.recordRateLimit (hash, std::nullopt, start + 20s, start + 20s));
     CHECK (take (start + 20s));
     CHECK (take (start + 20s));
-    CHECK_FALSE (table.limitedRetryDelay ("model", start + 20s));
+    CHECK_FALSE (table.retryDelay ("model", std::nullopt, start + 20s));
 }
 
 TEST_CASE ("stated limits reach other nodes together with loads, before the loads of other replicas")
--- a/tests/unit/ReplicaTableTests.cpp
+++ b/tests/unit/ReplicaTableTests.cpp
@@ -36,10 +36,12 @@
     REQUIRE (before);
     const auto hash = replicaHash ("one");
     table.recordLoad (before->ticket.number, { 9, 4, 0.0, false }, now);
-    table.markLeaving (before->ticket.number, now);
+    replica.leaving = true;
+    table.update ({ replica }, now);
     CHECK_FALSE (table.take ("s", input, ChoiceWeights(), now));
 
     const auto restarted = now + 5s;
+    replica.leaving = false;
     replica.info.born = 2000;
     table.update ({ replica }, restarted);
     const auto after = table.take ("s", input, ChoiceWeights(), restarted);
--- a/tests/unit/StaleEntryTests.cpp
+++ b/tests/unit/StaleEntryTests.cpp
@@ -47,7 +47,7 @@
                                 : AttemptOutcome { CallStage::receiving, FailureCause::misdirected };
 
             if (! isRefused)
-                table.markLeaving (taken->ticket.number, time);
+                table.applyChanges ({ { taken->ticket.info, true } }, {}, time);
 
             table.release (taken->ticket, isRefused ? AttemptHealth::unreachable : AttemptHealth::refused,
                            time);
