BUDGET: replicas that ask for rest as they reject a request get it

Callers saw: requests sent again and again to replicas that had rejected the node with 503 and Retry-After (21 of 25 rejected at one node, up to 7 of 19 of a kind refused in a second). Cause: the time was not read; a rejection only kept the replica from that one request. Change: a rest is kept per node and by incarnation, as one type with the limits (ReplicaStatements), beyond lapses of the entry. It is checked at the choice and right before the send; a longer one isn't ended by a shorter one or by an answer. It opens no breaker and says nothing of versions or crashes. Afterwards nodes return by rank, with one request first. Where all replicas rest, callers are refused at once with the time to the first return, and their work counts for the order of replicas. A node that relayed the connection is told, and refuses to relay to a replica that asked it for rest. route says how long ago a rest ended. A slow start of the replica's other limits isn't touched.

--- a/modules/snowrudder_routing/replicas/ReplicaState.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaState.cpp
@@ -10,19 +10,28 @@
     if (replica.isReplaced)
         return ReplicaAvailability::ended;
 
-    if (replica.rateLimit && ! maySend (*replica.rateLimit, now))
-        return ReplicaAvailability::limited;
+    const auto& stated = replica.stated;
 
-    if (! replica.rejectionLimit)
-        return ReplicaAvailability::usable;
+    if (isResting (stated.rest, now))
+        return ReplicaAvailability::resting;
+
+    if (stated.rateLimit && ! maySend (*stated.rateLimit, now))
+        return ReplicaAvailability::limited;
 
     std::optional<double> present;
 
     if (replica.reportTime && now - *replica.reportTime < RejectionLimit::loadLifetime)
         present = static_cast<double> (replica.report.running + replica.report.waiting);
 
+    if (hasRested (stated.rest) &&
+        ! hasReturnPlace (stated.rest, replica.slots(), replica.hash, replica.inFlight, present, now))
+        return ReplicaAvailability::full;
+
+    if (! stated.rejectionLimit)
+        return ReplicaAvailability::usable;
+
     const auto isFree =
-        hasFreePlace (*replica.rejectionLimit, replica.slots(), replica.hash, replica.inFlight, present, now);
+        hasFreePlace (*stated.rejectionLimit, replica.slots(), replica.hash, replica.inFlight, present, now);
     return isFree ? ReplicaAvailability::usable : ReplicaAvailability::full;
 }
 
--- a/modules/snowrudder_routing/replicas/ReplicaState.h
+++ b/modules/snowrudder_routing/replicas/ReplicaState.h
@@ -4,6 +4,7 @@
 #include "PromptSpeed.h"
 #include "RateLimit.h"
 #include "RejectionLimit.h"
+#include "ReplicaRest.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
@@ -60,7 +61,9 @@
     suspended,
     /** It states how many requests a second it takes, and this router may send none at the moment. */
     limited,
-    /** It states how many rejections a second it bears, and all places are taken that this router may use. */
+    /** It asked this router for no requests for some time. */
+    resting,
+    /** All places are taken that this router may use: it states how many rejections a second it bears, or has just rested. */
     full,
     /** It is known to have ended, or a later replica has its address; its entry is stale. */
     ended
@@ -81,6 +84,29 @@
 /** Requests announced longer ago than this are taken as finished, even without a load report since. */
 inline constexpr auto announcementLifetime = Duration (3s);
 
+/** What an incarnation of a replica has stated of itself in its answers, and that must hold on if its entry lapses and is
+    written again.
+*/
+struct ReplicaStatements
+{
+    /** The limit that it stated last; nothing while it states none. */
+    std::optional<RateLimit> rateLimit;
+    /** When it last stated that it has a limit, or none. */
+    TimePoint rateLimitStatedAt = longAgo;
+
+    /** The rejections a second that it stated last that it bears; nothing while it states none. */
+    std::optional<RejectionLimit> rejectionLimit;
+    TimePoint rejectionLimitStatedAt = longAgo;
+
+    ReplicaRest rest;
+};
+
+/** @returns whether the statements say anything against sending requests. */
+inline auto restrictsRequests (const ReplicaStatements& stated) -> bool
+{
+    return stated.rateLimit || stated.rejectionLimit || hasRested (stated.rest);
+}
+
 /** The state that a router keeps of one replica. */
 struct ReplicaState
 {
@@ -135,16 +161,9 @@
     std::vector<TimePoint> recentSendTimes;
     static constexpr auto keptSendTimes = std::size_t { 16 };
 
-    /** The limit that it stated last; nothing while it states none. */
-    std::optional<RateLimit> rateLimit;
-    /** When it last stated that it has a limit, or none. */
-    TimePoint rateLimitStatedAt = longAgo;
-
-    /** The rejections a second that it stated last that it bears; nothing while it states none. */
-    std::optional<RejectionLimit> rejectionLimit;
-    TimePoint rejectionLimitStatedAt = longAgo;
+    ReplicaStatements stated;
 
-    /** Whether it is replaced or states a limit: one check for all, since it is made for each replica and request. */
+    /** Whether it is replaced, states a limit or has rested: one check for all, since it is made for each replica and request. */
     bool isRestricted = false;
 
     /** State of the circuit breaker. */
--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -15,6 +15,9 @@
 /** The least delay after which callers return while all replicas leave: others should have started, or may at any time. */
 constexpr auto minStartDelay = Duration (1s);
 
+/** The time over which callers are spread that return at the end of a rest. */
+constexpr auto returnSpread = Duration (300ms);
+
 /** The replica's name, its VM, its address and its start time identify one incarnation. */
 auto isSameIncarnation (const ReplicaInfo& first, const ReplicaInfo& second) -> bool
 {
@@ -63,8 +66,7 @@
 
 auto updateRestricted (ReplicaState& replica) -> void
 {
-    replica.isRestricted =
-        replica.isReplaced || replica.rateLimit.has_value() || replica.rejectionLimit.has_value();
+    replica.isRestricted = replica.isReplaced || restrictsRequests (replica.stated);
 }
 
 } // namespace
@@ -74,6 +76,7 @@
     const std::lock_guard lock (mutex);
     const auto isFirstList = services.empty();
     std::map<std::string, std::vector<ReplicaState>, std::less<>> updated;
+    std::set<ReplicaNumber> kept;
 
     for (const auto& entry : listed)
     {
@@ -89,9 +92,15 @@
 
         auto state = known != nullptr ? std::move (*known) : makeState (entry, isFirstList, now);
         applyEntry (state, entry, now);
+        kept.insert (state.number);
         updated[entry.info.service].push_back (std::move (state));
     }
 
+    for (const auto& [service, replicas] : services)
+        for (const auto& replica : replicas)
+            if (! kept.contains (replica.number))
+                keepStatements (replica, now);
+
     services = std::move (updated);
     rebuildIndexes();
     markReplaced();
@@ -143,7 +152,15 @@
     }
 
     for (auto& [service, replicas] : services)
-        std::erase_if (replicas, [&] (const auto& replica) { return ended.contains (replica.number); });
+        std::erase_if (replicas,
+                       [&] (const auto& replica)
+                       {
+                           if (! ended.contains (replica.number))
+                               return false;
+
+                           keepStatements (replica, now);
+                           return true;
+                       });
 
     for (auto& state : added)
         services[state.info.service].push_back (std::move (state));
@@ -192,9 +209,10 @@
     requireInvariant (availabilityOf (replica, now) == ReplicaAvailability::usable,
                       "a leaving upstream gets nothing new");
 
-    if (replica.rateLimit)
-        usePermission (*replica.rateLimit, now);
+    if (replica.stated.rateLimit)
+        usePermission (*replica.stated.rateLimit, now);
 
+    const auto isFirstAfterRest = recordReturn (replica.stated.rest, now);
     replica.inFlight += 1;
     replica.recentSendTimes.push_back (now);
 
@@ -206,7 +224,10 @@
     prefixes.record (input.blocks, replica.number);
 
     TakenReplica taken;
-    taken.ticket = { replica.number, replica.info, winner.uncachedTokens };
+    taken.ticket = { replica.number, replica.info, winner.uncachedTokens, isFirstAfterRest };
+
+    if (hasRested (replica.stated.rest))
+        taken.restEnded = now - replica.stated.rest.until;
 
     for (const auto& candidate : choice->candidates)
         taken.candidateNames.push_back (replicas[candidate.index].info.name);
@@ -225,6 +246,9 @@
     if (replica != nullptr)
         replica->ownPendingTokens = std::max (0.0, replica->ownPendingTokens - ticket.expectedTokens);
 
+    if (replica != nullptr && ticket.isFirstAfterRest)
+        recordTrialEnd (replica->stated.rest, true);
+
     ticket.expectedTokens = 0.0;
 
     // Whether it was cached before or not, the replica has computed the whole prompt now.
@@ -257,6 +281,10 @@
     replica->inFlight -= 1;
     replica->ownPendingTokens = std::max (0.0, replica->ownPendingTokens - ticket.expectedTokens);
     recordAttemptHealth (*replica, health, breaker, now);
+
+    if (ticket.isFirstAfterRest)
+        recordTrialEnd (replica->stated.rest,
+                        health == AttemptHealth::good || health == AttemptHealth::refused);
 }
 
 auto ReplicaTable::addressOf (std::uint32_t hash) const -> std::optional<Address>
@@ -351,11 +379,11 @@
     forEachOfHash (hash,
                    [&] (ReplicaState& replica)
                    {
-                       if (statedAt <= replica.rateLimitStatedAt)
+                       if (statedAt <= replica.stated.rateLimitStatedAt)
                            return;
 
-                       replica.rateLimitStatedAt = statedAt;
-                       auto& limit = replica.rateLimit;
+                       replica.stated.rateLimitStatedAt = statedAt;
+                       auto& limit = replica.stated.rateLimit;
                        const auto known = limit ? std::optional (limit->perSecond) : std::nullopt;
 
                        if (known == perSecond)
@@ -391,10 +419,10 @@
     const std::lock_guard lock (mutex);
     const auto found = std::ranges::lower_bound (byHash, hash, {}, &HashedReplica::first);
 
-    if (found == byHash.end() || found->first != hash || ! found->second->rateLimit)
+    if (found == byHash.end() || found->first != hash || ! found->second->stated.rateLimit)
         return {};
 
-    return found->second->rateLimit->perSecond;
+    return found->second->stated.rateLimit->perSecond;
 }
 
 auto ReplicaTable::setRateShare (double share, TimePoint now) -> void
@@ -408,8 +436,8 @@
 
     for (auto& [service, replicas] : services)
         for (auto& replica : replicas)
-            if (replica.rateLimit)
-                setOwnShare (*replica.rateLimit, share, now);
+            if (replica.stated.rateLimit)
+                setOwnShare (*replica.stated.rateLimit, share, now);
 }
 
 auto ReplicaTable::recordRejectionLimit (std::uint32_t hash,
@@ -422,11 +450,11 @@
     forEachOfHash (hash,
                    [&] (ReplicaState& replica)
                    {
-                       if (statedAt <= replica.rejectionLimitStatedAt)
+                       if (statedAt <= replica.stated.rejectionLimitStatedAt)
                            return;
 
-                       replica.rejectionLimitStatedAt = statedAt;
-                       auto& limit = replica.rejectionLimit;
+                       replica.stated.rejectionLimitStatedAt = statedAt;
+                       auto& limit = replica.stated.rejectionLimit;
                        const auto known = limit ? std::optional (limit->perSecond) : std::nullopt;
 
                        if (known == perSecond)
@@ -449,7 +477,7 @@
                    });
 
     if (hasChanged)
-        countDivided();
+        countLimited();
 
     return hasChanged;
 }
@@ -459,10 +487,45 @@
     const std::lock_guard lock (mutex);
     const auto found = std::ranges::lower_bound (byHash, hash, {}, &HashedReplica::first);
 
-    if (found == byHash.end() || found->first != hash || ! found->second->rejectionLimit)
+    if (found == byHash.end() || found->first != hash || ! found->second->stated.rejectionLimit)
         return {};
 
-    return found->second->rejectionLimit->perSecond;
+    return found->second->stated.rejectionLimit->perSecond;
+}
+
+auto ReplicaTable::recordRest (std::uint64_t incarnation, Duration asked, TimePoint now) -> void
+{
+    const std::lock_guard lock (mutex);
+
+    for (const auto& [number, replica] : byNumber)
+    {
+        if (replica->incarnation != incarnation)
+            continue;
+
+        snowrudder::recordRest (replica->stated.rest, asked, fleetPosition, replica->slots(), replica->hash,
+                                now);
+        updateRestricted (*replica);
+    }
+
+    countLimited();
+}
+
+auto ReplicaTable::isResting (std::uint32_t hash, TimePoint now) const -> bool
+{
+    const std::lock_guard lock (mutex);
+    auto isFound = false;
+    forEachOfHash (hash, [&] (const ReplicaState& replica)
+                   { isFound = isFound || snowrudder::isResting (replica.stated.rest, now); });
+    return isFound;
+}
+
+auto ReplicaTable::hasResting (const std::string& service, TimePoint now) const -> bool
+{
+    const std::lock_guard lock (mutex);
+    const auto found = services.find (service);
+    return found != services.end() &&
+           std::ranges::any_of (found->second, [now] (const ReplicaState& replica)
+                                { return snowrudder::isResting (replica.stated.rest, now); });
 }
 
 auto ReplicaTable::recordRejection (ReplicaNumber number,
@@ -472,13 +535,13 @@
     const std::lock_guard lock (mutex);
     auto* replica = find (number);
 
-    if (replica == nullptr || ! replica->rejectionLimit)
+    if (replica == nullptr || ! replica->stated.rejectionLimit)
         return;
 
     const auto room =
         load ? std::optional (static_cast<double> (load->running + load->waiting)) : std::nullopt;
     const auto others = replica->inFlight - std::min (replica->inFlight, 1U);
-    snowrudder::recordRejection (*replica->rejectionLimit, room, others, now);
+    snowrudder::recordRejection (*replica->stated.rejectionLimit, room, others, now);
 }
 
 auto ReplicaTable::setFleetPosition (const FleetPosition& position) -> void
@@ -492,8 +555,8 @@
 
     for (auto& [service, replicas] : services)
         for (auto& replica : replicas)
-            if (replica.rejectionLimit)
-                replica.rejectionLimit->own = position;
+            if (replica.stated.rejectionLimit)
+                replica.stated.rejectionLimit->own = position;
 }
 
 auto ReplicaTable::mustWaitForPlace (const std::string& service,
@@ -502,7 +565,7 @@
 {
     const std::lock_guard lock (mutex);
 
-    if (dividedReplicas == 0)
+    if (limitedReplicas == 0)
         return false;
 
     const auto found = services.find (service);
@@ -545,7 +608,11 @@
         switch (availabilityOf (replica, now))
         {
             case ReplicaAvailability::limited:
-                perSecond += appliedLimit (replica.rateLimit->perSecond);
+                perSecond += appliedLimit (replica.stated.rateLimit->perSecond);
+                break;
+            case ReplicaAvailability::resting:
+                consider (replica.stated.rest.returnsAt - now +
+                          std::chrono::duration_cast<Duration> (returnSpread * randomFraction()));
                 break;
             case ReplicaAvailability::leaving:
                 consider (std::max (*replica.leavingSince + startTime.value_or (minStartDelay) - now,
@@ -569,7 +636,7 @@
 {
     const std::lock_guard lock (mutex);
     const auto* replica = find (number);
-    return replica != nullptr && availabilityOf (*replica, now) == ReplicaAvailability::leaving;
+    return replica != nullptr && (replica->leavingSince || snowrudder::isResting (replica->stated.rest, now));
 }
 
 auto ReplicaTable::markEnded (std::uint64_t incarnation, TimePoint at) -> void
@@ -638,13 +705,14 @@
     if (found == services.end())
         return capacity;
 
-    // Requests that no replica takes because of their limits must not wait in a queue: they are refused at once.
+    // Requests that no replica takes because of limits or rest must not wait in a queue: they are refused at once.
     Capacity limited;
 
     for (const auto& replica : found->second)
     {
         const auto availability = availabilityOf (replica, now);
-        const auto isLimited = availability == ReplicaAvailability::limited;
+        const auto isLimited =
+            availability == ReplicaAvailability::limited || availability == ReplicaAvailability::resting;
 
         if (availability != ReplicaAvailability::usable && availability != ReplicaAvailability::full &&
             ! isLimited)
@@ -655,12 +723,12 @@
         sum.slots += replica.slots();
         sum.busy += busy;
 
-        if (! replica.rejectionLimit)
+        if (! replica.stated.rejectionLimit)
             continue;
 
         sum.dividedSlots += replica.slots();
         sum.dividedBusy += busy;
-        sum.ownPlaces += ownPlaces (*replica.rejectionLimit, replica.slots(), replica.hash, now);
+        sum.ownPlaces += ownPlaces (*replica.stated.rejectionLimit, replica.slots(), replica.hash, now);
     }
 
     return capacity.slots > 0.0 ? capacity : limited;
@@ -694,6 +762,18 @@
     state.incarnation = incarnationHash (entry.info);
     // Replicas that were there before this router need no slow start.
     state.firstSeen = isFirstList ? longAgo : now;
+
+    if (const auto kept = keptStatements.extract (state.incarnation); ! kept.empty())
+        state.stated = kept.mapped().stated;
+
+    // This router's part may have changed meanwhile.
+    if (state.stated.rateLimit)
+        setOwnShare (*state.stated.rateLimit, rateShare, now);
+
+    if (state.stated.rejectionLimit)
+        state.stated.rejectionLimit->own = fleetPosition;
+
+    updateRestricted (state);
     return state;
 }
 
@@ -711,13 +791,27 @@
 
     std::ranges::sort (byHash, {}, &HashedReplica::first);
     std::ranges::sort (byNumber, {}, &NumberedReplica::first);
-    countDivided();
+    countLimited();
 }
 
-auto ReplicaTable::countDivided() -> void
+auto ReplicaTable::countLimited() -> void
 {
-    dividedReplicas = static_cast<std::size_t> (std::ranges::count_if (
-        byNumber, [] (const NumberedReplica& entry) { return entry.second->rejectionLimit.has_value(); }));
+    limitedReplicas = static_cast<std::size_t> (
+        std::ranges::count_if (byNumber,
+                               [] (const NumberedReplica& entry)
+                               {
+                                   const auto& stated = entry.second->stated;
+                                   return stated.rejectionLimit.has_value() || hasRested (stated.rest);
+                               }));
+}
+
+auto ReplicaTable::keepStatements (const ReplicaState& replica, TimePoint now) -> void
+{
+    std::erase_if (keptStatements,
+                   [now] (const auto& kept) { return now - kept.second.unlistedAt > statementsKept; });
+
+    if (restrictsRequests (replica.stated))
+        keptStatements[replica.incarnation] = { replica.stated, now };
 }
 
 auto ReplicaTable::markReplaced() -> void
--- a/modules/snowrudder_routing/replicas/ReplicaTable.h
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.h
@@ -25,6 +25,8 @@
     ReplicaInfo info;
     /** Estimated prompt tokens that the replica still has to compute for the request. */
     double expectedTokens = 0.0;
+    /** Whether it is the first request after a rest of the replica. */
+    bool isFirstAfterRest = false;
 };
 
 /** A chosen replica with the details that are logged. */
@@ -34,6 +36,8 @@
     Choice choice;
     /** Names of `choice.candidates`, in the same order. */
     std::vector<std::string> candidateNames;
+    /** How long ago the last rest ended that the replica asked for, if it did. */
+    std::optional<Duration> restEnded;
 };
 
 /** One entry of the VM list. */
@@ -157,6 +161,20 @@
     /** @returns the rejections a second that a replica stated last that it bears, or nothing while it states none. */
     [[nodiscard]] auto rejectionLimit (std::uint32_t hash) const -> std::optional<double>;
 
+    /** Records that a replica asked this router for no requests for some time.
+
+        @param incarnation  from incarnationHash()
+    */
+    auto recordRest (std::uint64_t incarnation, Duration asked, TimePoint now) -> void;
+
+    /** @param hash  from replicaHash()
+        @returns      whether the replica has asked this router for rest that is not over
+    */
+    [[nodiscard]] auto isResting (std::uint32_t hash, TimePoint now) const -> bool;
+
+    /** @returns whether a replica of a service has asked this router for rest that is not over. */
+    [[nodiscard]] auto hasResting (const std::string& service, TimePoint now) const -> bool;
+
     /** Records that a replica rejected a request of this router, with the load that it stated. */
     auto recordRejection (ReplicaNumber number, const std::optional<LoadReport>& load, TimePoint now) -> void;
 
@@ -270,7 +288,9 @@
         -> ReplicaState;
     auto rebuildIndexes() -> void;
     auto markReplaced() -> void;
-    auto countDivided() -> void;
+    auto countLimited() -> void;
+    /** Keeps what a replica that is no longer listed has stated, since its entry may come back. */
+    auto keepStatements (const ReplicaState& replica, TimePoint now) -> void;
 
     /** Calls a function with each replica that has a name hash. The caller holds the lock. */
     template <typename Visitor>
@@ -296,8 +316,18 @@
     /** This router's part of the limits that replicas state. */
     double rateShare = 1.0;
     FleetPosition fleetPosition;
-    /** Number of replicas that state how many rejections they bear. */
-    std::size_t dividedReplicas = 0;
+    /** Number of replicas whose places may all be taken: see ReplicaAvailability::full. */
+    std::size_t limitedReplicas = 0;
+
+    struct KeptStatements
+    {
+        ReplicaStatements stated;
+        TimePoint unlistedAt {};
+    };
+
+    /** What incarnations stated that are no longer listed, by incarnationHash(). */
+    std::map<std::uint64_t, KeptStatements> keptStatements;
+    static constexpr auto statementsKept = Duration (10min);
     ReplicaNumber nextNumber = 1;
 };
 
--- a/modules/snowrudder_serving/members/DatagramCodec.cpp
+++ b/modules/snowrudder_serving/members/DatagramCodec.cpp
@@ -255,6 +255,13 @@
         message.add_incarnations (incarnation);
 }
 
+auto write (const RestNotice& notice, schema::RestNotice& message) -> void
+{
+    message.set_node (notice.node);
+    message.set_incarnation (notice.incarnation);
+    message.set_rest_milliseconds (asMilliseconds (notice.rest));
+}
+
 auto write (const PromptNotice& notice, schema::PromptNotice& message) -> void
 {
     message.set_node (notice.node);
@@ -747,6 +754,8 @@
         write (*crashes, now, *datagram.mutable_crashes());
     else if (const auto* leaving = std::get_if<LeavingNotice> (&message))
         write (*leaving, *datagram.mutable_leaving());
+    else if (const auto* rest = std::get_if<RestNotice> (&message))
+        write (*rest, *datagram.mutable_rest());
     else if (const auto* configurationQuery = std::get_if<ConfigurationQuery> (&message))
         write (*configurationQuery, *datagram.mutable_configuration_question());
     else if (const auto* part = std::get_if<ConfigurationPart> (&message))
@@ -813,6 +822,10 @@
                                { message.leaving().incarnations().begin(),
                                  message.leaving().incarnations().end() } };
 
+    if (message.has_rest() && ! message.rest().node().empty())
+        return RestNotice { message.rest().node(), message.rest().incarnation(),
+                            std::chrono::milliseconds (message.rest().rest_milliseconds()) };
+
     if (message.has_configuration_question() && ! message.configuration_question().node().empty())
         return read (message.configuration_question());
 
--- a/modules/snowrudder_serving/members/DatagramCodec.h
+++ b/modules/snowrudder_serving/members/DatagramCodec.h
@@ -4,6 +4,7 @@
 #include "CrashNotice.h"
 #include "LeavingNotice.h"
 #include "PeerReport.h"
+#include "RestNotice.h"
 #include "StoreUpdates.h"
 #include "UsageNotice.h"
 
@@ -30,6 +31,7 @@
                                  UsageNotice,
                                  CrashNotice,
                                  LeavingNotice,
+                                 RestNotice,
                                  ConfigurationQuery,
                                  ConfigurationPart>;
 
--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -150,6 +150,8 @@
                                            state.role() == ReportRole::reader, BootClock::now());
         else if (const auto* leaving = std::get_if<LeavingNotice> (&*message))
             handle (*leaving);
+        else if (const auto* rest = std::get_if<RestNotice> (&*message))
+            handle (*rest);
         else if (const auto* asked = std::get_if<ConfigurationQuery> (&*message))
             sendTo ({ sender }, answerConfigurationQuery (state.sending, state.configuration, *asked, sender,
                                                           state.settings.node, BootClock::now()));
@@ -272,6 +274,25 @@
         newsWake->notify();
 }
 
+auto PeerExchange::handle (const RestNotice& notice) -> void
+{
+    state.replicas.recordRest (notice.incarnation, notice.rest, BootClock::now());
+    LogLine ("rest_heard")
+        .with ("replica", nameOf (state.directory, notice.incarnation))
+        .with ("from", notice.node)
+        .with ("rest_milliseconds", inMilliseconds (notice.rest))
+        .info();
+}
+
+auto PeerExchange::passOnRest (const Endpoint& node, RestNotice notice) -> void
+{
+    if (membership.secret().empty())
+        return;
+
+    notice.node = state.settings.node;
+    sendTo ({ node }, notice);
+}
+
 auto PeerExchange::handle (StoreUpdateResponse response, const Endpoint& sender) -> void
 {
     const auto now = BootClock::now();
--- a/modules/snowrudder_serving/members/PeerExchange.h
+++ b/modules/snowrudder_serving/members/PeerExchange.h
@@ -21,6 +21,8 @@
 class PeerExchange
 {
 public:
+    using Endpoint = Membership::Endpoint;
+
     PeerExchange (ServingState& servingState, Membership& fleetMembership);
 
     /** Binds the socket and starts to receive and send.
@@ -39,12 +41,13 @@
     */
     auto announceConfiguration() -> void;
 
+    /** Tells a node that relayed a connection that the replica asked for rest. */
+    auto passOnRest (const Endpoint& node, RestNotice notice) -> void;
+
     /** The messages on streams, which use the same socket. */
     [[nodiscard]] auto streams() -> StreamExchange& { return streamExchange; }
 
 private:
-    using Endpoint = Membership::Endpoint;
-
     auto receiveLoop() -> Task<void>;
     auto handle (PeerReport report, const Endpoint& sender) -> void;
     auto recordRelayNodes (const PeerReport& report, const Endpoint& sender, TimePoint now) -> void;
@@ -52,6 +55,7 @@
     auto handle (StoreUpdateResponse response, const Endpoint& sender) -> void;
     auto handle (const LoadNotice& notice) -> void;
     auto handle (const LeavingNotice& notice) -> void;
+    auto handle (const RestNotice& notice) -> void;
     auto handle (ConfigurationPart part, const Endpoint& sender) -> void;
     auto configurationLoop() -> Task<void>;
     auto queryConfiguration (TimePoint now) -> void;
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -41,6 +41,8 @@
     state.protocol = face.upstreams;
     face.store = withCallMetrics (std::move (face.store), state.metrics);
     state.announcePrompt = [this] (PromptNotice notice) { peers.announce (std::move (notice)); };
+    state.passOnRest = [this] (const RelayNodes::Endpoint& node, const RestNotice& notice)
+    { peers.passOnRest (node, notice); };
     state.announceConfiguration = [this] { peers.announceConfiguration(); };
     state.announceStream = [this] (KnownStream stream) { peers.streams().announce (stream); };
     state.askForStream = [this] (StreamKey key, std::string request)
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -13,6 +13,7 @@
 #include "../members/LeavingNotice.h"
 #include "../members/PeerTable.h"
 #include "../members/ReportRole.h"
+#include "../members/RestNotice.h"
 #include "../members/StoreUpdates.h"
 #include "../members/TrueTime.h"
 #include "../paths/DirectAttempts.h"
@@ -202,6 +203,9 @@
     std::function<void (PromptNotice)> announcePrompt;
     /** Tells other nodes that a configuration has come into force here. Set once, before the first request. */
     std::function<void()> announceConfiguration = [] {};
+    /** Tells a node that relayed a connection that the replica asked for rest. Set once, before the first request. */
+    std::function<void (const RelayNodes::Endpoint&, const RestNotice&)> passOnRest =
+        [] (const RelayNodes::Endpoint&, const RestNotice&) {};
     /** Records where a stream began, here and at other nodes. Set once, before the first request. */
     std::function<void (KnownStream)> announceStream = [this] (KnownStream stream)
     { streamOrigins.record (stream, BootClock::now()); };
--- a/modules/snowrudder_serving/paths/ConnectionRelay.cpp
+++ b/modules/snowrudder_serving/paths/ConnectionRelay.cpp
@@ -176,6 +176,12 @@
         if (listed->isLeaving)
             co_return relayReplicaLeaving;
 
+        if (state.replicas.isResting (replicaHash (request.replica), BootClock::now()))
+        {
+            relayed.refusal = "resting";
+            co_return relayReplicaResting;
+        }
+
         endpoint = listed->endpoint;
     }
 
--- a/modules/snowrudder_serving/paths/PathMonitor.cpp
+++ b/modules/snowrudder_serving/paths/PathMonitor.cpp
@@ -134,7 +134,7 @@
         if (recordReachedByOther (state.paths, replicaHash (replica.name)))
             state.replicas.closeBreakers();
     }
-    else if (witnessOf (status) == WitnessAnswer::none)
+    else if (witnessOf (status) == WitnessAnswer::none && status != relayReplicaResting)
         recordRelayRefusal (state.relays, node);
 
     co_return status;
@@ -191,9 +191,10 @@
                           UpstreamCall& call,
                           const ReplicaInfo& replica,
                           std::string_view purpose,
-                          TimePoint end) -> Task<RelayOutcome>
+                          TimePoint end) -> Task<RelayedConnection>
 {
     const std::string requestId (purpose);
+    auto isResting = false;
 
     for (auto tries = 1; tries <= maxRelaysTried; ++tries)
     {
@@ -206,16 +207,18 @@
         const auto status = co_await connectThrough (state, call, *node, replica, requestId, end);
 
         if (status == relayConnected)
-            co_return RelayOutcome::connected;
+            co_return RelayedConnection { RelayOutcome::connected, node };
+
+        isResting = isResting || status == relayReplicaResting;
 
         if (status == relayReplicaUnreachable || status == relayUnverified)
             recordOthersFailure (state, replica.name);
 
         if (status == relayReplicaUnreachable || status == relayUnverified || status == relayReplicaLeaving)
-            co_return RelayOutcome::replicaUnreachable;
+            co_return RelayedConnection { RelayOutcome::replicaUnreachable };
     }
 
-    co_return RelayOutcome::noRelay;
+    co_return RelayedConnection { isResting ? RelayOutcome::replicaResting : RelayOutcome::noRelay };
 }
 
 auto askOthersAbout (ServingState& state, std::string endpoint, EndpointState own) -> Task<EndpointState>
--- a/modules/snowrudder_serving/paths/PathMonitor.h
+++ b/modules/snowrudder_serving/paths/PathMonitor.h
@@ -29,10 +29,20 @@
     connected,
     /** A node that reaches other replicas could not connect to this one, or knows that it is leaving. */
     replicaUnreachable,
+    /** The replica has asked the nodes that were tried for rest. */
+    replicaResting,
     /** No node was found that would connect. */
     noRelay
 };
 
+/** A connection through another node, or why there is none. */
+struct RelayedConnection
+{
+    RelayOutcome outcome = RelayOutcome::noRelay;
+    /** The node that relays it, if it is connected. */
+    std::optional<RelayNodes::Endpoint> node {};
+};
+
 /** Connects a call to a replica through another node.
 
     @param purpose  the identifier of the request that needs it, for the log
@@ -42,7 +52,7 @@
                           UpstreamCall& call,
                           const ReplicaInfo& replica,
                           std::string_view purpose,
-                          TimePoint end) -> Task<RelayOutcome>;
+                          TimePoint end) -> Task<RelayedConnection>;
 
 /** Asks other nodes whether they reach an address that refuses or closes this node's connections; see RefusalInquiry.
     A node's own failure is no evidence against a replica that others reach.
--- a/modules/snowrudder_serving/paths/RelayRequest.h
+++ b/modules/snowrudder_serving/paths/RelayRequest.h
@@ -27,6 +27,8 @@
 /** The node that was asked could not connect to the replica, and has not verified that its own paths are open. */
 inline constexpr auto relayUnverified = http::status::gateway_timeout;
 inline constexpr auto relayReplicaLeaving = http::status::gone;
+/** The replica asked the node that was asked for rest, and would take the request for one of that node. */
+inline constexpr auto relayReplicaResting = http::status::too_many_requests;
 inline constexpr auto relayUnavailable = http::status::service_unavailable;
 inline constexpr auto relayUnauthorized = http::status::unauthorized;
 
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -183,12 +183,7 @@
     auto taken = selectReplica (assessment);
 
     if (! taken)
-    {
-        lastReplica = {};
-        tried.clear();
-        co_return AttemptOutcome { CallStage::notSent,
-                                   isVersionGone() ? FailureCause::versionGone : FailureCause::noReplica };
-    }
+        co_return outcomeWithoutReplica();
 
     state.counts.attempts.add();
     auto ticket = taken->ticket;
@@ -215,12 +210,15 @@
         .with ("load_age_milliseconds", loadAge ? inMilliseconds (*loadAge) : -1.0)
         .with ("reason", taken->choice.reason)
         .with ("usable", taken->choice.usable)
+        .with ("rest_ended_milliseconds", taken->restEnded ? inMilliseconds (*taken->restEnded) : -1.0)
         .info();
 
     const CrashRecords::RunningAttempt running (state.crashes.evidence(), request.subjects, BootClock::now());
     UpstreamCall call (state.pool, parseEndpoint (ticket.info.endpoint), timeouts());
     currentCall = &call;
     attemptFirstByte.reset();
+    relay.reset();
+    hasAskedForRest = false;
     isRunProven = false;
     framing.reset();
     const auto outcome = co_await callReplica (call, ticket);
@@ -231,13 +229,26 @@
     if (! outcome)
         recordForRollout (outcome, call.status());
 
-    const auto health = isCallerGone ? AttemptHealth::neutral
-                        : outcome    ? attemptHealthOf (*outcome)
-                                     : AttemptHealth::good;
+    // A replica that asks for rest is well, also where its rejection doesn't say that the request has not run.
+    const auto health = isCallerGone      ? AttemptHealth::neutral
+                        : hasAskedForRest ? AttemptHealth::refused
+                        : outcome         ? attemptHealthOf (*outcome)
+                                          : AttemptHealth::good;
     state.replicas.release (ticket, health, BootClock::now());
     co_return outcome;
 }
 
+auto RoutedRequestRunner::outcomeWithoutReplica() -> AttemptOutcome
+{
+    // What resting replicas don't take is work all the same, for the order of replicas.
+    if (attemptCount == 1 && state.replicas.hasResting (request.service, BootClock::now()))
+        state.work.record (request.service, prompt.ownTokens(), BootClock::now());
+
+    lastReplica = {};
+    tried.clear();
+    return { CallStage::notSent, isVersionGone() ? FailureCause::versionGone : FailureCause::noReplica };
+}
+
 auto RoutedRequestRunner::callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>
 {
     if (auto failure = co_await connect (call))
@@ -297,12 +308,16 @@
             co_return makeOutcome (call, FailureCause::connectFailed);
     }
 
-    const auto outcome =
+    const auto [outcome, node] =
         co_await connectThroughRelay (state, call, lastReplica, request.caller.id, request.deadline);
+    relay = node;
 
     if (outcome == RelayOutcome::connected)
         co_return Failure {};
 
+    if (outcome == RelayOutcome::replicaResting)
+        co_return makeOutcome (call, FailureCause::moved);
+
     // Only what other nodes reach is no replica's fault.
     const auto isOwnFault = outcome == RelayOutcome::noRelay && state.paths.isReachedByOthers;
     co_return makeOutcome (call, isOwnFault ? FailureCause::pathLost : FailureCause::connectFailed);
@@ -342,6 +357,7 @@
 
     logUnreadable (answer);
     logStated (answer, now);
+    recordRest (answer, now);
     recordStatements (answer, ticket, now);
     recordLeaving (answer, now);
 
@@ -410,6 +426,21 @@
         .info();
 }
 
+auto RoutedRequestRunner::recordRest (const UpstreamAnswer& answer, TimePoint now) -> void
+{
+    // The answer of another replica at its address says nothing of this one.
+    if (! answer.rest || answer.isAddressReassigned)
+        return;
+
+    hasAskedForRest = true;
+    const auto incarnation = incarnationHash (lastReplica);
+    state.replicas.recordRest (incarnation, *answer.rest, now);
+
+    // To the replica, the request came from the node that relayed it.
+    if (relay)
+        state.passOnRest (*relay, { {}, incarnation, *answer.rest });
+}
+
 auto RoutedRequestRunner::recordLeaving (const UpstreamAnswer& answer, TimePoint now) -> void
 {
     const auto incarnation = incarnationHash (lastReplica);
@@ -637,7 +668,8 @@
     };
 
     // A stream that a caller takes up goes to its version whatever the share on trial, and says little about a first event.
-    if (attemptCount > 1 || isCallerGone || request.caller.resumesStream || isInconclusive())
+    if (attemptCount > 1 || isCallerGone || request.caller.resumesStream || hasAskedForRest ||
+        isInconclusive())
         return;
 
     constexpr auto serverErrors = 500U;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -53,6 +53,8 @@
         -> std::optional<TakenReplica>;
     /** @param status  status of the answer, if there is one */
     auto recordForRollout (const Failure& outcome, unsigned status) -> void;
+    /** Ends an attempt for which no replica may be used. */
+    auto outcomeWithoutReplica() -> AttemptOutcome;
     auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>;
     /** Connects to `lastReplica`, through another node if this node has lost its paths. */
     auto connect (UpstreamCall& call) -> Task<Failure>;
@@ -63,6 +65,8 @@
     auto logUnreadable (const UpstreamAnswer& answer) const -> void;
     auto logStated (const UpstreamAnswer& answer, TimePoint now) const -> void;
     auto recordStatements (const UpstreamAnswer& answer, const ReplicaTicket& ticket, TimePoint now) -> void;
+    /** Records that a replica asks for rest. */
+    auto recordRest (const UpstreamAnswer& answer, TimePoint now) -> void;
     /** Records what an answer shows of its replica's leaving. */
     auto recordLeaving (const UpstreamAnswer& answer, TimePoint now) -> void;
     auto relayPlain (UpstreamCall& call) -> Task<Failure>;
@@ -130,6 +134,10 @@
     std::optional<TimePoint> lastEventsAt;
     Duration longestPause {};
     UpstreamCall* currentCall = nullptr;
+    /** The node that relays the current attempt's connection, if one does. */
+    std::optional<RelayNodes::Endpoint> relay;
+    /** Whether the replica of the current attempt rejected it and asked for rest. */
+    bool hasAskedForRest = false;
     /** The current attempt if its connection is a direct one. */
     std::optional<DirectAttempt> direct;
     /** Name of the replica that began the answer. */
