--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -390,25 +390,27 @@
 
 auto RoutedRequestRunner::logUnreadable (const UpstreamAnswer& answer) const -> void
 {
-    const auto log = [this] (std::string_view statement, std::string_view field, const std::string& text)
+    const auto log =
+        [this] (std::string_view event, const char* metric, std::string_view field, const std::string& text)
     {
         if (text.empty())
             return;
 
-        const std::string name (statement);
-        state.metrics.counter ("snowrudder_unreadable_" + name + "s_total").add();
-        LogLine (name + "_unreadable")
+        state.metrics.counter (metric).add();
+        LogLine (event)
             .with ("request", request.caller.id)
             .with ("replica", lastReplica.name)
             .with (field, text)
             .warning();
     };
 
-    log ("load", "load", answer.unreadableLoad);
-    log ("rate_limit", "limit", answer.unreadableRateLimit);
-    log ("rejection_limit", "limit", answer.unreadableRejectionLimit);
-    log ("leaving", "leaving", answer.unreadableLeaving);
-    log ("rest", "rest", answer.unreadableRest);
+    log ("load_unreadable", "snowrudder_unreadable_loads_total", "load", answer.unreadableLoad);
+    log ("rate_limit_unreadable", "snowrudder_unreadable_rate_limits_total", "limit",
+         answer.unreadableRateLimit);
+    log ("rejection_limit_unreadable", "snowrudder_unreadable_rejection_limits_total", "limit",
+         answer.unreadableRejectionLimit);
+    log ("leaving_unreadable", "snowrudder_unreadable_leavings_total", "leaving", answer.unreadableLeaving);
+    log ("rest_unreadable", "snowrudder_unreadable_rests_total", "rest", answer.unreadableRest);
 }
 
 auto RoutedRequestRunner::logStated (const UpstreamAnswer& answer, TimePoint now) const -> void
