--- a/modules/snowrudder_serving/members/PeerExchange.cpp
+++ b/modules/snowrudder_serving/members/PeerExchange.cpp
@@ -24,8 +24,8 @@
 */
 constexpr auto usageResendTime = Duration (5s);
 
-/** The interval between notices of new crash evidence, or of replicas that leave. New evidence is sent at once and then twice more, since it must
-    reach all nodes before a request is stopped, even if datagrams are lost.
+/** The interval between notices of new crash evidence, or of replicas that leave. New evidence is sent at once and then
+    twice more, since it must reach all nodes before a request is stopped, even if datagrams are lost.
 */
 constexpr auto newsInterval = 60ms;
 
