BUDGET: a rest that a replica asks for while its entry has lapsed is kept

Callers would see: requests in a rest after an outage of the store. Cause: recordRest() looked for the incarnation among the listed replicas only; an answer that came while the entry had lapsed was dropped, and the entry came back without the rest. Change: such a rest is kept with the statements of incarnations that aren't listed. The directory keeps what is known of leaving by incarnation whether it is listed or not.

--- a/modules/snowrudder_routing/replicas/ReplicaTable.cpp
+++ b/modules/snowrudder_routing/replicas/ReplicaTable.cpp
@@ -496,17 +496,28 @@
 auto ReplicaTable::recordRest (std::uint64_t incarnation, Duration asked, TimePoint now) -> void
 {
     const std::lock_guard lock (mutex);
+    auto isListed = false;
 
     for (const auto& [number, replica] : byNumber)
     {
         if (replica->incarnation != incarnation)
             continue;
 
+        isListed = true;
         snowrudder::recordRest (replica->stated.rest, asked, fleetPosition, replica->slots(), replica->hash,
                                 now);
         updateRestricted (*replica);
     }
 
+    // Its entry may have lapsed since the request was sent, and come back before the rest is over.
+    if (! isListed)
+    {
+        auto& kept = keptStatements[incarnation];
+        kept.unlistedAt = now;
+        snowrudder::recordRest (kept.stated.rest, asked, fleetPosition, ReplicaInfo().slots,
+                                static_cast<std::uint32_t> (incarnation), now);
+    }
+
     countLimited();
 }
 
--- a/tests/unit/RestTests.cpp
+++ b/tests/unit/RestTests.cpp
@@ -335,6 +335,17 @@
     CHECK (table.take ("s", {}, {}, begin + 5s));
 }
 
+TEST_CASE ("a rest that a replica asks for while its entry has lapsed is kept")
+{
+    ReplicaTable table;
+    table.update ({ listed ("one") }, begin);
+    table.update ({}, begin + 1s);
+    table.recordRest (incarnationHash (listed ("one").info), 10s, begin + 1s);
+    table.update ({ listed ("one") }, begin + 2s);
+    CHECK_FALSE (table.take ("s", {}, {}, begin + 3s));
+    CHECK (table.take ("s", {}, {}, begin + 12s));
+}
+
 TEST_CASE ("after a rest one request tests the replica, and another one only if it gets no answer")
 {
     ReplicaTable table;
