Cut-off nodes: failing tests of paths that reset late or are lost one after the other

In virtual time the probe failed where a request is reset, which no network does: nothing is sent on it.

--- a/tests/process/paths.py
+++ b/tests/process/paths.py
@@ -4,6 +4,7 @@
 import socket
 import sys
 import threading
+import time
 
 from harness import BUILD
 from platform_deployment import Node, Platform
@@ -15,10 +16,14 @@
 
 class Path(Proxy):
     """A path from one node to one replica. `cut` says what becomes of new and of open connections: new ones "hang", are
-    "refused" or "reset"; open ones "hang", are "reset" or "live" on."""
+    "refused", "reset" or "reset late"; open ones "hang", are "reset" or "live" on."""
+
+    RESET_DELAY = 0.15
+    """Seconds after which connections are "reset late"."""
 
     def __init__(self, target):
         self.fillers = []
+        self.reset_delay = 0.0
         super().__init__(target)
 
     def accept(self):
@@ -31,10 +36,16 @@
                 return
             threading.Thread(target=self.connect, args=(caller,), daemon=True).start()
 
+    def connect(self, caller):
+        if self.mode == "reset":
+            time.sleep(self.reset_delay)
+        super().connect(caller)
+
     def cut(self, new, kept):
         if kept == "hang":
             self.silence_open_connections()
-        if new == "reset":
+        if new in ("reset", "reset late"):
+            self.reset_delay = self.RESET_DELAY if new == "reset late" else 0.0
             self.mode = "reset"
         else:
             self.stop_listening()
--- a/tests/process/test_cut_nodes.py
+++ b/tests/process/test_cut_nodes.py
@@ -101,6 +101,10 @@
     def test_two_of_five_nodes_whose_connections_are_accepted_and_reset(self):
         self.check(5, [0, 1], "reset", "reset")
 
+    def test_two_of_five_nodes_whose_connections_are_accepted_and_reset_late(self):
+        """Guards against probes of paths that took a connection kept open for 50 ms for a path that is open again."""
+        self.check(5, [0, 1], "reset late", "reset")
+
     def test_all_but_one_of_five_nodes(self):
         self.check(5, [0, 1, 2, 3], "hang", "hang")
 
--- a/tests/unit/PathWorld.cpp
+++ b/tests/unit/PathWorld.cpp
@@ -47,18 +47,26 @@
     }
 }
 
-auto PathWorld::cut (const std::vector<std::size_t>& cutNodes, CutKind kind, Duration from, Duration until)
-    -> void
+auto PathWorld::cut (const std::vector<std::size_t>& cutNodes,
+                     CutKind kind,
+                     Duration from,
+                     Duration until,
+                     Duration spread) -> void
 {
     for (const auto node : cutNodes)
     {
         at (from,
-            [this, node, kind]
+            [this, node, kind, from, spread]
             {
                 nodes[node].cut = kind;
+                nodes[node].cutFrom = from;
+                nodes[node].cutSpread = spread;
 
                 for (auto answer = 0; answer < answersInFlight; ++answer)
-                    examine (node, static_cast<std::uint32_t> (random() % replicas));
+                {
+                    const auto replica = static_cast<std::uint32_t> (random() % replicas);
+                    at (from + spread * replica / replicas, [this, node, replica] { examine (node, replica); });
+                }
             });
         at (until, [this, node] { nodes[node].cut.reset(); });
     }
@@ -265,7 +273,12 @@
 
 auto PathWorld::canConnect (std::size_t node, std::uint32_t replica) const -> bool
 {
-    return ! nodes[node].cut && ! endedReplicas.contains (replica);
+    return ! isPathCut (nodes[node], replica) && ! endedReplicas.contains (replica);
+}
+
+auto PathWorld::isPathCut (const Node& node, std::uint32_t replica) const -> bool
+{
+    return node.cut && time >= node.cutFrom + node.cutSpread * replica / replicas;
 }
 
 auto PathWorld::examine (std::size_t node, std::uint32_t replica) -> void
@@ -388,10 +401,13 @@
     if (! shouldProbePaths (node.paths, Duration::zero(), now()))
         return;
 
-    if (! node.cut)
-        recordContact (node.paths, now(), now());
+    const auto replica = static_cast<std::uint32_t> (random() % replicas);
+
+    // A probe sends nothing, so that its connection is not reset.
+    if (isPathCut (node, replica) && node.cut != CutKind::reset)
+        recordPathFailure (node.paths, replica, replicas, now());
     else
-        recordPathFailure (node.paths, static_cast<std::uint32_t> (random() % replicas), replicas, now());
+        recordContact (node.paths, now(), now());
 }
 
 auto PathWorld::endpointOf (std::size_t node) -> RelayNodes::Endpoint
--- a/tests/unit/PathWorld.h
+++ b/tests/unit/PathWorld.h
@@ -30,8 +30,15 @@
 public:
     PathWorld (std::size_t nodeCount, std::uint64_t seed);
 
-    /** Cuts nodes off at a time, until another. */
-    auto cut (const std::vector<std::size_t>& cutNodes, CutKind kind, Duration from, Duration until) -> void;
+    /** Cuts nodes off at a time, until another.
+
+        @param spread  time from the cut of a node's first path to that of its last one
+    */
+    auto cut (const std::vector<std::size_t>& cutNodes,
+              CutKind kind,
+              Duration from,
+              Duration until,
+              Duration spread = {}) -> void;
 
     /** Ends a node's process at a time. */
     auto stop (std::size_t node, Duration from) -> void;
@@ -76,6 +83,8 @@
         RelayNodes relays;
         bool isStopped = false;
         std::optional<CutKind> cut;
+        Duration cutFrom {};
+        Duration cutSpread {};
         /** When replicas were told to have crashed. */
         std::map<std::uint32_t, Duration> toldEnded;
     };
@@ -115,6 +124,7 @@
     auto retry (std::size_t request, Duration delay) -> void;
     [[nodiscard]] auto chooseReplica (std::size_t node) -> std::optional<std::uint32_t>;
     [[nodiscard]] auto canConnect (std::size_t node, std::uint32_t replica) const -> bool;
+    [[nodiscard]] auto isPathCut (const Node& node, std::uint32_t replica) const -> bool;
     /** Looks why an answer of a replica has ended. */
     auto examine (std::size_t node, std::uint32_t replica) -> void;
     auto askWitness (std::size_t node, std::uint32_t replica, Duration noticed, RefusalInquiry inquiry)
--- a/tests/unit/RefusalTests.cpp
+++ b/tests/unit/RefusalTests.cpp
@@ -41,11 +41,14 @@
     std::size_t falseProofs = 0;
 };
 
-auto cutOff (std::size_t nodes, const std::vector<std::size_t>& cut, CutKind kind, std::uint64_t seed)
-    -> Shares
+auto cutOff (std::size_t nodes,
+             const std::vector<std::size_t>& cut,
+             CutKind kind,
+             std::uint64_t seed,
+             Duration spread = {}) -> Shares
 {
     PathWorld world (nodes, seed);
-    world.cut (cut, kind, cutFrom, cutFrom + firstSeconds);
+    world.cut (cut, kind, cutFrom, cutFrom + firstSeconds, spread);
     world.run (runLength);
     const std::set<std::size_t> isCut (cut.begin(), cut.end());
     const auto falseProofs =
@@ -74,6 +77,25 @@
                 }
 }
 
+// A node that had lost some of its paths reached another replica, and so confirmed the refusals of a node that was cut off.
+TEST_CASE ("two nodes that lose their paths one after the other prove no crash")
+{
+    constexpr auto seeds = std::uint64_t { 20 };
+
+    for (const auto nodes : { 3U, 5U, 7U, 83U, 295U, 986U })
+        for (const auto spread : { Duration (20ms), Duration (200ms), Duration (2s) })
+        {
+            auto falseProofs = std::size_t { 0 };
+
+            for (auto seed = std::uint64_t { 0 }; seed < (nodes > 100 ? 3 : seeds); ++seed)
+                falseProofs +=
+                    cutOff (nodes, firstNodes (2), CutKind::refused, nodes + seed, spread).falseProofs;
+
+            INFO (nodes << " nodes, paths cut over " << inMilliseconds (spread) << " ms");
+            CHECK (falseProofs == 0);
+        }
+}
+
 TEST_CASE ("replicas that crash are proved at once, also while up to half of the nodes are cut off")
 {
     constexpr auto first = std::uint32_t { 7 };
