Cut-off nodes: a request, not a probe, shows that lost paths are open again

Cause: while its paths were lost a node probed replicas by connections on which it sent nothing, and took one that was kept open for 50 ms for a path that is open. On a busy machine the reset came later than that, and the node's next requests were lost until three of them had failed again, 9 to 19 times in 8 s. In virtual time a probe of such a path failed at once, so that no test saw it.

Now an accepted probe lets a single request try a connection of its own, one that may be repeated and has a retry reserved; bytes of its answer, or 0.7 s in which the connection is neither reset nor closed, end the state. Trials that fail come ever more seldom, 0.3 to 2.4 s apart, and count as failures of the path.

--- a/modules/snowrudder_serving/paths/DirectAttempts.h
+++ b/modules/snowrudder_serving/paths/DirectAttempts.h
@@ -15,6 +15,8 @@
     bool mayContinueElsewhere = false;
     /** When the request was sent, or bytes of the answer were last received. */
     TimePoint lastBytes {};
+    /** Whether it tries paths that are taken for lost. */
+    bool isTrial = false;
     /** Whether it was cancelled because this node lost its paths. */
     bool isLost = false;
 };
--- a/modules/snowrudder_serving/paths/PathMonitor.cpp
+++ b/modules/snowrudder_serving/paths/PathMonitor.cpp
@@ -148,7 +148,7 @@
     const auto now = BootClock::now();
 
     if (result == EndpointState::accepts)
-        recordReplicaContact (state, began, now);
+        recordAcceptedProbe (state.paths, began, now);
     else
         recordConnectFailure (state, replica.name, now);
 }
@@ -177,14 +177,17 @@
         logRegained (BootClock::now() - *lostSince, "others_fail_too");
 }
 
-auto recordReplicaContact (ServingState& state, std::optional<TimePoint> connectedAt, TimePoint now) -> void
+auto recordReplicaContact (ServingState& state,
+                           std::optional<TimePoint> connectedAt,
+                           TimePoint now,
+                           std::string_view reason) -> void
 {
     const auto lostSince = state.paths.lostSince;
 
     if (! recordContact (state.paths, connectedAt, now))
         return;
 
-    logRegained (now - *lostSince, "answer");
+    logRegained (now - *lostSince, reason);
 }
 
 auto connectThroughRelay (ServingState& state,
@@ -302,6 +305,13 @@
     {
         longestSilence = std::max (longestSilence, now - attempt->lastBytes);
 
+        // The request was sent, and its connection was not reset: the replica is at work on it.
+        if (attempt->isTrial && now - attempt->lastBytes >= silenceOnLostPath)
+        {
+            attempt->isTrial = false;
+            recordReplicaContact (state, attempt->lastBytes, now, "connection_kept");
+        }
+
         if (attempt->mayContinueElsewhere && ! attempt->isLost &&
             isAnswerLost (state.paths, attempt->lastBytes, now))
         {
--- a/modules/snowrudder_serving/paths/PathMonitor.h
+++ b/modules/snowrudder_serving/paths/PathMonitor.h
@@ -20,8 +20,14 @@
 /** Records that another node could not connect to a replica either. */
 auto recordOthersFailure (ServingState& state, std::string_view replica) -> void;
 
-/** Records that bytes of a replica were received on a direct connection; see recordContact(). */
-auto recordReplicaContact (ServingState& state, std::optional<TimePoint> connectedAt, TimePoint now) -> void;
+/** Records that bytes of a replica were received on a direct connection; see recordContact().
+
+    @param reason  what showed it, for the log
+*/
+auto recordReplicaContact (ServingState& state,
+                           std::optional<TimePoint> connectedAt,
+                           TimePoint now,
+                           std::string_view reason = "answer") -> void;
 
 /** How a connection through another node came out. */
 enum class RelayOutcome
--- a/modules/snowrudder_serving/paths/ReplicaPaths.cpp
+++ b/modules/snowrudder_serving/paths/ReplicaPaths.cpp
@@ -39,12 +39,15 @@
     std::erase_if (paths.failures,
                    [now] (const auto& entry) { return now - entry.second > pathFailureLifetime; });
     paths.failures.insert_or_assign (replica, now);
+    paths.isProbeAccepted = false;
 
     if (paths.lostSince || paths.failures.size() < neededFailures (listed))
         return false;
 
     paths.lostSince = now;
     paths.isReachedByOthers = false;
+    paths.nextTrial = now;
+    paths.trialPause = minPathTrialPause;
     return true;
 }
 
@@ -68,6 +71,26 @@
     return true;
 }
 
+auto recordAcceptedProbe (ReplicaPaths& paths, TimePoint connectedAt, TimePoint now) -> void
+{
+    if (! paths.lostSince)
+        recordContact (paths, connectedAt, now);
+    else if (*paths.lostSince <= connectedAt)
+        paths.isProbeAccepted = true;
+}
+
+auto mayTryPaths (const ReplicaPaths& paths, TimePoint now) -> bool
+{
+    return paths.lostSince && paths.isProbeAccepted && now >= paths.nextTrial;
+}
+
+auto recordTrial (ReplicaPaths& paths, TimePoint now) -> void
+{
+    paths.isProbeAccepted = false;
+    paths.nextTrial = now + paths.trialPause;
+    paths.trialPause = std::min (2 * paths.trialPause, maxPathTrialPause);
+}
+
 auto shouldProbePaths (ReplicaPaths& paths, Duration longestSilence, TimePoint now) -> bool
 {
     const auto isSilent =
--- a/modules/snowrudder_serving/paths/ReplicaPaths.h
+++ b/modules/snowrudder_serving/paths/ReplicaPaths.h
@@ -24,6 +24,11 @@
     /** Whether another node has reached a replica since then that this node failed to reach. */
     bool isReachedByOthers = false;
     TimePoint lastProbe = longAgo;
+    /** Whether a replica has accepted a probe since the last failure, while the paths are lost. */
+    bool isProbeAccepted = false;
+    /** When a request may next try a direct connection while the paths are lost, and how long the one after it waits. */
+    TimePoint nextTrial = longAgo;
+    Duration trialPause {};
 };
 
 /** Number of different replicas to which new connections must fail in a row before the node takes its paths for lost;
@@ -40,6 +45,12 @@
 /** The least time between two rounds of probes, while the paths are in doubt and while they are lost. */
 inline constexpr auto pathProbeInterval = Duration (300ms);
 
+/** The time between two requests that try a direct connection while the paths are lost: doubled from the least to the
+    longest. A network may accept a connection and reset it once a request is sent, which costs that request an attempt.
+*/
+inline constexpr auto minPathTrialPause = Duration (300ms);
+inline constexpr auto maxPathTrialPause = Duration (2400ms);
+
 /** How long an answer on a direct connection may be silent, while the paths are lost and other nodes reach replicas,
     before it is continued through another node. Callers give up a silent stream after two seconds at the earliest.
 */
@@ -80,6 +91,19 @@
 */
 auto recordUnreachedByOther (ReplicaPaths& paths, std::uint32_t replica, std::size_t listed) -> bool;
 
+/** Records that a replica accepted a probe and kept the connection open. While the paths are lost, it shows no more than that
+    a request may try them: nothing was sent.
+
+    @param connectedAt  when the connection was made
+*/
+auto recordAcceptedProbe (ReplicaPaths& paths, TimePoint connectedAt, TimePoint now) -> void;
+
+/** @returns whether a request may try a direct connection now, while the paths are lost. */
+[[nodiscard]] auto mayTryPaths (const ReplicaPaths& paths, TimePoint now) -> bool;
+
+/** Records that a request tries a direct connection while the paths are lost. */
+auto recordTrial (ReplicaPaths& paths, TimePoint now) -> void;
+
 /** @returns whether to probe some replicas now. Records that it was done.
 
     @param longestSilence  how long the direct answer that has been silent longest has been so; zero if there is none
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -267,7 +267,7 @@
 
     if (! call.isThroughRelay())
     {
-        direct.emplace (DirectAttempt { call, mayRunAgain(), sentAt });
+        direct.emplace (DirectAttempt { call, mayRunAgain(), sentAt, isPathTrial });
         listed.emplace (state.directAttempts, *direct);
     }
 
@@ -290,11 +290,14 @@
 
 auto RoutedRequestRunner::connect (UpstreamCall& call) -> Task<Failure>
 {
-    if (! connectsThroughOthers (state, BootClock::now()))
+    const auto isThroughOthers = connectsThroughOthers (state, BootClock::now());
+    isPathTrial = isThroughOthers && triesPaths();
+
+    if (! isThroughOthers || isPathTrial)
     {
         // A reused connection may have been closed unnoticed by the replica, which fails the request; a request that
         // must run at most once could then not be retried, so it gets a new connection.
-        const auto error = co_await call.connect (request.route->isRepeatable());
+        const auto error = co_await call.connect (request.route->isRepeatable() && ! isPathTrial);
 
         if (! error)
             co_return Failure {};
@@ -302,6 +305,7 @@
         if (isCallerGone || BootClock::now() >= request.deadline)
             co_return makeOutcome (call, FailureCause::connectFailed);
 
+        isPathTrial = false;
         recordConnectFailure (state, lastReplica.name, BootClock::now());
 
         if (! connectsThroughOthers (state, BootClock::now()))
@@ -323,6 +327,31 @@
     co_return makeOutcome (call, isOwnFault ? FailureCause::pathLost : FailureCause::connectFailed);
 }
 
+auto RoutedRequestRunner::triesPaths() -> bool
+{
+    const auto now = BootClock::now();
+
+    // A failure must not reach the caller: the request would have been served through another node.
+    if (! mayTryPaths (state.paths, now) || ! mayRunAgain() || ! reserveRetry())
+        return false;
+
+    recordTrial (state.paths, now);
+    LogLine ("replica_paths_tried")
+        .with ("request", request.caller.id)
+        .with ("replica", lastReplica.name)
+        .with ("lost_milliseconds", inMilliseconds (now - *state.paths.lostSince))
+        .info();
+    return true;
+}
+
+auto RoutedRequestRunner::reserveRetry() -> bool
+{
+    if (! hasReservedRetry)
+        hasReservedRetry = state.retryBudgets.take ({}, request.service);
+
+    return hasReservedRetry;
+}
+
 auto RoutedRequestRunner::recordNewConnectionEnd (const UpstreamCall& call, const Failure& outcome) -> void
 {
     // A network may accept connections for a replica and then reset them.
@@ -592,8 +621,7 @@
         return rule;
 
     // Without a retry left in the budget, a failure of the unproven version would reach the caller.
-    hasReservedRetry = state.retryBudgets.take ({}, request.service);
-    return hasReservedRetry ? rule : versionRule (false);
+    return reserveRetry() ? rule : versionRule (false);
 }
 
 auto RoutedRequestRunner::bindVersion() -> void
@@ -858,7 +886,7 @@
 {
     if (isCallerGone)
         cause = FailureCause::abandoned;
-    else if (direct && direct->isLost)
+    else if (direct && (direct->isLost || (isPathTrial && cause == FailureCause::cut && ! attemptFirstByte)))
         cause = FailureCause::pathLost;
 
     return { call.stage(), cause };
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -58,6 +58,13 @@
     auto callReplica (UpstreamCall& call, ReplicaTicket& ticket) -> Task<Failure>;
     /** Connects to `lastReplica`, through another node if this node has lost its paths. */
     auto connect (UpstreamCall& call) -> Task<Failure>;
+    /** @returns whether the current attempt tries a direct connection although this node's paths are taken for lost. */
+    auto triesPaths() -> bool;
+    /** Takes a retry from the budget for the case that the current attempt fails.
+
+        @returns whether there was one left
+    */
+    auto reserveRetry() -> bool;
     auto recordBytes (const UpstreamCall& call) -> void;
     auto recordNewConnectionEnd (const UpstreamCall& call, const Failure& outcome) -> void;
     auto processHead (UpstreamCall& call, const UpstreamAnswer& answer, ReplicaTicket& ticket) -> Failure;
@@ -144,7 +151,9 @@
     std::string firstReplica;
     bool isCallerGone = false;
     bool isUsageCounted = false;
-    /** Whether a retry was taken from the budget in advance, for an attempt on an unproven version. */
+    /** Whether the current attempt tries paths that are taken for lost. */
+    bool isPathTrial = false;
+    /** Whether a retry was taken from the budget in advance, for an attempt on an unproven version or on lost paths. */
     bool hasReservedRetry = false;
     EventAssembler events;
 };
--- a/tests/unit/PathTests.cpp
+++ b/tests/unit/PathTests.cpp
@@ -187,6 +187,51 @@
     CHECK (arePathsLost (paths));
 }
 
+TEST_CASE ("an accepted probe lets one request try lost paths, and ever fewer while those fail")
+{
+    ReplicaPaths paths;
+    recordAcceptedProbe (paths, start, start);
+    CHECK_FALSE (mayTryPaths (paths, start));
+
+    for (const auto replica : { 1U, 2U, 3U })
+        recordPathFailure (paths, replica, 13, start);
+
+    // A connection that was made before shows nothing.
+    recordAcceptedProbe (paths, start - 1ms, start);
+    CHECK_FALSE (mayTryPaths (paths, start));
+
+    auto trials = 0;
+
+    for (auto now = start; now < start + 10s; now += pathProbeInterval)
+    {
+        recordAcceptedProbe (paths, now, now);
+        CHECK (arePathsLost (paths));
+
+        if (! mayTryPaths (paths, now))
+            continue;
+
+        recordTrial (paths, now);
+        ++trials;
+        CHECK_FALSE (mayTryPaths (paths, now));
+        recordPathFailure (paths, 1, 13, now);
+    }
+
+    CHECK (trials >= 5);
+    CHECK (trials <= 7);
+    CHECK (recordContact (paths, start + 10s, start + 10s));
+
+    // The next time begins with the shortest pause.
+    for (const auto replica : { 1U, 2U, 3U })
+        recordPathFailure (paths, replica, 13, start + 11s);
+
+    recordAcceptedProbe (paths, start + 11s, start + 11s);
+    CHECK (mayTryPaths (paths, start + 11s));
+    recordTrial (paths, start + 11s);
+    recordAcceptedProbe (paths, start + 11s, start + 11s);
+    CHECK_FALSE (mayTryPaths (paths, start + 11s + minPathTrialPause - 1ms));
+    CHECK (mayTryPaths (paths, start + 11s + minPathTrialPause));
+}
+
 TEST_CASE ("a node that does not relay is not asked again for a while, and one that is cut off is dropped")
 {
     RelayNodes relays;
--- a/tests/unit/PathWorld.cpp
+++ b/tests/unit/PathWorld.cpp
@@ -65,7 +65,8 @@
                 for (auto answer = 0; answer < answersInFlight; ++answer)
                 {
                     const auto replica = static_cast<std::uint32_t> (random() % replicas);
-                    at (from + spread * replica / replicas, [this, node, replica] { examine (node, replica); });
+                    at (from + spread * replica / replicas,
+                        [this, node, replica] { examine (node, replica); });
                 }
             });
         at (until, [this, node] { nodes[node].cut.reset(); });
@@ -180,7 +181,13 @@
 
     requests[request].replica = *chosen;
 
-    if (arePathsLost (node.paths) && chooseRelayNode (node.relays, 0, now()))
+    const auto isThroughOthers = arePathsLost (node.paths) && chooseRelayNode (node.relays, 0, now());
+    const auto isTrial = isThroughOthers && mayTryPaths (node.paths, now());
+
+    if (isTrial)
+        recordTrial (node.paths, now());
+
+    if (isThroughOthers && ! isTrial)
     {
         attemptThroughRelay (request, maxRelaysTried);
         return;
@@ -196,13 +203,13 @@
     const auto kind = node.cut.value_or (CutKind::refused);
     const auto delay = kind == CutKind::hang ? connectTimeout : roundTrip;
     at (time + delay,
-        [this, request, kind]
+        [this, request, kind, isTrial]
         {
             auto& failing = nodes[requests[request].node];
             recordPathFailure (failing.paths, requests[request].replica, replicas, now());
 
-            // A request that was sent may have run, so that one that must not repeat is lost.
-            if (kind != CutKind::reset)
+            // A request that was sent may have run, so that one that must not repeat is lost. None of those tries paths.
+            if (kind != CutKind::reset || isTrial)
                 retry (request, Duration::zero());
         });
 }
@@ -407,7 +414,7 @@
     if (isPathCut (node, replica) && node.cut != CutKind::reset)
         recordPathFailure (node.paths, replica, replicas, now());
     else
-        recordContact (node.paths, now(), now());
+        recordAcceptedProbe (node.paths, now(), now());
 }
 
 auto PathWorld::endpointOf (std::size_t node) -> RelayNodes::Endpoint
