Cut-off nodes: a node that reaches another replica doesn't count a refusal against its own paths

A node that is asked about a replica connects to it, and recorded the refusal as a failure of its own path where no byte of a replica had come for 0.5 s, before it looked whether another replica accepts. A node without requests of its own that was asked about three replicas that had crashed within 3 s so took its paths for lost and answered 503; while each inquiry asked one node this needed that node to be drawn three times.

The failure now counts only where no other replica accepted a connection.

--- a/modules/snowrudder_serving/paths/ConnectionRelay.cpp
+++ b/modules/snowrudder_serving/paths/ConnectionRelay.cpp
@@ -190,20 +190,21 @@
 
     if (error)
     {
+        const auto isRefused = error == asio::error::connection_refused;
+        auto isVerified = false;
+
+        if (isRefused)
+            isVerified = co_await reachesOtherReplica (state, request.replica);
+
         // Also the node that asks has failed to reach this replica. It says something of this node's paths only if
         // nothing else does.
-        if (const auto now = BootClock::now(); now - state.paths.lastContact >= silenceBeforeProbe)
+        if (const auto now = BootClock::now();
+            ! isVerified && now - state.paths.lastContact >= silenceBeforeProbe)
             recordConnectFailure (state, request.replica, now);
 
         if (arePathsLost (state.paths))
             co_return relayUnavailable;
 
-        const auto isRefused = error == asio::error::connection_refused;
-        auto isVerified = false;
-
-        if (isRefused)
-            isVerified = co_await reachesOtherReplica (state, request.replica);
-
         const auto witness = witnessOf (isRefused, isVerified);
         relayed.refusal = toString (witness);
         co_return witness == WitnessAnswer::refused ? relayReplicaUnreachable : relayUnverified;
