Cut-off nodes: two nodes' refusals prove a crash, not one's

What was seen: a cut node proved a crash of a live replica by a refusal (proof=connection_refused), once in two whole runs of the process tests; all nodes believe it and send the replica nothing for 3 s.

Cause: the other cut node was asked while its own paths were being cut, one after the other. It was refused too and still reached the last replica, by which it verified that its paths are open.

Two nodes are now asked at the same time, and their refusals count together; one's, where no other is left to ask. The test passes: no false proof at 3 to 986 nodes.

--- a/modules/snowrudder_serving/paths/PathMonitor.cpp
+++ b/modules/snowrudder_serving/paths/PathMonitor.cpp
@@ -246,32 +246,39 @@
     RefusalInquiry inquiry;
     inquiry.isOnlyReplica = verifyingReplicas (state, replica.name).empty();
 
-    while (needsWitness (inquiry))
+    std::vector<RelayNodes::Endpoint> nodes;
+    const auto ask = [&] (std::size_t index) -> Task<void>
     {
-        const auto node = chooseRelayNode (state.relays, randomNumber(), BootClock::now());
-
-        if (! node || BootClock::now() - began >= inquiryTimeout)
-            break;
-
+        const auto node = nodes[index];
         UpstreamCall call (state.pool, parseEndpoint (replica.endpoint), {});
         const auto status =
-            co_await connectThrough (state, call, *node, replica, "probe", began + inquiryTimeout);
-        recordWitness (inquiry, witnessOf (status));
+            co_await connectThrough (state, call, node, replica, "probe", began + inquiryTimeout);
+        recordWitness (inquiry, node, witnessOf (status));
 
         if (status == relayReplicaUnreachable)
             recordOthersFailure (state, replica.name);
 
         // Asked about another replica, it may answer for the same reason, so that others come first.
         if (status == relayUnverified)
-            recordRelayRefusal (state.relays, *node);
+            recordRelayRefusal (state.relays, node);
+    };
+
+    while (const auto count = neededWitnesses (inquiry))
+    {
+        if (BootClock::now() - began >= inquiryTimeout)
+            break;
+
+        nodes = chooseRelayNodes (state.relays, count, inquiry.asked, randomNumber(), BootClock::now());
+        inquiry.hasAskedAll = nodes.empty();
+        co_await runAll (state.loop, nodes.size(), ask);
     }
 
     LogLine ("refusal_checked")
         .with ("replica", replica.name)
         .with ("endpoint", replica.endpoint)
-        .with ("nodes_asked", inquiry.nodesAsked)
-        .with ("answer", toString (inquiry.decisive.value_or (
-                             inquiry.hasUnverified ? WitnessAnswer::unverified : WitnessAnswer::none)))
+        .with ("nodes_asked", inquiry.asked.size())
+        .with ("refusals", inquiry.refusals)
+        .with ("answer", toString (answerOf (inquiry)))
         .with ("address", snowrudder::toString (resultOf (inquiry)))
         .with ("milliseconds", inMilliseconds (BootClock::now() - began))
         .info();
--- a/modules/snowrudder_serving/paths/RefusalInquiry.cpp
+++ b/modules/snowrudder_serving/paths/RefusalInquiry.cpp
@@ -1,21 +1,40 @@
 #include "RefusalInquiry.h"
 
+#include <algorithm>
+
 namespace snowrudder
 {
 
-auto recordWitness (RefusalInquiry& inquiry, WitnessAnswer answer) -> void
+auto recordWitness (RefusalInquiry& inquiry, const RelayNodes::Endpoint& node, WitnessAnswer answer) -> void
 {
-    ++inquiry.nodesAsked;
+    inquiry.asked.push_back (node);
 
-    if (answer == WitnessAnswer::unverified)
-        inquiry.hasUnverified = true;
-    else if (answer != WitnessAnswer::none)
-        inquiry.decisive = answer;
+    switch (answer)
+    {
+        case WitnessAnswer::reached:
+            inquiry.decisive = answer;
+            break;
+        case WitnessAnswer::leaving:
+            inquiry.decisive = inquiry.decisive.value_or (answer);
+            break;
+        case WitnessAnswer::refused:
+            ++inquiry.refusals;
+            break;
+        case WitnessAnswer::unverified:
+            inquiry.hasUnverified = true;
+            break;
+        case WitnessAnswer::none:
+            break;
+    }
 }
 
-auto needsWitness (const RefusalInquiry& inquiry) -> bool
+auto neededWitnesses (const RefusalInquiry& inquiry) -> std::size_t
 {
-    return ! inquiry.decisive && inquiry.nodesAsked < maxWitnesses;
+    if (inquiry.decisive || inquiry.hasAskedAll)
+        return 0;
+
+    const auto missing = neededRefusals - std::min (inquiry.refusals, neededRefusals);
+    return std::min (missing, maxWitnesses - std::min (inquiry.asked.size(), maxWitnesses));
 }
 
 auto resultOf (const RefusalInquiry& inquiry) -> EndpointState
@@ -23,12 +42,26 @@
     if (inquiry.decisive == WitnessAnswer::reached)
         return EndpointState::reachedByOthers;
 
-    if (inquiry.decisive)
+    const auto isRefused =
+        inquiry.refusals >= neededRefusals || (inquiry.refusals > 0 && inquiry.hasAskedAll);
+
+    if (inquiry.decisive || isRefused)
         return EndpointState::refuses;
 
     return inquiry.isOnlyReplica && inquiry.hasUnverified ? EndpointState::refuses : EndpointState::silent;
 }
 
+auto answerOf (const RefusalInquiry& inquiry) -> WitnessAnswer
+{
+    if (inquiry.decisive)
+        return *inquiry.decisive;
+
+    if (inquiry.refusals > 0)
+        return WitnessAnswer::refused;
+
+    return inquiry.hasUnverified ? WitnessAnswer::unverified : WitnessAnswer::none;
+}
+
 auto toString (WitnessAnswer answer) -> std::string_view
 {
     switch (answer)
--- a/modules/snowrudder_serving/paths/RelayNodes.cpp
+++ b/modules/snowrudder_serving/paths/RelayNodes.cpp
@@ -42,6 +42,17 @@
     return relays.nodes[node];
 }
 
+auto usableNodes (const RelayNodes& relays, TimePoint now) -> std::vector<RelayNodes::Endpoint>
+{
+    std::vector<RelayNodes::Endpoint> usable;
+
+    for (const auto& [endpoint, node] : relays.nodes)
+        if (isKnown (node, now) && now >= node.unusableUntil)
+            usable.push_back (endpoint);
+
+    return usable;
+}
+
 /** Moves up to `count` random elements to the front. */
 auto shuffleFront (std::vector<RelayNodes::Endpoint>& nodes, std::size_t count, std::uint64_t draw) -> void
 {
@@ -105,15 +116,24 @@
 auto chooseRelayNode (const RelayNodes& relays, std::uint64_t draw, TimePoint now)
     -> std::optional<RelayNodes::Endpoint>
 {
-    std::vector<RelayNodes::Endpoint> usable;
-
-    for (const auto& [endpoint, node] : relays.nodes)
-        if (isKnown (node, now) && now >= node.unusableUntil)
-            usable.push_back (endpoint);
-
+    const auto usable = usableNodes (relays, now);
     return usable.empty() ? std::nullopt : std::optional (usable[draw % usable.size()]);
 }
 
+auto chooseRelayNodes (const RelayNodes& relays,
+                       std::size_t count,
+                       std::span<const RelayNodes::Endpoint> except,
+                       std::uint64_t draw,
+                       TimePoint now) -> std::vector<RelayNodes::Endpoint>
+{
+    auto chosen = usableNodes (relays, now);
+    std::erase_if (chosen,
+                   [except] (const auto& node) { return std::ranges::find (except, node) != except.end(); });
+    shuffleFront (chosen, count, draw);
+    chosen.resize (std::min (count, chosen.size()));
+    return chosen;
+}
+
 auto sampleRelayNodes (const RelayNodes& relays, bool isForReader, std::uint64_t draw, TimePoint now)
     -> std::vector<RelayNodes::Endpoint>
 {
--- a/modules/snowrudder_serving/paths/RelayNodes.h
+++ b/modules/snowrudder_serving/paths/RelayNodes.h
@@ -96,6 +96,16 @@
 auto chooseRelayNode (const RelayNodes& relays, std::uint64_t draw, TimePoint now)
     -> std::optional<RelayNodes::Endpoint>;
 
+/** @returns up to `count` usable nodes to connect through, chosen at random.
+
+    @param except  nodes that are left out
+*/
+auto chooseRelayNodes (const RelayNodes& relays,
+                       std::size_t count,
+                       std::span<const RelayNodes::Endpoint> except,
+                       std::uint64_t draw,
+                       TimePoint now) -> std::vector<RelayNodes::Endpoint>;
+
 /** @returns random nodes to pass on: to another reader only those that said it to this node, to other nodes half of each
     kind.
 */
