Review: a killed relaying node ends answers without a length as complete

Cause: the tunnel through another node has no framing, so the end of that process reads as the end of the replica's answer.

--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -1,5 +1,6 @@
 """A small deployment of real processes on loopback: the router by the deploy file's command, replicas as processes, and the
 project's stand-ins of the platform's store and cloud interface."""
+import base64
 import json
 import os
 import pathlib
@@ -7,6 +8,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -17,7 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tests" / "process"))
 
-from platform_stand_in import Cloud, Store  # noqa: E402  (its folder is put on the path above)
+from platform_stand_in import Cloud, Server, Store  # noqa: E402  (its folder is put on the path above)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -28,6 +30,8 @@
 serves=front
 region=r
 zones.a=r
+zones.b=r
+zones.c=r
 bootstrap=true
 count_as_fault=false
 limits.cpu_share=0.25
@@ -208,6 +212,84 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Path:
+    """A node's way to one address, which can be cut: new connections are refused, open ones reset."""
+
+    def __init__(self, target):
+        self.target = target
+        self.open = set()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+                far = socket.create_connection(("127.0.0.1", self.target), 5)
+            except OSError:
+                return
+            far.settimeout(None)
+            self.open |= {near, far}
+            for source, sink in ((near, far), (far, near)):
+                sink.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self.forward, args=(source, sink), daemon=True).start()
+
+    @staticmethod
+    def forward(source, sink):
+        try:
+            while piece := source.recv(65536):
+                sink.sendall(piece)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            for connection in (source, sink):
+                reset(connection)
+
+    def cut(self):
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.listener.close()
+        for connection in list(self.open):
+            reset(connection)
+
+
+def reset(connection):
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+        connection.close()
+    except OSError:
+        pass
+
+
+class StoreView:
+    """The store as one node reaches it. It shows the replicas at the node's own paths to them, by `ports`."""
+
+    def __init__(self, port, store, ports):
+        self.store, self.ports = store, ports
+        self.server = Server(port, self)
+
+    def handle(self, call, body):
+        path, _, text = call.path.partition("?")
+        query = dict(part.split("=", 1) for part in text.split("&") if part)
+        status, value = self.store.serve(call.command, path, query, json.loads(body) if body else {})
+        call.answer(status, self.shown(value))
+
+    def shown(self, value):
+        lists = {name: [self.item(entry) for entry in value[name]] for name in ("items", "events") if name in value}
+        return {**value, **lists}
+
+    def item(self, item):
+        if not item["key"].startswith("servers/") or "value" not in item:
+            return item
+        entry = json.loads(base64.b64decode(item["value"]))
+        ip, port = entry["address"].split(":")
+        entry["address"] = f"{ip}:{self.ports.get(int(port), port)}"
+        return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+
 class Node:
     def __init__(self, bed, name, ip, front, readiness, peers):
         self.bed, self.name, self.ip, self.front, self.readiness, self.peers = bed, name, ip, front, readiness, peers
--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -3,7 +3,8 @@
 Arguments: NAME IP PORT LOG. What it does with a request is told by the request's path:
   .../plain/N         works for N ms, then answers a signed body with its length
   .../tokens/F/S/E/T  streams E events of 5 tokens: the first token after F ms, later ones each S ms, written as they are made;
-                      the answer is framed by chunks, or by the end of the connection when T is "open"
+                      the answer is framed by chunks, or by the end of the connection when T is "open"; with "-whole" after
+                      it, each event is written at once, when its last token is made
 A request that isn't ready at its deadline (X-Deadline-Ms) gets a 504 of its own. Work ends when the connection closes.
 """
 import json
@@ -77,12 +78,19 @@
         return True
     connection.sleep_until(begun + first)
     head = {**headers, "Content-Type": "text/event-stream"}
-    is_open = framing == "open"
+    is_open = framing.startswith("open")
     head.update({"Connection": "close"} if is_open else {"Transfer-Encoding": "chunked"})
     connection.send("200 OK", head)
     start = int(fields.get("last-event-id") or 0) + 1
     due = begun + first
     for number in range(start, events + 1):
+        if framing.endswith("-whole"):
+            due += step * TOKENS_PER_EVENT
+            connection.sleep_until(due)
+            data = f"id: {number}\ndata: piece {number}\n\n".encode()
+            connection.sock.sendall(data if is_open else b"%x\r\n%s\r\n" % (len(data), data))
+            note("event made", request=request, event=number)
+            continue
         for token in range(TOKENS_PER_EVENT):
             connection.sleep_until(due)
             due += step
