Review: a duty call that timed out in a cut arrives after the successor's

Cause: a duty call without an answer is closed, not reset, so the kernel delivers it when the link heals.

--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import select
 import shutil
 import signal
 import socket
@@ -122,7 +123,7 @@
         self.processes = {}
         self.events = []
         self.store_port, self.cloud_port = self.free_port(), self.free_port()
-        self.store, self.cloud = Store(self.store_port), Cloud(self.cloud_port)
+        self.store, self.cloud = Store(self.store_port), TimedCloud(self.cloud_port)
         if not (ROOT / "target" / "snowrudder-router").exists():
             raise NotRun("target/snowrudder-router has not been built")
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -255,6 +256,103 @@
             reset(connection)
 
 
+class Link:
+    """A node's way to the platform over a link that can be cut without a sign, as TCP sees it: what was sent before or during
+    the cut on an open connection arrives with the first retransmission after the cut (0.2 s after it was sent, doubling from
+    there), also if the sender has closed the connection meanwhile. A reset discards it. New connections get nowhere."""
+
+    FIRST_RETRANSMISSION = 0.2
+
+    def __init__(self, target, note):
+        self.target, self.note = target, note
+        self.cut_from = self.cut_until = None
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def cut(self, seconds):
+        self.cut_from = time.monotonic()
+        self.cut_until = self.cut_from + seconds
+
+    def is_cut(self):
+        return self.cut_from is not None and self.cut_from <= time.monotonic() < self.cut_until
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(near,), daemon=True).start()
+
+    def serve(self, near):
+        if self.is_cut():
+            time.sleep(self.cut_until - time.monotonic())
+            reset(near)
+            return
+        try:
+            far = socket.create_connection(("127.0.0.1", self.target), 5)
+        except OSError:
+            reset(near)
+            return
+        far.settimeout(None)
+        for source, sink in ((near, far), (far, near)):
+            sink.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self.forward, args=(source, sink, source is near), daemon=True).start()
+
+    def arrival(self, sent):
+        """Returns when bytes arrive that were sent during the cut."""
+        pause, due = self.FIRST_RETRANSMISSION, sent
+        while due < self.cut_until:
+            due, pause = due + pause, 2 * pause
+        return due
+
+    def forward(self, source, sink, is_from_node):
+        held, due, has_ended = b"", None, False
+        try:
+            while True:
+                if due is None or not has_ended:
+                    wait = None if due is None else max(0.0, due - time.monotonic())
+                    if select.select([source], [], [], wait)[0]:
+                        piece = source.recv(65536)
+                        has_ended = not piece
+                        if due is None and not self.is_cut():
+                            if has_ended:
+                                break
+                            sink.sendall(piece)
+                            continue
+                        if due is None:
+                            due = self.arrival(time.monotonic())
+                        held += piece
+                        continue
+                else:
+                    time.sleep(max(0.0, due - time.monotonic()))
+                if held:
+                    if is_from_node:
+                        self.note(f"{len(held)} bytes that the node sent during the cut arrive {time.monotonic() - self.cut_until:.2f} s"
+                                  f" after it; the node has {'closed the connection' if has_ended else 'kept the connection'}")
+                    sink.sendall(held)
+                held, due = b"", None
+                if has_ended:
+                    break
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            reset(source)
+            reset(sink)
+
+
+class TimedCloud(Cloud):
+    """Records when each duty call arrived."""
+
+    def __init__(self, port):
+        self.arrived = []
+        super().__init__(port)
+
+    def handle(self, call, body):
+        self.arrived.append((time.monotonic(), *self.entry(call, body)))
+        super().handle(call, body)
+
+
 def reset(connection):
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
