Review: a replica's own 503 after a run is passed on as a promise

Cause: for routes that are not repeatable, any final status without X-Not-Executed goes to the client unchanged.

--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -5,9 +5,13 @@
   .../tokens/F/S/E/T  streams E events of 5 tokens: the first token after F ms, later ones each S ms, written as they are made;
                       the answer is framed by chunks, or by the end of the connection when T is "open"; with "-whole" after
                       it, each event is written at once, when its last token is made
+While a file LOG.grey lies there, it fails part of the plain requests that it has run with the status in that file's second word;
+the first word is the share.
 A request that isn't ready at its deadline (X-Deadline-Ms) gets a 504 of its own. Work ends when the connection closes.
 """
 import json
+import os
+import random
 import select
 import socket
 import sys
@@ -64,6 +68,14 @@
         self.sock.sendall(head.encode() + b"\r\n" + body)
 
 
+def grey_status():
+    path = sys.argv[4] + ".grey"
+    if not os.path.exists(path):
+        return ""
+    share, status = open(path).read().split(" ", 1)
+    return status if random.random() < float(share) else ""
+
+
 def whole(connection, status, headers, body):
     connection.send(status, {**headers, "Content-Length": len(body)}, body)
 
@@ -127,6 +139,9 @@
         connection.sleep_until(min(ready, deadline))
         if ready > deadline:
             whole(connection, "504 Gateway Timeout", headers, b"deadline")
+        elif status := grey_status():
+            whole(connection, status, headers, b"the work was done, but its result could not be read")
+            note("ran and failed", request=request, status=status)
         else:
             whole(connection, "200 OK", headers, f"answer to {request}".encode())
         note("answered", request=request)
