Review: a cut-off node mixes events of two software versions

Cause: the version of a stream comes from the node's list of replicas, whose age the router's own continuation doesn't look at.

--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -1,6 +1,6 @@
 """A stand-in of a replica, as a process of its own. It writes one JSON line for each event to its log.
 
-Arguments: NAME IP PORT LOG. What it does with a request is told by the request's path:
+Arguments: NAME IP PORT LOG VERSION. The version stands in each event that is written whole. What it does with a request is told by the request's path:
   .../plain/N         works for N ms, then answers a signed body with its length
   .../tokens/F/S/E/T  streams E events of 5 tokens: the first token after F ms, later ones each S ms, written as they are made;
                       the answer is framed by chunks, or by the end of the connection when T is "open"; with "-whole" after
@@ -19,6 +19,7 @@
 import time
 
 NAME, IP, PORT, LOG = sys.argv[1], sys.argv[2], int(sys.argv[3]), open(sys.argv[4], "a", buffering=1)
+VERSION = sys.argv[5]
 TOKENS_PER_EVENT = 5
 LOCK = threading.Lock()
 
@@ -99,7 +100,7 @@
         if framing.endswith("-whole"):
             due += step * TOKENS_PER_EVENT
             connection.sleep_until(due)
-            data = f"id: {number}\ndata: piece {number}\n\n".encode()
+            data = f"id: {number}\ndata: piece {number} of {VERSION}\n\n".encode()
             connection.sock.sendall(data if is_open else b"%x\r\n%s\r\n" % (len(data), data))
             note("event made", request=request, event=number)
             continue
@@ -164,7 +165,7 @@
 
 def main():
     listener = socket.create_server((IP, PORT), backlog=256)
-    note("started")
+    note("started", version=VERSION)
     while True:
         sock, _ = listener.accept()
         threading.Thread(target=serve, args=(sock,), daemon=True).start()
