--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,7 +11,7 @@
 
 CUT_SECONDS = 5.5
 THAW_SECONDS = 0.3
-STREAMS = 40
+STREAMS = 90
 STREAM = "/digest/tokens/300/40/60/chunks-whole"
 SCALING = {"min": 1, "max": 6, "boot_s": 4.0, "spot_price": 0.18, "zone_prices": {"a": 1.0, "b": 0.8, "c": 1.25}}
 
@@ -28,8 +28,8 @@
         nodes[name] = bed.start_node(name, store_port=links[name][0].port, cloud_port=links[name][1].port, zone=zone)
     for node in nodes.values():
         node.wait_ready()
-    wait_until(lambda: len([call for call in bed.cloud.arrived if call[1] == "/usage"]) >= 1, "usage is reported", 30)
-    time.sleep(1)
+    wait_until(lambda: {call[1] for call in bed.cloud.arrived} == {"/usage", "/scale"}, "usage is reported and replicas ordered", 30)
+    time.sleep(2)
     holder = bed.cloud.arrived[-1][2]
     bed.note(f"the duties are held by {holder}, fence {bed.cloud.arrived[-1][3]}")
     answers = {}
