--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -150,8 +150,8 @@
         with self.lock:
             self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
 
-    def start_replica(self, name, service, port=None, version="v1", **entry):
-        """Starts a replica, also again at the port that it had before, and lists it at the store."""
+    def start_replica(self, name, service, port=None, version="v1", is_listed=True, **entry):
+        """Starts a replica, also again at the port that it had before, and lists it at the store if it reaches it."""
         port = port or self.free_port()
         log = self.folder / f"{name}.jsonl"
         log.touch()
@@ -160,6 +160,8 @@
                                                  str(port), str(log), version], stdin=subprocess.DEVNULL)
         wait_until(lambda: len(self.of(name, "started")) > starts, f"{name} has started")
         self.note(f"replica {name} of {service}, {version}, started at 127.0.0.1:{port}")
+        if not is_listed:
+            return port
         self.store.put(f"servers/{name}", {"service": service, "address": f"127.0.0.1:{port}", "zone": "a", "version": version,
                                            "slots": 64, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": int(time.time() * 1000), **entry})
         return port
