--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -16,6 +16,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tests" / "process"))
@@ -485,10 +486,16 @@
     return answer
 
 
+def stop(number, _):
+    raise NotRun(f"stopped by {signal.Signals(number).name}")
+
+
 def run(folder, case):
-    """Runs a case and exits as a review's script does."""
+    """Runs a case and exits as a review's script does. Whatever goes wrong in the script itself is "not run", never "broken"."""
     bed = None
     code = NOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
     try:
         bed = Bed(folder)
         code = case(bed)
@@ -496,9 +503,12 @@
         print(f"could not run: {error}")
         if bed:
             bed.note(f"could not run: {error}")
+    except Exception:
+        traceback.print_exc()
     finally:
-        if bed:
-            bed.close()
-    print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[code])
-    sys.stdout.flush()
-    os._exit(code)
+        try:
+            if bed:
+                bed.close()
+            print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[code], flush=True)
+        finally:
+            os._exit(code)
