A fault of one request ends that request, not the router

Cause: what becomes of an attempt's answer was decided by the last event that was passed on. A stream whose head was out, but no whole event, passed on the next replica's 504 as a second response, and Exchange::respond() aborts the process for that. Ruled out: a race with the deadline's own refusal; every status that is no success does it (204, 400 and 404 too, process test), and 204 was joined to the stream as its end.

Change: AnswerUse decides from how much the caller has and what the answer is: below a head only a 200 with events may follow, and only after events that another run can go on with (not after data without an identifier, nor another kind of body). Exchange doesn't abort for a second response: it breaks off, is logged (`request_broken_off`) and counted (`snowrudder_broken_requests_total`). An exception in a handler ends that exchange with a 500 or a reset; before, the connection was closed without an answer and stayed counted as busy. A TRACE with a body, which made one, gets 400. The two invariants on repeated runs end the request (`invariant_broken`).

--- a/modules/snowrudder_net/server/Exchange.cpp
+++ b/modules/snowrudder_net/server/Exchange.cpp
@@ -68,7 +68,9 @@
 
 auto Exchange::respond (HttpResponse response) -> Task<std::error_code>
 {
-    requireInvariant (! begun, "a request gets one response");
+    if (begun)
+        co_return breakOff ("a request gets one response");
+
     begun = true;
 
     const auto keepAlive = received.keep_alive() && ! closesAfterResponse;
@@ -112,7 +114,9 @@
 
 auto Exchange::beginStream (http::response<http::empty_body> header) -> Task<std::error_code>
 {
-    requireInvariant (! begun, "a request gets one response");
+    if (begun)
+        co_return breakOff ("a request gets one response");
+
     begun = true;
 
     // HTTP/1.0 has no chunked encoding: the end of the connection marks the end of the body.
@@ -140,6 +144,9 @@
     if (data.empty())
         co_return std::error_code();
 
+    if (! begun || ended)
+        co_return breakOff ("a body part belongs to an open response");
+
     deadline.start (limits.writeTimeout);
     const auto buffer = asio::const_buffer (data.data(), data.size());
 
@@ -155,7 +162,8 @@
 
 auto Exchange::endStream() -> Task<std::error_code>
 {
-    requireInvariant (begun && ! ended, "a streamed response ends once");
+    if (! begun || ended)
+        co_return breakOff ("a streamed response ends once");
 
     if (! chunked)
     {
@@ -169,6 +177,12 @@
     co_return error;
 }
 
+auto Exchange::breakOff (std::string_view name) -> std::error_code
+{
+    invariant = name;
+    return make_error_code (ErrorKind::internal);
+}
+
 auto Exchange::watchCaller (std::function<void()> onDisconnect) -> void
 {
     watch = std::make_shared<Watch>();
--- a/modules/snowrudder_net/server/Exchange.h
+++ b/modules/snowrudder_net/server/Exchange.h
@@ -57,20 +57,32 @@
     /** @returns the value of a query parameter, not decoded, or an empty string. */
     [[nodiscard]] auto query (std::string_view name) const -> std::string_view;
 
-    /** Sends a whole response. Sets `Server`, `Connection` and, where a body is allowed, `Content-Length`. */
+    /** Sends a whole response. Sets `Server`, `Connection` and, where a body is allowed, `Content-Length`.
+
+        @returns ErrorKind::internal if a response has begun already; see brokenInvariant()
+    */
     auto respond (HttpResponse response) -> Task<std::error_code>;
 
     /** Sends a whole response with a body of the given content type. */
     auto respond (http::status status, std::string_view contentType, std::string body)
         -> Task<std::error_code>;
 
-    /** Sends the header of a response whose body follows by writeBodyPart(). */
+    /** Sends the header of a response whose body follows by writeBodyPart().
+
+        @returns ErrorKind::internal if a response has begun already; see brokenInvariant()
+    */
     auto beginStream (http::response<http::empty_body> header) -> Task<std::error_code>;
 
-    /** Sends a part of the body. Completes when the socket has accepted the bytes, which applies back pressure. */
+    /** Sends a part of the body. Completes when the socket has accepted the bytes, which applies back pressure.
+
+        @returns ErrorKind::internal if no response is open; see brokenInvariant()
+    */
     auto writeBodyPart (std::string_view data) -> Task<std::error_code>;
 
-    /** Ends the body of a streamed response. */
+    /** Ends the body of a streamed response.
+
+        @returns ErrorKind::internal if none is open; see brokenInvariant()
+    */
     auto endStream() -> Task<std::error_code>;
 
     [[nodiscard]] auto hasBegun() const -> bool { return begun; }
@@ -79,17 +91,32 @@
     /** @returns whether only a reset of the connection shows the caller that the response is incomplete: its body ends
         with the connection.
     */
-    [[nodiscard]] auto mustReset() const -> bool { return begun && ! ended && endsWithConnection; }
+    [[nodiscard]] auto mustReset() const -> bool
+    {
+        return begun && ! ended && (endsWithConnection || ! invariant.empty());
+    }
+
+    /** @returns the invariant that this exchange has broken, for the log; empty if none. Nothing more is sent then, and the
+        connection is closed: the fault of one request is no reason to end the others of the process.
+    */
+    [[nodiscard]] auto brokenInvariant() const -> std::string_view { return invariant; }
 
     /** @returns whether the connection can serve another request. */
     [[nodiscard]] auto isKeepAlive() const -> bool
     {
-        return ended && ! closesAfterResponse && received.keep_alive();
+        return ended && invariant.empty() && ! closesAfterResponse && received.keep_alive();
     }
 
     /** Closes the connection after this response. */
     auto closeAfterResponse() -> void { closesAfterResponse = true; }
 
+    /** Ends the exchange where an invariant is broken.
+
+        @param name  the invariant's name, for the log; must outlive the exchange
+        @returns     ErrorKind::internal
+    */
+    auto breakOff (std::string_view name) -> std::error_code;
+
     /** Watches the connection for a disconnect while the response is being prepared.
 
         @param onDisconnect  called on the event loop when the caller has disconnected; never after stopWatching()
@@ -116,6 +143,7 @@
     bool closesAfterResponse = false;
     bool chunked = true;
     bool endsWithConnection = false;
+    std::string_view invariant;
     std::shared_ptr<Watch> watch;
 };
 
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -19,6 +19,8 @@
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+constexpr auto handlerEnds = std::string_view ("a handler ends without an exception");
+
 /** @returns the length of the body that a header states, which the parser may have rejected; nothing if there is none. */
 auto statedLength (const http::fields& fields) -> std::optional<std::uint64_t>
 {
@@ -200,7 +202,7 @@
             exchange.closeAfterResponse();
 
         busy.fetch_add (1);
-        co_await handler (exchange);
+        co_await handle (exchange);
         exchange.stopWatching();
         busy.fetch_sub (1);
 
@@ -212,6 +214,56 @@
     }
 }
 
+auto HttpServer::handle (Exchange& exchange) -> Task<void>
+{
+    std::optional<std::string> exception;
+
+    try
+    {
+        co_await handler (exchange);
+    }
+    catch (const std::exception& error)
+    {
+        exception = error.what();
+    }
+
+    if (exception)
+    {
+        exchange.closeAfterResponse();
+        auto response = recordFault (exchange, *exception);
+
+        if (exchange.hasBegun())
+            exchange.breakOff (handlerEnds);
+        else
+            co_await exchange.respond (std::move (response));
+    }
+    else if (! exchange.brokenInvariant().empty())
+        recordFault (exchange, exchange.brokenInvariant());
+}
+
+auto HttpServer::recordFault (const Exchange& exchange, std::string_view reason) -> HttpResponse
+{
+    RejectedInput input;
+    input.kind = ErrorKind::internal;
+    input.reason = reason;
+    input.fields = exchange.request();
+    auto [response, requestId] = rejection (input);
+
+    if (faults != nullptr)
+        faults->add();
+
+    if (faultLines.take (BootClock::now()))
+        LogLine ("request_broken_off")
+            .with ("request", requestId)
+            .with ("method", toView (exchange.request().method_string()))
+            .with ("reason", reason)
+            .with ("answer_begun", exchange.hasBegun() ? "yes" : "no")
+            .with ("left_out", std::exchange (faultLines.leftOut, 0))
+            .error();
+
+    return std::move (response);
+}
+
 auto HttpServer::readRequest (tcp::socket& stream, beast::flat_buffer& buffer, Watchdog::Watch& deadline)
     -> Task<ReadResult>
 {
@@ -277,6 +329,11 @@
         co_return ConnectionClosed {};
     }
 
+    // The message to the upstream can't be made of it, and no caller has a reason to send one (RFC 9110, 9.3.8).
+    if (parser.get().method() == http::verb::trace && ! parser.get().body().empty())
+        co_return rejectedInput (ErrorKind::invalidRequest, http::error::unexpected_body,
+                                 headerBytes + bodyBytes, parser, limits);
+
     co_return parser.release();
 }
 
--- a/modules/snowrudder_net/server/HttpServer.h
+++ b/modules/snowrudder_net/server/HttpServer.h
@@ -48,6 +48,9 @@
     /** Replaces the limits for requests that are read from now on. Must be called on the event loop. */
     auto setLimits (const ServerLimits& changed) -> void { limits = changed; }
 
+    /** Counts the requests that an exception or a broken invariant of theirs has ended. The counter must outlive the server. */
+    auto countFaultsIn (Counter& counter) -> void { faults = &counter; }
+
     /** @returns the number of connections with a request in progress. */
     [[nodiscard]] auto busyConnections() const -> std::size_t { return busy.load(); }
 
@@ -65,6 +68,13 @@
     auto readRequest (tcp::socket& stream, beast::flat_buffer& buffer, Watchdog::Watch& deadline)
         -> Task<ReadResult>;
     auto reject (tcp::socket& stream, Watchdog::Watch& deadline, const RejectedInput& input) -> Task<void>;
+    /** Runs the handler. Its exceptions end this exchange only. */
+    auto handle (Exchange& exchange) -> Task<void>;
+    /** Logs and counts a fault of ours that ends one exchange.
+
+        @returns the response to it if none has begun
+    */
+    auto recordFault (const Exchange& exchange, std::string_view reason) -> HttpResponse;
 
     asio::io_context& loop;
     ServerLimits limits;
@@ -77,6 +87,8 @@
     bool draining = false;
     std::atomic<std::size_t> busy { 0 };
     LogBudget rejectionLines;
+    LogBudget faultLines;
+    Counter* faults = nullptr;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_router/plain/PlainCall.cpp
+++ b/modules/snowrudder_router/plain/PlainCall.cpp
@@ -157,8 +157,16 @@
         if (! decision.shouldRetry)
             co_return problemAfter (outcome, decision);
 
-        requireInvariant (input.repeatable || ! retry.mayHaveRun,
-                          "a request marked not repeatable runs at most once");
+        if (! input.repeatable && retry.mayHaveRun)
+        {
+            state.metrics.counter ("snowrudder_broken_invariants_total").add();
+            LogLine ("invariant_broken")
+                .with ("request", idText)
+                .with ("invariant", "a request marked not repeatable runs at most once")
+                .error();
+            co_return makeProblem (ErrorKind::internal);
+        }
+
         state.counts.retries.add();
         co_await pauseFor (worker.loop, decision.pause);
     }
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -87,6 +87,8 @@
     readiness = std::make_shared<HttpServer> (
         state.loop, limits, [this] (Exchange& exchange) { return answerReadiness (exchange); }, rejection);
 
+    callers->countFaultsIn (state.metrics.counter ("snowrudder_broken_requests_total"));
+
     if (const auto error = callers->listen (parseEndpoint (state.settings.listen)))
         return error;
 
--- a/modules/snowrudder_serving/relay/EventAssembler.cpp
+++ b/modules/snowrudder_serving/relay/EventAssembler.cpp
@@ -5,6 +5,24 @@
 namespace snowrudder
 {
 
+namespace
+{
+
+/** @returns the position of the last line that begins with a field's name, or npos. */
+auto findLastField (std::string_view events, std::string_view field) -> std::size_t
+{
+    auto position = events.rfind (field);
+
+    // A field name is valid only at the start of a line.
+    while (position != std::string_view::npos && position != 0 && events[position - 1] != '\n' &&
+           events[position - 1] != '\r')
+        position = events.rfind (field, position - 1);
+
+    return position;
+}
+
+} // namespace
+
 auto EventAssembler::add (std::string_view bytes) -> std::string_view
 {
     partial += bytes;
@@ -18,15 +36,14 @@
 auto EventAssembler::recordIdentifier (std::string_view events) -> void
 {
     constexpr auto field = std::string_view ("id:");
-    auto position = events.rfind (field);
-
-    // A field name is valid only at the start of a line.
-    while (position != std::string_view::npos && position != 0 && events[position - 1] != '\n' &&
-           events[position - 1] != '\r')
-        position = events.rfind (field, position - 1);
+    const auto position = findLastField (events, field);
 
     if (position == std::string_view::npos)
+    {
+        hasUnidentified = hasUnidentified || (lastIdentifier.empty() &&
+                                              findLastField (events, "data") != std::string_view::npos);
         return;
+    }
 
     auto value = events.substr (position + field.size());
     value = value.substr (0, value.find_first_of ("\r\n"));
--- a/modules/snowrudder_serving/relay/EventAssembler.h
+++ b/modules/snowrudder_serving/relay/EventAssembler.h
@@ -38,12 +38,19 @@
     /** @returns the identifier of the last complete event, or an empty string. */
     [[nodiscard]] auto lastEventId() const -> const std::string& { return lastIdentifier; }
 
+    /** @returns whether another replica can go on after the complete events: none has data that comes before the first
+        identifier, which a replica would send again.
+    */
+    [[nodiscard]] auto mayBeContinued() const -> bool { return ! hasUnidentified; }
+
 private:
     auto recordIdentifier (std::string_view events) -> void;
 
     std::string partial;
     std::string completeEvents;
     std::string lastIdentifier;
+    /** Whether there was data before the first identifier. */
+    bool hasUnidentified = false;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -135,6 +135,7 @@
                    answerBegan() ? inMilliseconds (BootClock::now() - *answerBegan()) : -1.0)
             .with ("framing", framingName())
             .with ("partial_event_bytes", partialEventBytes)
+            .with ("caller_has", toString (callerProgress()))
             .with ("ran", toString (ranAfter (*outcome)))
             .info();
 
@@ -144,8 +145,6 @@
             co_return;
         }
 
-        requireInvariant (request.route->isRepeatable() || possibleRuns() == 0,
-                          "a request marked not repeatable runs at most once");
         state.counts.retries.add();
         co_await pauseFor (state.loop, decision.pause);
     }
@@ -290,7 +289,9 @@
     if (auto failure = processHead (call, answer, ticket))
         co_return failure;
 
-    if (request.route->kind == RouteKind::stream && answer.isSuccess)
+    // A success without a body, as to a HEAD request, is whole already.
+    if (exchange.hasBegun() ||
+        (request.route->kind == RouteKind::stream && answer.isSuccess && ! call.isDone()))
         co_return co_await relayStream (call);
 
     co_return co_await relayPlain (call);
@@ -406,12 +407,8 @@
     // usage report lacked a twelfth of a window's requests while replicas failed 45% of theirs.
     countUsage();
 
-    if (! events.lastEventId().empty() && ! answer.isSuccess)
-        return makeOutcome (call, FailureCause::failed);
-
-    constexpr auto serverErrors = 500U;
-
-    if (call.status() >= serverErrors && mayRunAgain())
+    if (useOfAnswer ({ callerProgress(), call.status(), call.hasEvents(), mayRunAgain() }) ==
+        AnswerUse::discard)
         return makeOutcome (call, FailureCause::failed);
 
     if (answer.isSuccess)
@@ -555,6 +552,7 @@
     if (! exchange.hasBegun())
     {
         bindVersion();
+        isRelayingOther = ! call.hasEvents();
 
         if (co_await exchange.beginStream (relayedHead (call)))
             co_return Failure {};
@@ -742,6 +740,19 @@
     auto decision = decideAfterFailure (outcome, input, BootClock::now());
     events.dropPartial();
 
+    if (! mayGoOn (callerProgress()))
+        decision.shouldRetry = false;
+
+    if (decision.shouldRetry && ! request.route->isRepeatable() && possibleRuns() > 0)
+    {
+        state.metrics.counter ("snowrudder_broken_invariants_total").add();
+        LogLine ("invariant_broken")
+            .with ("request", request.caller.id)
+            .with ("invariant", "a request marked not repeatable runs at most once")
+            .error();
+        decision.shouldRetry = false;
+    }
+
     if (decision.shouldRetry && decision.takesBudget)
         decision.shouldRetry =
             std::exchange (hasReservedRetry, false) || state.retryBudgets.take ({}, request.service);
@@ -866,6 +877,7 @@
         .with ("replica", lastReplica.name)
         .with ("framing", framingName())
         .with ("partial_event_bytes", events.partialEvent().size())
+        .with ("caller_has", toString (callerProgress()))
         .with ("prompt_tokens", request.caller.promptTokens)
         .with ("parts", toString (request.subjects.parts))
         .with ("first_byte_milliseconds", firstByte ? inMilliseconds (*firstByte) : -1.0)
@@ -895,6 +907,17 @@
     return waits;
 }
 
+auto RoutedRequestRunner::callerProgress() const -> CallerProgress
+{
+    if (! exchange.hasBegun())
+        return CallerProgress::nothing;
+
+    if (isRelayingOther || ! events.mayBeContinued())
+        return CallerProgress::partOfOther;
+
+    return events.lastEventId().empty() ? CallerProgress::head : CallerProgress::events;
+}
+
 auto RoutedRequestRunner::mayRunAgain() const -> bool
 {
     return request.route->isRepeatable() && possibleRuns() < request.route->mostAttempts &&
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../node/ServingState.h"
+#include "AnswerUse.h"
 #include "EventAssembler.h"
 #include "RoutedPrompt.h"
 
@@ -101,6 +102,7 @@
     [[nodiscard]] auto attemptFields (const ReplicaTicket& ticket) const -> AttemptFields;
     [[nodiscard]] auto timeouts() const -> CallTimeouts;
     [[nodiscard]] auto mayRunAgain() const -> bool;
+    [[nodiscard]] auto callerProgress() const -> CallerProgress;
     /** @returns when the current attempt's answer began, or nothing if it has not. */
     [[nodiscard]] auto answerBegan() const -> std::optional<TimePoint>
     {
@@ -150,6 +152,8 @@
     std::optional<DirectAttempt> direct;
     /** Name of the replica that began the answer. */
     std::string firstReplica;
+    /** Whether the caller has a part of a body that isn't a stream of events. */
+    bool isRelayingOther = false;
     bool isCallerGone = false;
     bool isUsageCounted = false;
     /** Whether the current attempt tries paths that are taken for lost. */
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -80,6 +80,45 @@
         self.assertTrue(received.endswith(b"".join(EVENTS)))
 
 
+class FailuresOfOneRequest(unittest.TestCase):
+    """One node, whose other requests go on whatever becomes of one."""
+
+    STATUSES = (204, 301, 304, 400, 404, 408, 429, 500, 503, 504)
+
+    def setUp(self):
+        self.platform = Platform(replicas=8).__enter__()
+        self.addCleanup(self.platform.__exit__)
+        self.node = self.platform.first
+
+    def behave(self, *how):
+        """The replicas take the entries in the order of the requests."""
+        behaviour = list(how)
+        for replica in self.platform.replicas:
+            replica.behave = behaviour
+
+    def test_a_stream_torn_in_its_first_event_whose_next_replica_fails_ends_alone(self):
+        """Guards against a second response to the caller of a stream that has begun, which ended the process
+        (`invariant broken: a request gets one response`) and with it the connections of all others."""
+        with socket.create_connection(("127.0.0.1", self.node.front), 10) as kept:
+            for status in self.STATUSES:
+                self.behave("break-first", f"status-{status}")
+                with self.assertRaises((http.client.IncompleteRead, ConnectionResetError), msg=status):
+                    self.node.call("POST", "/resumed-stream/x", body=f"{status}", id=f"torn-{status}")
+                self.assertEqual(self.platform.replicas[0].behave, [], "another replica was asked")
+                # They also earn the retry that the next stream takes.
+                for count in range(20):
+                    kept.sendall(f"GET /again/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: kept-{status}-{count}\r\n"
+                                 "X-Api-Key: key-alpha\r\n\r\n".encode())
+                    self.assertTrue(kept.recv(4096).startswith(b"HTTP/1.1 200 "), status)
+        self.assertIsNone(self.node.process.poll())
+
+    def test_a_request_that_no_message_can_be_made_of_is_answered(self):
+        """Guards against an exception in a handler: the connection was closed without an answer and stayed counted as busy."""
+        received = raw(self.node.front, b"TRACE /again/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
+                                        b"X-Api-Key: key-alpha\r\nContent-Length: 4\r\n\r\nbody")
+        self.assertTrue(received.startswith(b"HTTP/1.1 400 "), received)
+
+
 class BrokenAnswersOfServices(unittest.TestCase):
     """The own face."""
 
--- a/tests/unit/BrokenAnswers.h
+++ b/tests/unit/BrokenAnswers.h
@@ -29,6 +29,21 @@
     callerLeaves
 };
 
+/** What each attempt after the first one brings. */
+enum class NextAttempt
+{
+    /** The whole answer, or the rest of the stream. */
+    whole,
+    /** An answer with another status, after a pause. */
+    status,
+    /** The connection is closed in the head. */
+    cutHead,
+    /** The connection is closed in the body. */
+    cutBody,
+    /** Nothing until the request's deadline has passed. */
+    silent
+};
+
 /** The kind of route that a request is sent on. */
 enum class AnswerRoute
 {
@@ -58,6 +73,15 @@
     /** Bytes of the body that the first replica sends, if it sends the whole head. */
     std::size_t bodySent = 0;
     bool isHeadSent = true;
+    NextAttempt next = NextAttempt::whole;
+    unsigned nextStatus = 0;
+    Duration nextPause {};
+
+    /** @returns whether the request gets a short time limit, as one of its replicas waits for the end of it. */
+    [[nodiscard]] auto reachesDeadline() const -> bool
+    {
+        return end == AnswerEnd::stall || next == NextAttempt::silent || nextPause > Duration::zero();
+    }
 
     [[nodiscard]] auto isStream() const -> bool
     {
@@ -104,4 +128,15 @@
 /** @returns what is wrong with a caller's view of an answer; empty if nothing is. */
 auto findFault (const AnswerPlan& plan, const CallerView& view) -> std::string;
 
+/** The time limit of the requests whose replicas wait for the end of it. */
+inline constexpr auto shortTimeLimit = Duration (60ms);
+
+/** @returns for each kind of route, framing and state of the answer to the caller, one plan for each thing that the next
+    attempt may bring.
+*/
+auto makeNextAttemptPlans() -> std::vector<AnswerPlan>;
+
+/** @returns what the caller of such a plan must not have seen, or an empty string. */
+auto findNextAttemptFault (const AnswerPlan& plan, const CallerView& view) -> std::string;
+
 } // namespace snowrudder::tests
