The end of a node is never the end of an answer without a length

Cause: a killed process's sockets are closed by the kernel with FIN. A node that got an answer through another one took that for the replica's own end, if the answer ends with its connection. Ruled out: the relay passing on a replica's reset as a close (it resets), and the test on the last event's end, which only narrows the fault.

Change: a relay sets a linger time of zero on the node's connection before it says that it is connected, so that every end but the replica's own close is a reset, the kill's too, and says so in its response (Snowrudder-Relay-End: reset). The connection of a caller whose answer ends with it is treated alike until the body is out. No bytes are added to a relayed answer; the option isn't set through Asio, which turns it off in the destructor of a socket.

Tests: on the router of both tests of a killed relay and the one of an HTTP/1.0 caller fail, with the change they pass; whole answers through a relay stay whole, also when the relay gets SIGTERM. Unit test for a relay with and without the word.

--- a/modules/snowrudder_net/client/BodyEnd.h
+++ b/modules/snowrudder_net/client/BodyEnd.h
@@ -19,6 +19,8 @@
 
     BodyFraming framing = BodyFraming::length;
     bool isEventStream = false;
+    /** Whether the connection's end is the upstream's own: a relay that ends closes its connections too. */
+    bool isEndOfUpstream = true;
     /** The last bytes received of a stream of events, `tailBytes` at most. */
     std::string tail {};
 };
@@ -31,12 +33,16 @@
     end.tail.erase (0, end.tail.size() - std::min (end.tail.size(), BodyEnd::tailBytes));
 }
 
-/** @returns whether a body that ended by its framing is whole. A stream of events that ends inside one has been broken
+/** @returns whether a body that ended by its framing is whole. One that ends with its connection is not known to be if others
+    than the upstream may have ended that. A stream of events that ends inside one has been broken
     off; so has one without any event whose end only the connection's end shows, since an upstream that fails before its
     first event leaves the same bytes.
 */
 inline auto isWhole (const BodyEnd& end) -> bool
 {
+    if (end.framing == BodyFraming::endOfConnection && ! end.isEndOfUpstream)
+        return false;
+
     if (! end.isEventStream)
         return true;
 
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -121,6 +121,7 @@
     response.skip (true);
     const auto [error, bytes] =
         co_await http::async_read_header (connection->stream, connection->buffer, response, asTuple);
+    hasMarkedEnd = toView (response.get()[relayEndField]) == relayEndIsReset;
     co_return error || cancelled ? noResponse : response.get().result_int();
 }
 
@@ -169,7 +170,7 @@
     }
 
     currentStage = CallStage::receiving;
-    bodyEnd = { framingOf (*parser), isEventStream (parser->get()) };
+    bodyEnd = { framingOf (*parser), isEventStream (parser->get()), ! isRelayed || hasMarkedEnd };
 
     if (parser->is_done())
         finish();
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 namespace snowrudder
@@ -22,6 +23,12 @@
     TimePoint end = TimePoint::max();
 };
 
+/** In the response of a node that relays a connection: how the connection ends if that node does. */
+inline constexpr auto relayEndField = "Snowrudder-Relay-End";
+
+/** Any end but the upstream's own close is a reset. */
+inline constexpr auto relayEndIsReset = std::string_view ("reset");
+
 /** One call to an upstream, made step by step. The destructor returns the connection to the pool when the whole
     response was read and the upstream keeps the connection open, and closes it otherwise.
 */
@@ -47,7 +54,8 @@
     */
     auto connect (bool mayReuse) -> Task<std::error_code>;
 
-    /** Connects to the upstream through another node, which relays the bytes of the connection in both directions.
+    /** Connects to the upstream through another node, which relays the bytes of the connection in both directions. Unless that
+        node states that it resets the connection when it ends itself, a body that ends with the connection isn't whole.
 
         @param relay    address of that node
         @param request  asks it to connect to the upstream
@@ -148,6 +156,8 @@
     bool isHeadRequest = false;
     bool isReused = false;
     bool isRelayed = false;
+    /** Whether the relaying node states that its own end resets the connection. */
+    bool hasMarkedEnd = false;
     /** Whether the whole response was read and the connection may be used for another call. */
     bool reusable = false;
     bool cancelled = false;
--- a/modules/snowrudder_net/concurrency/ResetConnection.h
+++ b/modules/snowrudder_net/concurrency/ResetConnection.h
@@ -2,6 +2,8 @@
 
 #include "AsioNames.h"
 
+#include <sys/socket.h>
+
 namespace snowrudder
 {
 
@@ -14,4 +16,16 @@
     socket.close (ignored);
 }
 
+/** Sets whether every later end of a connection is a reset, which discards what has not been delivered, also where the
+    kernel closes it for a process that was killed.
+
+    @returns whether the option could be set
+*/
+inline auto setResetAtClose (tcp::socket& socket, bool isReset) -> bool
+{
+    // Not by an option of Asio, which the destructor of a socket turns off.
+    const ::linger option { isReset ? 1 : 0, 0 };
+    return ::setsockopt (socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0;
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_net/server/Exchange.cpp
+++ b/modules/snowrudder_net/server/Exchange.cpp
@@ -1,6 +1,6 @@
 #include "Exchange.h"
 
-#include <sys/socket.h>
+#include "../concurrency/ResetConnection.h"
 
 namespace snowrudder
 {
@@ -126,6 +126,10 @@
     if (received.version() < 11)
         closesAfterResponse = true;
 
+    // The end of this process must not look like the end of the body.
+    if (endsWithConnection)
+        setResetAtClose (stream, true);
+
     header.version (received.version());
     header.set (http::field::server, toBeast (serverName));
     header.keep_alive (received.keep_alive() && ! closesAfterResponse);
@@ -168,6 +172,10 @@
     if (! chunked)
     {
         ended = true;
+
+        if (endsWithConnection)
+            setResetAtClose (stream, false);
+
         co_return std::error_code();
     }
 
--- a/modules/snowrudder_serving/paths/ConnectionRelay.cpp
+++ b/modules/snowrudder_serving/paths/ConnectionRelay.cpp
@@ -108,6 +108,11 @@
         status = co_await connect (relayed, *request);
 
     http::response<http::empty_body> response (status, 11);
+
+    // Once the node is connected, the end of this process must not look like the replica's close.
+    if (status == relayConnected && setResetAtClose (relayed.node, true))
+        response.set (relayEndField, toBeast (relayEndIsReset));
+
     const auto [error, bytes] = co_await http::async_write (relayed.node, response, asTuple);
 
     LogLine ("connection_relayed")
--- a/modules/snowrudder_serving/paths/ConnectionRelay.h
+++ b/modules/snowrudder_serving/paths/ConnectionRelay.h
@@ -13,7 +13,8 @@
     both directions. It never connects through a third node.
 
     The node that asks keeps everything that concerns the request: its deadline, attempts, limits, and what it learns of
-    the replica. The end of a connection is passed on as what it was: a close as a close, a reset as a reset.
+    the replica. The end of a connection is passed on as what it was: a close as a close, a reset as a reset. The end of
+    this process is a reset.
 */
 class ConnectionRelay : public std::enable_shared_from_this<ConnectionRelay>
 {
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -354,7 +354,8 @@
             self.gone.set()
 
     def stream_without_framing(self, call, how):
-        """Answers with events, without a length or chunks: whole, with no event, or broken off inside the fourth event."""
+        """Answers with events, without a length or chunks: whole, at once or slowly, with no event, or broken off inside the
+        fourth event."""
         call.close_connection = True
         call.send_response(200)
         for name, text in self.headers(call).items():
@@ -362,7 +363,14 @@
         call.send_header("Content-Type", "text/event-stream")
         call.end_headers()
         first = int(call.headers["Last-Event-Id"] or 0) + 1
-        whole = b"".join(f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(first, self.events + 1))
+        events = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(first, self.events + 1)]
+        if how == "slow-unframed":
+            for event in events:
+                call.wfile.write(event)
+                call.wfile.flush()
+                time.sleep(0.3)
+            return
+        whole = b"".join(events)
         call.wfile.write({"unframed": whole, "end-unframed": b"", "break-unframed": whole[:whole.find(b"id: 4") + 9]}[how])
 
     @staticmethod
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -74,6 +74,20 @@
                     while caller.recv(4096):
                         pass
 
+    def test_a_caller_of_http_1_0_whose_node_is_killed_sees_a_reset(self):
+        """Guards against the end of a node's process that a caller takes for the end of an answer without a length."""
+        self.break_first_answer("slow")
+        with socket.create_connection(("127.0.0.1", self.node.front), 10) as caller:
+            caller.sendall(b"POST /stream/x HTTP/1.0\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
+                           b"X-Api-Key: key-alpha\r\nContent-Length: 0\r\n\r\n")
+            received = b""
+            while b"piece 2" not in received:
+                received += caller.recv(4096)
+            self.node.process.kill()
+            with self.assertRaises(ConnectionResetError):
+                while caller.recv(4096):
+                    pass
+
     def test_a_caller_of_http_1_0_gets_a_whole_stream(self):
         received = raw(self.node.front, b"POST /stream/x HTTP/1.0\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
                                         b"X-Api-Key: key-alpha\r\nContent-Length: 0\r\n\r\n")
--- a/tests/process/test_cut_nodes.py
+++ b/tests/process/test_cut_nodes.py
@@ -1,5 +1,7 @@
 """Tests that nodes that are cut off from all replicas serve their callers all the same, with real router processes."""
+import http.client
 import itertools
+import signal
 import threading
 import time
 import unittest
@@ -187,6 +189,55 @@
             with self.assertRaises(Exception):
                 self.node.call("POST", "/stream/x", body="")
 
+    def slow_stream(self, framing="slow-unframed"):
+        """Starts a stream of 6 events, one each 0.3 s, and returns its outcome's list and its thread."""
+        for replica in self.platform.replicas:
+            replica.behave = [framing]
+        outcome = []
+
+        def read():
+            try:
+                answer = self.node.call("POST", "/stream/x", body="")
+                outcome.append((answer.status, answer.body.count(b"id: ")))
+            except (http.client.HTTPException, OSError) as error:
+                outcome.append(type(error).__name__)
+
+        thread = threading.Thread(target=read, daemon=True)
+        thread.start()
+        wait_until(lambda: any(not replica.behave for replica in self.platform.replicas), "the stream has begun")
+        time.sleep(0.5)
+        return outcome, thread
+
+    def test_a_relayed_answer_that_ends_with_its_connection_is_whole(self):
+        outcome, thread = self.slow_stream()
+        thread.join(10)
+        self.assertEqual(outcome, [(200, 6)])
+
+    def test_a_relayed_answer_whose_relay_is_killed_is_not_complete(self):
+        """Guards against the end of a relaying node that was taken for the end of an answer without a length."""
+        for framing in ("slow-unframed", "slow"):
+            outcome, thread = self.slow_stream(framing)
+            self.platform.nodes[1].process.kill()
+            thread.join(10)
+            self.assertIn(outcome, [["IncompleteRead"], ["ConnectionResetError"]], framing)
+            self.platform.nodes[1].process.wait()
+            self.platform.nodes[1].start()
+            wait_until(lambda: self.node.call("GET", "/again/x").status == 200, "the cut node serves again")
+
+    def test_a_relayed_answer_whose_relay_is_frozen_and_killed_is_not_complete(self):
+        outcome, thread = self.slow_stream()
+        self.platform.nodes[1].process.send_signal(signal.SIGSTOP)
+        time.sleep(0.5)
+        self.platform.nodes[1].process.kill()
+        thread.join(10)
+        self.assertIn(outcome, [["IncompleteRead"], ["ConnectionResetError"]])
+
+    def test_a_relayed_answer_whose_relay_is_stopped_is_whole_or_not_complete(self):
+        outcome, thread = self.slow_stream()
+        self.platform.nodes[1].process.terminate()
+        thread.join(10)
+        self.assertIn(outcome, [[(200, 6)], ["IncompleteRead"], ["ConnectionResetError"]])
+
     def test_a_node_without_the_secret_gets_no_connection(self):
         from harness import raw
         name, port = self.platform.replicas[0].name, self.platform.replicas[0].port
--- a/tests/unit/NetTests.cpp
+++ b/tests/unit/NetTests.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace snowrudder;
 
 TEST_CASE ("events are parsed from a stream however it is split")
@@ -262,3 +264,52 @@
     loop.run();
     CHECK (ended - began >= BootWaitTraits::maxSleep + 100ms);
 }
+
+namespace
+{
+
+/** Plays a node that relays a connection: answers the request for it, sends an answer without a length, and closes. */
+auto playRelay (tcp::acceptor& acceptor, std::string head) -> Task<void>
+{
+    auto [acceptError, socket] = co_await acceptor.async_accept (asTuple);
+    beast::flat_buffer buffer;
+
+    for (const auto& text : { head, std::string ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                                                 "id: 1\ndata: one\n\n") })
+    {
+        HttpRequest request;
+        co_await http::async_read (socket, buffer, request, asTuple);
+        co_await asio::async_write (socket, asio::buffer (text), asTuple);
+    }
+}
+
+auto readThroughRelay (ConnectionPool& pool, tcp::endpoint relay, std::error_code& error, std::string& body)
+    -> Task<void>
+{
+    UpstreamCall call (pool, relay, {});
+    co_await call.connectThrough (relay, makeRequest (http::verb::get, "/replica"), 1s);
+    co_await call.sendAndReadHeader (makeRequest (http::verb::get, "/x"));
+    error = co_await call.readRest (body, 1000);
+}
+
+} // namespace
+
+// Guards against the end of a relaying node that was taken for the end of an answer.
+TEST_CASE ("an answer that ends with a relayed connection is whole only if the relay's own end is a reset")
+{
+    for (const auto isMarked : { false, true })
+    {
+        asio::io_context loop (1);
+        tcp::acceptor acceptor (loop, tcp::endpoint (asio::ip::address_v4::loopback(), 0));
+        ConnectionPool pool (loop.get_executor());
+        const std::string mark = isMarked ? "Snowrudder-Relay-End: reset\r\n" : "";
+        std::error_code error;
+        std::string body;
+        asio::co_spawn (loop, playRelay (acceptor, "HTTP/1.1 200 OK\r\n" + mark + "\r\n"), asio::detached);
+        asio::co_spawn (loop, readThroughRelay (pool, acceptor.local_endpoint(), error, body),
+                        asio::detached);
+        loop.run();
+        CHECK (body == "id: 1\ndata: one\n\n");
+        CHECK ((! error) == isMarked);
+    }
+}
