No status that promises that a request has not run is passed on for one that may have

Cause: a replica's status was passed on whatever callers take it for; X-Not-Executed was only read for the node's own retries. 408, 429 and 503 alike, on plain routes and on streams that can't be resumed (process test). Ruled out: a promise of the node's own after a retry; each of the refused requests was sent once.

Change: for a request that may not be repeated such an answer counts as a failed run, and its caller gets 502, unsigned and without a time to return. Requests that may be repeated get what they got. The error after the last attempt is a pure function (problemAfterLast) that gives no such status for a request that may have run and may not be repeated; before, the kind of a lost path could have.

--- a/modules/snowrudder_serving/attempt/AttemptErrors.cpp
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.cpp
@@ -2,9 +2,20 @@
 
 #include "snowrudder_net/snowrudder_net.h"
 
+#include <algorithm>
+
 namespace snowrudder
 {
 
+namespace
+{
+
+/** Retry delay for callers after a refusal by a replica or a connection: another node or replica may succeed at once.
+*/
+constexpr auto shortRetryDelay = 100ms;
+
+} // namespace
+
 auto failureCauseOf (std::error_code error) -> FailureCause
 {
     if (error == std::errc::timed_out)
@@ -71,4 +82,34 @@
                         "the last attempt: " + std::string (toString (outcome.cause)));
 }
 
+auto problemAfterLast (const LastFailure& last) -> Problem
+{
+    if (last.outcome.cause == FailureCause::stopped)
+        return problemWhenStopped (last.mayHaveRun);
+
+    auto problem = problemAfter (last.outcome, last.decision);
+
+    if (! last.mayHaveRun)
+    {
+        if (last.outcome.cause == FailureCause::versionGone)
+            return problem;
+
+        const auto isRefused = last.outcome.cause == FailureCause::refused;
+        const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
+        return withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
+                          std::max<Duration> (shortRetryDelay, last.retryDelay));
+    }
+
+    if (last.isLate)
+        return makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
+
+    // The status of such a kind is a promise, whatever the problem's own `ran` says.
+    const auto isPromise = errorDescription (problem.kind).ran == Ran::no;
+
+    if (ranAfter (last.outcome) == Ran::no || (isPromise && ! last.isRepeatable))
+        return makeProblem (ErrorKind::upstreamFailed, Ran::unknown, std::move (problem.detail));
+
+    return problem;
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/attempt/AttemptErrors.h
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.h
@@ -31,4 +31,24 @@
 /** @returns the error for the caller after the last attempt has failed. */
 auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem;
 
+/** The state of a request whose last attempt has failed, on which the error for its caller depends. */
+struct LastFailure
+{
+    AttemptOutcome outcome;
+    RetryDecision decision;
+    /** Whether any attempt may have run. */
+    bool mayHaveRun = false;
+    /** Whether the request may run more than once. */
+    bool isRepeatable = false;
+    /** Whether the request's deadline has passed. */
+    bool isLate = false;
+    /** When a replica may take the request, if it has not run. */
+    Duration retryDelay {};
+};
+
+/** @returns the error for the caller. Its status promises that the request has not run only if no attempt may have run, or if
+    the request may be repeated.
+*/
+auto problemAfterLast (const LastFailure& last) -> Problem;
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/relay/AnswerUse.cpp
+++ b/modules/snowrudder_serving/relay/AnswerUse.cpp
@@ -14,7 +14,13 @@
 auto useOfAnswer (const AnswerUseInput& input) -> AnswerUse
 {
     if (input.progress == CallerProgress::nothing)
+    {
+        // A caller would send the request again, which may have run.
+        if (input.promisesNotRun && ! input.isRepeatable)
+            return AnswerUse::discard;
+
         return input.status >= serverErrors && input.mayRunAgain ? AnswerUse::discard : AnswerUse::passOn;
+    }
 
     // The caller has the head of the first answer: only what fits below it may follow.
     const auto isRestOfStream = mayGoOn (input.progress) && input.status == statusOk && input.hasEvents;
--- a/modules/snowrudder_serving/relay/AnswerUse.h
+++ b/modules/snowrudder_serving/relay/AnswerUse.h
@@ -36,6 +36,10 @@
     unsigned status = 0;
     /** Whether the body is a stream of events. */
     bool hasEvents = false;
+    /** Whether callers take the status for a promise that the request has not run. */
+    bool promisesNotRun = false;
+    /** Whether the request may run more than once. */
+    bool isRepeatable = false;
     /** Whether another attempt may be made if this one fails. */
     bool mayRunAgain = false;
 };
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -30,10 +30,6 @@
 /** The share of the route's latency target that a request may spend in the queue. */
 constexpr auto queueShareOfTarget = 0.6;
 
-/** Retry delay for callers after a refusal by a replica or a connection: another node or replica may succeed at once.
-*/
-constexpr auto shortRetryDelay = 100ms;
-
 /** How often a request looks for a free place on a replica whose places are divided among the nodes. */
 constexpr auto placePause = 5ms;
 
@@ -407,8 +403,15 @@
     // usage report lacked a twelfth of a window's requests while replicas failed 45% of theirs.
     countUsage();
 
-    if (useOfAnswer ({ callerProgress(), call.status(), call.hasEvents(), mayRunAgain() }) ==
-        AnswerUse::discard)
+    AnswerUseInput input;
+    input.progress = callerProgress();
+    input.status = call.status();
+    input.hasEvents = call.hasEvents();
+    input.promisesNotRun = answer.promisesNotRun;
+    input.isRepeatable = request.route->isRepeatable();
+    input.mayRunAgain = mayRunAgain();
+
+    if (useOfAnswer (input) == AnswerUse::discard)
         return makeOutcome (call, FailureCause::failed);
 
     if (answer.isSuccess)
@@ -774,26 +777,19 @@
         co_return;
     }
 
-    auto problem = problemAfter (outcome, decision);
-
-    if (outcome.cause == FailureCause::stopped)
-        problem = problemWhenStopped (possibleRuns() > 0);
-    else if (possibleRuns() == 0)
-    {
-        const auto isRefused = outcome.cause == FailureCause::refused;
-        const auto kind = isRefused ? ErrorKind::upstreamRefused : ErrorKind::noReplica;
-        const auto delay = state.replicas.retryDelay (request.service, startTime(), BootClock::now());
-
-        if (outcome.cause != FailureCause::versionGone)
-            problem = withRetry (makeProblem (kind, Ran::no, std::move (problem.detail)),
-                                 std::max<Duration> (shortRetryDelay, delay.value_or (Duration::zero())));
-    }
-    else if (BootClock::now() >= request.deadline)
-        problem = makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, std::move (problem.detail));
-    else if (ranAfter (outcome) == Ran::no)
-        problem = makeProblem (ErrorKind::upstreamFailed, Ran::unknown, std::move (problem.detail));
-
-    co_await respondWithProblem (std::move (problem));
+    const auto now = BootClock::now();
+    LastFailure last;
+    last.outcome = outcome;
+    last.decision = decision;
+    last.mayHaveRun = possibleRuns() > 0;
+    last.isRepeatable = request.route->isRepeatable();
+    last.isLate = now >= request.deadline;
+
+    if (! last.mayHaveRun)
+        last.retryDelay =
+            state.replicas.retryDelay (request.service, startTime(), now).value_or (Duration::zero());
+
+    co_await respondWithProblem (problemAfterLast (last));
 }
 
 auto RoutedRequestRunner::startTime() const -> std::optional<Duration>
--- a/modules/snowrudder_serving/request/UpstreamProtocol.h
+++ b/modules/snowrudder_serving/request/UpstreamProtocol.h
@@ -31,6 +31,8 @@
     bool belongsToRequest = true;
     /** Whether the replica declares that it has not run the request and never will. */
     bool wasNotRun = false;
+    /** Whether callers take the answer's status for a promise that the request has not run and never will. */
+    bool promisesNotRun = false;
     /** Whether the address now belongs to another replica. */
     bool isAddressReassigned = false;
     bool isSuccess = false;
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -126,6 +126,28 @@
                     self.assertTrue(kept.recv(4096).startswith(b"HTTP/1.1 200 "), status)
         self.assertIsNone(self.node.process.poll())
 
+    def test_a_promise_of_a_replica_that_has_run_the_request_reaches_no_caller_that_may_not_repeat_it(self):
+        """Guards against a replica's status that promises that a request which must run once has not run, though it has."""
+        for path in ("/once/x", "/stream/x"):
+            for status in (408, 429, 503):
+                self.behave(f"status-{status}")
+                answer = self.node.call("POST", path, body=f"{status}", id=f"ran-{path[1]}-{status}")
+                self.assertEqual((answer.status, "retry-after" in answer.headers, "x-response-signature" in answer.headers),
+                                 (502, False, False), (path, status))
+                self.assertIn(f"ran-{path[1]}-{status}", self.platform.runs())
+
+    def test_other_statuses_of_a_replica_and_those_of_repeatable_requests_are_passed_on(self):
+        for path, statuses in (("/once/x", (400, 404, 409, 500, 504)), ("/again/x", (408, 429))):
+            for status in statuses:
+                self.behave(*[f"status-{status}"] * 2)
+                answer = self.node.call("POST", path, body=f"{status}", id=f"kept-{path[1]}-{status}")
+                self.assertEqual((answer.status, "x-response-signature" in answer.headers), (status, True), path)
+
+    def test_a_rejection_is_passed_on_as_one(self):
+        self.behave(*["shed"] * 40)
+        answer = self.node.call("POST", "/once/x", body="", id="shed")
+        self.assertEqual((answer.status, self.platform.runs()), (503, []))
+
     def test_a_request_that_no_message_can_be_made_of_is_answered(self):
         """Guards against an exception in a handler: the connection was closed without an answer and stayed counted as busy."""
         received = raw(self.node.front, b"TRACE /again/x HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r-1\r\n"
