A duty call that has timed out is not delivered later

Cause: a call that timed out was closed. Ruled out: overlapping leases (the successor's fence is higher and the store's record shows one lease after the other), new connections (nothing that was written to one arrived).

Change: callOnce() takes Delivery::byDeadline for duty calls. Their connection has a linger time of zero while a call is under way, so that its end is a reset, which discards what wasn't delivered, the kill's too; TCP_USER_TIMEOUT ends the kernel's delivery at the call's deadline for a frozen process; nothing is written after the deadline, as a process may have been frozen since it connected. Idle connections are closed as before, and calls share them as before.

Unit tests: the reset, the kernel's limit.

--- a/modules/snowrudder_net/client/SimpleCall.cpp
+++ b/modules/snowrudder_net/client/SimpleCall.cpp
@@ -7,12 +7,16 @@
                tcp::endpoint endpoint,
                HttpRequest request,
                CallTimeouts timeouts,
-               std::size_t limit) -> Task<SimpleResponse>
+               std::size_t limit,
+               Delivery delivery) -> Task<SimpleResponse>
 {
     SimpleResponse response;
     UpstreamCall call (pool, endpoint, timeouts);
     const auto mayReuse = true;
 
+    if (delivery == Delivery::byDeadline)
+        call.boundDeliveryByDeadline();
+
     response.error = co_await call.connect (mayReuse);
 
     if (! response.error)
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -1,5 +1,7 @@
 #include "UpstreamCall.h"
 
+#include "../concurrency/ResetConnection.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -65,6 +67,10 @@
     if (! reusable || connection->buffer.size() > 0)
         return;
 
+    // Nothing is under way on an idle connection.
+    if (hasBoundedDelivery)
+        setResetAtClose (connection->stream, false);
+
     connection->maxIdleTime = maxIdleTimeFrom (toView (parser->get()["Keep-Alive"]));
     pool.returnToPool (endpoint, std::move (connection), BootClock::now());
 }
@@ -80,7 +86,7 @@
     isReused = connection != nullptr;
 
     if (isReused)
-        co_return std::error_code();
+        co_return boundDelivery();
 
     connection = pool.createConnection();
     startDeadline (timeouts.connect);
@@ -90,11 +96,22 @@
     {
         boost::system::error_code ignored;
         connection->stream.set_option (tcp::no_delay (true), ignored);
+        co_return boundDelivery();
     }
 
     co_return callerError (error);
 }
 
+auto UpstreamCall::boundDelivery() -> std::error_code
+{
+    if (! hasBoundedDelivery)
+        return {};
+
+    const auto isBounded = setResetAtClose (connection->stream, true) &&
+                           setDeliveryLimit (connection->stream, timeouts.end - BootClock::now());
+    return isBounded ? std::error_code() : std::make_error_code (std::errc::no_protocol_option);
+}
+
 auto UpstreamCall::connectThrough (tcp::endpoint relay, HttpRequest request, Duration timeout)
     -> Task<unsigned>
 {
@@ -130,6 +147,10 @@
     if (cancelled)
         co_return make_error_code (std::errc::operation_canceled);
 
+    // The process may have been frozen since the connection was made.
+    if (BootClock::now() >= timeouts.end)
+        co_return std::make_error_code (std::errc::timed_out);
+
     startDeadline (timeouts.firstByte);
     currentStage = CallStage::sending;
     const auto [error, bytes] = co_await http::async_write (connection->stream, request, asTuple);
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -118,6 +118,12 @@
     /** Closes the connection at the end of the call, as the bytes received on it can't be trusted. */
     auto preventReuse() -> void { reusable = false; }
 
+    /** Ensures that the upstream receives nothing of the call after its end: unless the response is whole, the connection ends
+        with a reset, which discards what the kernel has not delivered, and the kernel stops delivering at the call's
+        deadline. To be called before connect().
+    */
+    auto boundDeliveryByDeadline() -> void { hasBoundedDelivery = true; }
+
     /** Expects a response without a body, as the request is a HEAD request. */
     auto expectNoBody() -> void { isHeadRequest = true; }
 
@@ -129,6 +135,12 @@
 
     using Parser = http::response_parser<http::buffer_body>;
 
+    /** Sets the options of the connection that boundDeliveryByDeadline() asks for.
+
+        @returns an error if the system doesn't support them
+    */
+    auto boundDelivery() -> std::error_code;
+
     /** Ends the call if the body that has been parsed to its end is whole. */
     auto finish() -> void;
 
@@ -154,6 +166,7 @@
     CallStage currentStage = CallStage::notSent;
     BodyEnd bodyEnd;
     bool isHeadRequest = false;
+    bool hasBoundedDelivery = false;
     bool isReused = false;
     bool isRelayed = false;
     /** Whether the relaying node states that its own end resets the connection. */
--- a/modules/snowrudder_net/concurrency/ResetConnection.h
+++ b/modules/snowrudder_net/concurrency/ResetConnection.h
@@ -2,6 +2,10 @@
 
 #include "AsioNames.h"
 
+#include <algorithm>
+#include <chrono>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace snowrudder
@@ -28,4 +32,18 @@
     return ::setsockopt (socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0;
 }
 
+/** Limits how long the kernel goes on sending what the peer does not acknowledge, also while this process is frozen; it then
+    ends the connection.
+
+    @param limit  at least a millisecond
+    @returns      whether the option could be set
+*/
+inline auto setDeliveryLimit (tcp::socket& socket, Duration limit) -> bool
+{
+    const auto whole = std::chrono::ceil<std::chrono::milliseconds> (limit).count();
+    const auto milliseconds = static_cast<unsigned> (std::max<std::int64_t> (whole, 1));
+    return ::setsockopt (socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+                         sizeof milliseconds) == 0;
+}
+
 } // namespace snowrudder
--- a/tests/unit/NetTests.cpp
+++ b/tests/unit/NetTests.cpp
@@ -313,3 +313,79 @@
         CHECK ((! error) == isMarked);
     }
 }
+
+namespace
+{
+
+/** Accepts a connection and reads what comes after a pause, until it ends. */
+auto readLate (tcp::acceptor& acceptor, Duration pause, std::size_t& received, boost::system::error_code& end)
+    -> Task<void>
+{
+    auto [acceptError, socket] = co_await acceptor.async_accept (asTuple);
+    BootTimer timer (socket.get_executor(), pause);
+    co_await timer.async_wait (asTuple);
+    std::array<char, 65536> bytes;
+
+    while (! end)
+    {
+        const auto [error, count] = co_await socket.async_read_some (asio::buffer (bytes), asTuple);
+        received += count;
+        end = error;
+    }
+}
+
+auto callWithTimeout (ConnectionPool& pool, tcp::endpoint endpoint, std::size_t bytes, Delivery delivery)
+    -> Task<void>
+{
+    constexpr auto timeout = Duration (100ms);
+    CallTimeouts timeouts { timeout, timeout, timeout };
+    timeouts.end = BootClock::now() + timeout;
+    co_await callOnce (pool, endpoint, makeRequest (http::verb::post, "/x", std::string (bytes, 'x')),
+                       timeouts, 1000, delivery);
+}
+
+} // namespace
+
+// Guards against duty calls that the kernel delivers after they have timed out and another node has taken the duties over.
+TEST_CASE ("a call that is to be delivered by its deadline is not delivered after it")
+{
+    // More than the buffers of both ends take, so that the rest waits in the kernel of the sender.
+    constexpr auto bytes = std::size_t { 32 } * 1024 * 1024;
+
+    for (const auto delivery : { Delivery::mayBeLate, Delivery::byDeadline })
+    {
+        asio::io_context loop (1);
+        tcp::acceptor acceptor (loop, tcp::endpoint (asio::ip::address_v4::loopback(), 0));
+        ConnectionPool pool (loop.get_executor());
+        std::size_t received = 0;
+        boost::system::error_code end;
+        asio::co_spawn (loop, readLate (acceptor, 300ms, received, end), asio::detached);
+        asio::co_spawn (loop, callWithTimeout (pool, acceptor.local_endpoint(), bytes, delivery),
+                        asio::detached);
+        loop.run();
+        CHECK ((end == asio::error::connection_reset) == (delivery == Delivery::byDeadline));
+    }
+}
+
+// Guards against a frozen process whose kernel goes on delivering.
+TEST_CASE (
+    "the kernel gives up a call that is to be delivered by its deadline while the process does nothing")
+{
+    asio::io_context loop (1);
+    tcp::acceptor acceptor (loop, tcp::endpoint (asio::ip::address_v4::loopback(), 0));
+    tcp::socket sender (loop);
+    sender.connect (acceptor.local_endpoint());
+    auto receiver = acceptor.accept();
+    CHECK (setDeliveryLimit (sender, 100ms));
+    sender.non_blocking (true);
+    const std::string part (65536, 'x');
+    boost::system::error_code error;
+
+    while (! error)
+        sender.write_some (asio::buffer (part), error);
+
+    CHECK (error == asio::error::would_block);
+    std::this_thread::sleep_for (1500ms);
+    sender.write_some (asio::buffer (part), error);
+    CHECK (error == asio::error::timed_out);
+}
