Soak: answers that fail after a run, and duty calls that are held up

The check of fencing tokens left out every call before a holder's latest resumption; it now leaves out those within the grace time after each one only, which is stricter, and the time is noted before the process is resumed.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -123,7 +123,8 @@
         self.assertTrue(duty_breaches(twice, {}, 0.3))
         back = [(1.0, "/scale", "b", 6, {}), (2.0, "/scale", "a", 5, {})]
         self.assertTrue(duty_breaches(back, {}, 0.3))
-        self.assertEqual(duty_breaches(back, {"a": 1.9}, 0.3), [])
+        self.assertEqual(duty_breaches(back, {"a": [1.9]}, 0.3), [])
+        self.assertTrue(duty_breaches(back, {"a": [5.0]}, 0.3), "resumed after the call")
 
 
 class Proxies(unittest.TestCase):
@@ -184,6 +185,12 @@
             self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
             shutil.rmtree(folder)
 
+    def test_runs_with_odd_answers_and_held_duty_calls_keep_every_promise(self):
+        for seed in (10, 11):
+            broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=5, callers=8, odd_answers=True)
+            self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
+            shutil.rmtree(folder)
+
     def test_runs_in_which_vms_are_suspended_keep_every_promise(self):
         for seed in (5, 6):
             broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=4, callers=8, suspensions=True)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -67,7 +67,7 @@
         """Requests for rest: replica, the request that was rejected, when, and for how long."""
         self.arrivals = collections.defaultdict(list)
         """Times and requests that reached a replica, rejected or not."""
-        self.resumed_at = {}
+        self.resumed_at = collections.defaultdict(list)
         self.ends = []
         self.crashes = collections.defaultdict(list)
         self.versions = {}
@@ -220,12 +220,13 @@
 
 def duty_breaches(calls, resumed_at, grace):
     """Lists usage windows that were reported with two different counts, and fencing tokens that decreased. Calls within
-    `grace` seconds after their holder's process was resumed don't count for the tokens.
+    `grace` seconds after their holder's process was resumed, or its path was healed, don't count for the tokens.
 
-    `calls`: (time, path, holder, fence, body)"""
+    `calls`: (time, path, holder, fence, body)
+    `resumed_at`: times by holder"""
     counts, highest, found = {}, 0, []
     for at, path, holder, fence, body in calls:
-        if at - resumed_at.get(holder, -grace) > grace:
+        if not any(0 <= at - resumed <= grace for resumed in resumed_at.get(holder, ())):
             if fence < highest:
                 found.append(f"{holder} acted with fence {fence} after {highest}")
             highest = max(highest, fence)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,6 +6,7 @@
     python3 tests/soak/soak.py --regressions               the seeds in regressions.txt, which have failed before
     python3 tests/soak/soak.py --seed 100 --suspensions    suspends VMs besides
     python3 tests/soak/soak.py --seed 100 --statements     replicas say in answers that they leave, or ask for rest, besides
+    python3 tests/soak/soak.py --seed 100 --odd-answers    replicas fail requests in further ways, and duty calls are held up, besides
 
 A seed always gives the same faults at the same times; the timing of the processes is not deterministic. The folder of a
 failed run, which has the nodes' logs, is kept and its path is printed.
@@ -41,6 +42,11 @@
 REJECTION_TIME = (0.05, 0.6)
 REST_TIME = (0.3, 2.0)
 
+# Seconds from one odd answer, or link that holds duty calls up, to the next, and how long a link does.
+ODD_ANSWER_GAP = (0.2, 1.0)
+HOLD_TIME = (0.3, 6.0)
+ODD_ANSWERS = ("break-first", "status-408", "status-429", "status-503", "status-504", "slow-unframed", "break-unframed", "end-unframed")
+
 OUTAGES = ("silent", "busy")
 REPLICA_TROUBLES = ("cut", "fail", "shed", "surplus", "break", "slow")
 
@@ -95,8 +101,8 @@
         def act(node):
             node.process.send_signal(signal.SIGSTOP)
             time.sleep(seconds)
+            self.world.ledger.resumed_at[node.name].append(time.monotonic())
             node.process.send_signal(signal.SIGCONT)
-            self.world.ledger.resumed_at[node.name] = time.monotonic()
         self.with_claimed_node(draw, act)
 
     def suspend_nodes(self, end, draw):
@@ -117,6 +123,31 @@
             self.running_threads[-1].start()
             time.sleep(draw.uniform(*STATEMENT_GAP))
 
+    def answer_oddly(self, end, draw):
+        """Lets replicas fail requests that they have run in ways that the other faults leave out, and holds up duty calls, until
+        a time. The faults of a seed stay the same without it."""
+        while time.monotonic() < end:
+            fault = draw.choice((self.odd_answers, self.odd_answers, self.duty_calls_held))
+            self.running_threads.append(threading.Thread(target=fault, args=(random.Random(draw.random()),), daemon=True))
+            self.running_threads[-1].start()
+            time.sleep(draw.uniform(*ODD_ANSWER_GAP))
+
+    def odd_answers(self, draw):
+        for replica in draw.sample(list(self.world.replicas.values()), min(2, len(self.world.replicas))):
+            replica.behave += draw.choices(ODD_ANSWERS, k=draw.randint(1, 4))
+
+    def duty_calls_held(self, draw):
+        """A node's calls to the platform are held up, those to the store too, so that another node takes the duties."""
+        index = draw.randrange(len(self.world.nodes))
+        node, link, proxy = self.world.nodes[index], self.world.duty_links[index], self.world.store_proxies[index]
+        with self.world.ledger.disturbance([node.name], after=1):
+            link.hold()
+            proxy.set("silent")
+            time.sleep(draw.uniform(*HOLD_TIME))
+            self.world.ledger.resumed_at[node.name].append(time.monotonic())
+            proxy.set("pass")
+            link.release()
+
     def leaving_stated(self, draw):
         if len(self.world.replicas) > 2:
             self.world.state_leaving(draw.choice(list(self.world.replicas)), draw.random() < 0.5)
@@ -152,8 +183,8 @@
         self.busy_nodes.difference_update(herd)
 
     def resume(self, node):
+        self.world.ledger.resumed_at[node.name].append(time.monotonic())
         node.resume()
-        self.world.ledger.resumed_at[node.name] = time.monotonic()
 
     def herd_killed(self, seconds, draw):
         threads = [threading.Thread(target=self.node_killed, args=(seconds, draw)) for _ in self.world.nodes[1:]]
@@ -231,13 +262,14 @@
         self.world.revoke(draw.choice(list(self.world.keys)))
 
 
-def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False, statements=False):
+def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False, statements=False, odd_answers=False):
     """Runs one seed; returns the broken guarantees and the folder of the logs.
 
     `suspensions`: whether VMs are suspended besides the seed's other faults
-    `statements`: whether replicas say in answers that they leave, or ask for rest, besides"""
+    `statements`: whether replicas say in answers that they leave, or ask for rest, besides
+    `odd_answers`: whether replicas fail requests in further ways, and duty calls are held up, besides"""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"snowrudder-soak-{seed}-"))
-    world = World(seed, folder, nodes, replicas, callers, suspensions)
+    world = World(seed, folder, nodes, replicas, callers, suspensions, odd_answers)
     draw = random.Random(seed)
     faults = Faults(world, draw)
     injected = []
@@ -250,6 +282,9 @@
         if statements:
             stating = threading.Thread(target=faults.state, args=(began + seconds, random.Random(f"{seed} statements")))
             stating.start()
+        if odd_answers:
+            answering = threading.Thread(target=faults.answer_oddly, args=(began + seconds, random.Random(f"{seed} odd answers")))
+            answering.start()
         while time.monotonic() - began < seconds:
             time.sleep(draw.uniform(0.3, 1.5))
             injected.append(f"{time.monotonic() - began:6.1f} {faults.inject()}")
@@ -257,7 +292,12 @@
             suspender.join()
         if statements:
             stating.join()
+        if odd_answers:
+            answering.join()
         faults.wait()
+        if odd_answers:
+            for replica in list(world.replicas.values()):
+                replica.behave.clear()
         world.heal()
         time.sleep(LIMITS["contact"])
         broken = world.recover()
@@ -293,6 +333,8 @@
     options.add_argument("--suspensions", action="store_true", help="suspends VMs besides the seed's other faults")
     options.add_argument("--statements", action="store_true",
                          help="replicas say in answers that they leave, or ask for rest, besides the seed's other faults")
+    options.add_argument("--odd-answers", action="store_true",
+                         help="replicas fail requests in further ways, and duty calls are held up, besides the seed's other faults")
     given = options.parse_args()
     seeds = range(given.seed, given.seed + given.count)
     if given.regressions:
@@ -300,7 +342,7 @@
     failed = 0
     for seed in seeds:
         broken, folder = run_seed(seed, given.seconds, given.nodes, given.replicas, given.callers, given.suspensions,
-                                  given.statements)
+                                  given.statements, given.odd_answers)
         failed += bool(broken)
         for line in broken[:10]:
             print(f"  {line}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,6 +16,7 @@
 
 from harness import free_ports, wait_until  # noqa: E402  (its folder is put on the path above)
 from ledger import End, Ledger, Run, SentRequest  # noqa: E402
+from links import HoldingLink  # noqa: E402
 from platform_deployment import Node, configuration  # noqa: E402
 from platform_stand_in import Cloud, Replica, Store  # noqa: E402
 from proxy import Proxy  # noqa: E402
@@ -70,7 +71,8 @@
 
 
 class World:
-    def __init__(self, seed, folder, nodes, replicas, callers, suspendable=False):
+    def __init__(self, seed, folder, nodes, replicas, callers, suspendable=False, holds_duty_calls=False):
+        """`holds_duty_calls`: whether each node reaches the cloud interface over a link of its own, in `duty_links`."""
         self.random = random.Random(seed)
         self.folder = folder
         self.ledger = Ledger()
@@ -85,8 +87,12 @@
         for _ in range(replicas):
             self.add_replica()
         self.store_proxies = [Proxy(self.store_port) for _ in range(nodes)]
-        self.nodes = [Node(self, f"front-{number}", proxy.port, "ab"[number % 2], suspendable=suspendable)
-                      for number, proxy in enumerate(self.store_proxies)]
+        self.duty_links = [HoldingLink(self.cloud_port) for _ in range(nodes)] if holds_duty_calls else []
+        self.nodes = []
+        for number, proxy in enumerate(self.store_proxies):
+            if holds_duty_calls:
+                self.cloud_port = self.duty_links[number].port
+            self.nodes.append(Node(self, f"front-{number}", proxy.port, "ab"[number % 2], suspendable=suspendable))
         self.stopping = threading.Event()
         self.ids = itertools.count()
         self.callers = [threading.Thread(target=self.run_caller, args=(random.Random(f"{seed} {number}"), number), daemon=True)
@@ -298,6 +304,8 @@
     def heal(self):
         for proxy in (*self.store_proxies, *self.proxies.values()):
             proxy.set("pass")
+        for link in self.duty_links:
+            link.release()
         self.store.silent = self.store.busy = self.store.lose_answers = False
         for node in self.nodes:
             if node.process.poll() is None:
@@ -329,7 +337,7 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
             node.process.wait()
-        for proxy in (*self.store_proxies, *self.proxies.values()):
+        for proxy in (*self.store_proxies, *self.proxies.values(), *self.duty_links):
             proxy.close()
         for server in (self.store, self.cloud, *self.replicas.values()):
             server.server.shutdown()
