A stream goes on only if the list shows the versions of the processes at both ends

Cause: the version of a replica was taken from a list of any age where a node went on with a stream by itself, and from one of up to 2.6 s where a caller took it up. A replica that starts again under its name is back sooner.

Change: proveVersions() asks for a proof of the list as of a time after the connections were made on which the stream began and goes on; a node that goes on by itself breaks the stream off if its list was over 2.6 s old when the first part ended, unless it was proven a registration's time after that connection. Nodes that are asked about a stream say that it is ambiguous if they have seen its replica with another version. It waits 1.2 s at most, before the request is sent, and not while the store is away.

--- a/modules/snowrudder_net/client/ConnectionPool.h
+++ b/modules/snowrudder_net/client/ConnectionPool.h
@@ -35,6 +35,8 @@
     tcp::socket stream;
     Watchdog::Watch deadline;
     beast::flat_buffer buffer;
+    /** When the connection was made: the upstream's process is no younger. */
+    TimePoint connectedAt {};
     TimePoint idleSince {};
     /** The connection isn't reused after it has been idle for this long. */
     Duration maxIdleTime {};
--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -96,6 +96,7 @@
     {
         boost::system::error_code ignored;
         connection->stream.set_option (tcp::no_delay (true), ignored);
+        connection->connectedAt = BootClock::now();
         co_return boundDelivery();
     }
 
@@ -138,6 +139,7 @@
     response.skip (true);
     const auto [error, bytes] =
         co_await http::async_read_header (connection->stream, connection->buffer, response, asTuple);
+    connection->connectedAt = BootClock::now();
     hasMarkedEnd = toView (response.get()[relayEndField]) == relayEndIsReset;
     co_return error || cancelled ? noResponse : response.get().result_int();
 }
--- a/modules/snowrudder_net/client/UpstreamCall.h
+++ b/modules/snowrudder_net/client/UpstreamCall.h
@@ -97,6 +97,8 @@
     [[nodiscard]] auto status() const -> unsigned { return parser->get().result_int(); }
     /** @returns whether the connection was made for this call, and directly to the upstream. */
     [[nodiscard]] auto isNewConnection() const -> bool { return ! isReused && ! isRelayed; }
+    /** @returns when the connection was made, directly or by the relaying node. */
+    [[nodiscard]] auto connectedAt() const -> TimePoint { return connection->connectedAt; }
     [[nodiscard]] auto isThroughRelay() const -> bool { return isRelayed; }
     [[nodiscard]] auto isDone() const -> bool { return currentStage == CallStage::finished; }
 
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.h
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.h
@@ -13,6 +13,9 @@
 namespace snowrudder
 {
 
+/** Replicas register in the store within their first two heartbeats (1.2 s each); the directory is incomplete before. */
+inline constexpr auto maxRegistrationTime = Duration (2500ms);
+
 /** A replica's own entry in the store. */
 struct DirectoryEntry
 {
--- a/modules/snowrudder_serving/duties/CapacityLoop.cpp
+++ b/modules/snowrudder_serving/duties/CapacityLoop.cpp
@@ -37,9 +37,6 @@
 /** Another holder seen within this time was the predecessor: nodes that wait for the duties check at least every 8 s. */
 constexpr auto recentHolderTime = Duration (12s);
 
-/** Replicas register in the store within their first two heartbeats (1.2 s each); the directory is incomplete before. */
-constexpr auto registrationTime = Duration (2500ms);
-
 auto servingOf (const ReplicaDirectory& directory, const std::string& service)
     -> std::map<std::string, DomainCapacity>
 {
@@ -236,7 +233,7 @@
         if (state.hasReplicas && firstSeen == TimePoint())
             firstSeen = now;
 
-        if (! configuration || ! state.hasReplicas || now - firstSeen < registrationTime)
+        if (! configuration || ! state.hasReplicas || now - firstSeen < maxRegistrationTime)
             continue;
 
         if (! mayCallDuty (state.leadership, state.leadershipTimes, now))
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -30,6 +30,9 @@
 /** The share of the route's latency target that a request may spend in the queue. */
 constexpr auto queueShareOfTarget = 0.6;
 
+/** How often a stream that goes on looks for a proof of the list of replicas. */
+constexpr auto versionProofPause = Duration (20ms);
+
 /** How often a request looks for a free place on a replica whose places are divided among the nodes. */
 constexpr auto placePause = 5ms;
 
@@ -42,6 +45,9 @@
       prompt (promptOf (request.caller))
 {
     ++state.openRequests;
+
+    if (request.resumedStream)
+        boundAt = request.resumedStream->begun;
 }
 
 RoutedRequestRunner::~RoutedRequestRunner()
@@ -108,6 +114,13 @@
         if (outcome)
             recordFailure (failures, *outcome);
 
+        // Further attempts may fail without a part of their own.
+        if (outcome && exchange.hasBegun() && partEndedAt == TimePoint())
+        {
+            partEndedAt = BootClock::now();
+            provenAtPartEnd = directoryProvenAt (state.storeUpdates);
+        }
+
         if (! outcome || isCallerGone)
             break;
 
@@ -257,6 +270,11 @@
     if (auto failure = co_await connect (call))
         co_return failure;
 
+    // The replicas that began the stream and go on with it may have started again, with another version, since the list was
+    // proven.
+    if (goesOn() && request.requiredVersion && ! co_await waitForVersionProof (call.connectedAt()))
+        co_return AttemptOutcome { CallStage::notSent, FailureCause::versionGone };
+
     // While the connection was made, other answers may have shown that the replica is to get no request.
     if (state.replicas.isWithdrawn (ticket.number, BootClock::now()))
         co_return AttemptOutcome { CallStage::notSent, FailureCause::moved };
@@ -555,6 +573,9 @@
     if (! exchange.hasBegun())
     {
         bindVersion();
+
+        if (! request.resumedStream)
+            boundAt = call.connectedAt();
         isRelayingOther = ! call.hasEvents();
 
         if (co_await exchange.beginStream (relayedHead (call)))
@@ -628,6 +649,56 @@
                                          { return isCallerGone || BootClock::now() >= request.deadline; });
 }
 
+auto RoutedRequestRunner::waitForVersionProof (TimePoint connectedAt) -> Task<bool>
+{
+    const auto began = BootClock::now();
+    VersionProofInput input;
+    input.boundAt = boundAt;
+    input.connectedAt = connectedAt;
+    input.replica = lastReplica.name;
+    input.version = lastReplica.version;
+    input.isTakenUp = ! exchange.hasBegun();
+    input.endedAt = partEndedAt;
+    input.provenAtEnd = provenAtPartEnd;
+
+    if (! firstReplica.empty())
+        input.firstReplica = shortReplicaHash (firstReplica);
+    else if (request.resumedStream)
+        input.firstReplica = request.resumedStream->origin.replica;
+
+    const auto prove = [&]
+    {
+        input.provenAt = directoryProvenAt (state.storeUpdates);
+        input.isStoreReached = state.isStoreReached;
+        return proveVersions (input, state.versions, BootClock::now());
+    };
+
+    auto proof = prove();
+
+    while (! isCallerGone && BootClock::now() < std::min (request.deadline, began + proofWait (input, proof)))
+    {
+        co_await pauseFor (state.loop, versionProofPause);
+        proof = prove();
+    }
+
+    const auto now = BootClock::now();
+    const auto isEnough = maySendOn (input, proof, now);
+
+    if (proof != VersionProof::known || now - began >= versionProofPause)
+        LogLine ("version_proof")
+            .with ("request", request.caller.id)
+            .with ("replica", lastReplica.name)
+            .with ("software_version", lastReplica.version)
+            .with ("outcome", toString (proof))
+            .with ("goes_on", isEnough ? "yes" : "no")
+            .with ("list_milliseconds", inMilliseconds (now - input.provenAt))
+            .with ("connection_milliseconds", inMilliseconds (now - connectedAt))
+            .with ("waited_milliseconds", inMilliseconds (now - began))
+            .info();
+
+    co_return isEnough;
+}
+
 auto RoutedRequestRunner::versionRule (bool isFirst) const -> VersionRule
 {
     return state.rollouts.ruleFor (state.directory, request.service, hashBytes (request.caller.id), isFirst);
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -45,6 +45,14 @@
         reserved from the budget.
     */
     auto ruleForAttempt() -> VersionRule;
+    /** @returns whether the current attempt's answer continues a stream, of which the caller has a part. */
+    [[nodiscard]] auto goesOn() const -> bool { return exchange.hasBegun() || request.caller.resumesStream; }
+    /** Waits until the list of replicas is proven as of a time after the stream began and after the connection to `lastReplica`
+        was made: the processes of both replicas then have the versions that they are listed with.
+
+        @returns false if no such proof comes in time, or a replica has been listed with two versions
+    */
+    auto waitForVersionProof (TimePoint connectedAt) -> Task<bool>;
     /** Binds the request to the version of the replica whose answer begins now. */
     auto bindVersion() -> void;
     /** @returns whether no replica of the version to which the request is bound can go on. */
@@ -150,6 +158,13 @@
     bool hasAskedForRest = false;
     /** The current attempt if its connection is a direct one. */
     std::optional<DirectAttempt> direct;
+    /** A time at which the replica that began the stream had the version to which the answer is bound, by the list of replicas
+        if that is proven as of then.
+    */
+    TimePoint boundAt = longAgo;
+    /** When the last replica's part of the answer ended early, and as of when the list of replicas was proven then. */
+    TimePoint partEndedAt {};
+    TimePoint provenAtPartEnd {};
     /** Name of the replica that began the answer. */
     std::string firstReplica;
     /** Whether the caller has a part of a body that isn't a stream of events. */
--- a/modules/snowrudder_serving/streams/StreamContinuation.cpp
+++ b/modules/snowrudder_serving/streams/StreamContinuation.cpp
@@ -69,6 +69,82 @@
     return "unknown";
 }
 
+auto toString (VersionProof proof) -> std::string_view
+{
+    switch (proof)
+    {
+        case VersionProof::changed:
+            return "changed";
+        case VersionProof::beginUnproven:
+            return "begin_unproven";
+        case VersionProof::targetUnproven:
+            return "target_unproven";
+        case VersionProof::listTooOld:
+            return "list_too_old";
+        case VersionProof::known:
+            break;
+    }
+
+    return "known";
+}
+
+auto proveVersions (const VersionProofInput& input, const VersionHistory& history, TimePoint now)
+    -> VersionProof
+{
+    const auto hasFirstChanged = input.firstReplica && history.hasChangedVersion (*input.firstReplica, now);
+
+    if (hasFirstChanged || ! history.wasLastListedWith (input.replica, input.version))
+        return VersionProof::changed;
+
+    const auto wasListTooOld = input.endedAt - input.provenAtEnd > continuationListAge &&
+                               input.provenAtEnd < input.boundAt + maxRegistrationTime;
+
+    if (wasListTooOld && ! input.isTakenUp)
+        return VersionProof::listTooOld;
+
+    if (input.provenAt < input.boundAt)
+        return VersionProof::beginUnproven;
+
+    return input.provenAt < input.connectedAt ? VersionProof::targetUnproven : VersionProof::known;
+}
+
+auto proofWait (const VersionProofInput& input, VersionProof proof) -> Duration
+{
+    const auto isProofPossible =
+        proof == VersionProof::beginUnproven || proof == VersionProof::targetUnproven;
+    return isProofPossible && input.isStoreReached ? versionProofWait : Duration::zero();
+}
+
+auto maySendOn (const VersionProofInput& input, VersionProof proof, TimePoint now) -> bool
+{
+    switch (proof)
+    {
+        case VersionProof::known:
+            return true;
+        case VersionProof::beginUnproven:
+        case VersionProof::targetUnproven:
+            return now - input.provenAt <= continuationListAge;
+        case VersionProof::changed:
+        case VersionProof::listTooOld:
+            break;
+    }
+
+    return false;
+}
+
+auto knownStream (const StreamOriginTable& streams,
+                  const VersionHistory& history,
+                  StreamKey key,
+                  TimePoint now) -> StreamResponse
+{
+    auto stream = streams.find (key, now);
+
+    if (stream && history.hasChangedVersion (stream->origin.replica, now))
+        stream->isConflicting = true;
+
+    return stream;
+}
+
 auto decideContinuation (const ContinuationInput& input,
                          const VersionHistory& history,
                          const VersionRegistry& registry,
--- a/modules/snowrudder_serving/streams/StreamContinuation.h
+++ b/modules/snowrudder_serving/streams/StreamContinuation.h
@@ -94,4 +94,73 @@
                          const VersionRegistry& registry,
                          TimePoint now) -> Continuation;
 
+/** How long a stream waits, before it goes on, for a proof of the list of replicas that covers the connections on which it began
+    and goes on. Readers prove the list every 0.9 s, and other nodes ask them every 0.2 s.
+*/
+inline constexpr auto versionProofWait = Duration (1200ms);
+
+/** What is known of the versions of the replicas that began a stream and go on with it. */
+enum class VersionProof
+{
+    /** They have the versions that they are listed with. */
+    known,
+    /** One of them has been listed with another version. */
+    changed,
+    /** The one that began the stream may have started again, with another version, before it did so. */
+    beginUnproven,
+    /** The one that goes on may have started again, with another version, since the list was proven. */
+    targetUnproven,
+    /** The list was so old when the first one's part ended that this one may have started again unseen before it began. What is
+        listed since then says nothing of it.
+    */
+    listTooOld
+};
+
+/** @returns the name of the value in the log. */
+auto toString (VersionProof proof) -> std::string_view;
+
+/** The data on which that depends. */
+struct VersionProofInput
+{
+    /** As of when the list is known to be complete. */
+    TimePoint provenAt {};
+    /** When the stream began, or when the connection was made on which it did. */
+    TimePoint boundAt {};
+    /** When the connection was made to the replica that goes on: the process at its end is no younger. */
+    TimePoint connectedAt {};
+    /** The replica that goes on, and the version by which it was chosen. */
+    std::string_view replica;
+    std::string_view version;
+    /** The replica that began the stream, if it is known: from shortReplicaHash(). */
+    std::optional<std::uint16_t> firstReplica;
+    /** Whether the caller takes the stream up, in place of a node that goes on with it within its answer. */
+    bool isTakenUp = false;
+    /** Where a node goes on by itself: when the first replica's part ended, and as of when the list was proven then. */
+    TimePoint endedAt {};
+    TimePoint provenAtEnd {};
+    /** Whether the state store responds to this node, so that a proof is to be expected. */
+    bool isStoreReached = true;
+};
+
+/** @returns what is known of the versions. A replica may start again under its name with another version, in less time than the
+    list takes to show it; only a proof of the list that is younger than the connections to both rules it out.
+*/
+auto proveVersions (const VersionProofInput& input, const VersionHistory& history, TimePoint now)
+    -> VersionProof;
+
+/** @returns how long a stream waits for a better proof. */
+auto proofWait (const VersionProofInput& input, VersionProof proof) -> Duration;
+
+/** @returns whether a stream goes on, once it has waited for a better proof. While the state store is away for a moment, streams go
+    on by a list that was proven shortly before.
+*/
+auto maySendOn (const VersionProofInput& input, VersionProof proof, TimePoint now) -> bool;
+
+/** @returns what a node that is asked knows of a stream: conflicting if it has seen another version at the replica that began it.
+*/
+auto knownStream (const StreamOriginTable& streams,
+                  const VersionHistory& history,
+                  StreamKey key,
+                  TimePoint now) -> StreamResponse;
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/streams/StreamExchange.cpp
+++ b/modules/snowrudder_serving/streams/StreamExchange.cpp
@@ -133,7 +133,10 @@
 
 auto StreamExchange::respond (const StreamQuery& query, const Endpoint& sender, TimePoint now) -> void
 {
-    sendTo (sender, StreamQueryResponse { query.number, state.streamOrigins.find (query.key, now) }, now);
+    sendTo (sender,
+            StreamQueryResponse { query.number,
+                                  knownStream (state.streamOrigins, state.versions, query.key, now) },
+            now);
 }
 
 auto StreamExchange::handle (const StreamQueryResponse& response) -> void
--- a/modules/snowrudder_serving/streams/VersionHistory.cpp
+++ b/modules/snowrudder_serving/streams/VersionHistory.cpp
@@ -48,6 +48,15 @@
     replicas.erase (known);
 }
 
+auto VersionHistory::wasLastListedWith (std::string_view name, std::string_view version) const -> bool
+{
+    if (const auto known = replicas.find (name); known != replicas.end())
+        return known->second.of.version == version;
+
+    const auto before = left.find (name);
+    return before != left.end() && before->second.second == version;
+}
+
 auto VersionHistory::removeExpired (TimePoint now) -> void
 {
     const auto isOld = [now] (TimePoint time) { return now - time > streamMemory; };
--- a/modules/snowrudder_serving/streams/VersionHistory.h
+++ b/modules/snowrudder_serving/streams/VersionHistory.h
@@ -77,6 +77,9 @@
     /** @returns whether any service has had more than one version. */
     [[nodiscard]] auto hasSeveralVersions() const -> bool;
 
+    /** @returns whether a replica's entry stated a version when it was last seen. */
+    [[nodiscard]] auto wasLastListedWith (std::string_view name, std::string_view version) const -> bool;
+
     /** @returns whether a replica of this name was seen with two versions, so that it isn't known which of them began a
         stream there.
     */
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -1,8 +1,10 @@
 """A stand-in for the users' platform in the test process: its state store, its replicas and its cloud interface."""
 import base64
+import contextlib
 import http.server
 import json
 import socket
+import struct
 import threading
 import time
 
@@ -29,9 +31,27 @@
 
     def __init__(self, port, owner):
         self.owner = owner
+        self.lock = threading.Lock()
+        self.connections = set()
         super().__init__(("127.0.0.1", port), Handler)
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
 
+    def process_request(self, request, client_address):
+        with self.lock:
+            self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        with self.lock:
+            self.connections.discard(request)
+        super().shutdown_request(request)
+
+    @staticmethod
+    def reset(connection):
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request, client_address):
         """Ignores peers that close their connections, which is no failure of a test."""
 
@@ -241,6 +261,7 @@
         self.port = port
         self.events = events
         self.event_pause = 0.01
+        self.event_text = "piece"
         self.behave = []
         self.seen = []
         self.runs = []
@@ -325,6 +346,12 @@
         except OSError:
             self.endless.append((sent, time.monotonic()))
 
+    def break_connections(self):
+        """Breaks off all open connections, as the end of the process does."""
+        with self.server.lock:
+            for connection in list(self.server.connections):
+                Server.reset(connection)
+
     def note_run(self, call):
         self.run_times.append(time.monotonic())
         self.runs.append(call.headers["X-Request-Id"])
@@ -347,7 +374,7 @@
                     call.close_connection = True
                     call.connection.shutdown(socket.SHUT_RDWR)
                     return
-                self.chunk(call, f"id: {number}\ndata: piece {number}\n\n".encode())
+                self.chunk(call, f"id: {number}\ndata: {self.event_text} {number}\n\n".encode())
                 time.sleep(0.3 if how == "slow" else self.event_pause)
             call.wfile.write(b"0\r\n\r\n")
         except OSError:
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -94,13 +94,16 @@
 
     def check(self, platform, chains, share):
         """No stream holds events of two versions, and enough of them went on."""
-        crossed = [(chain[0].id, self.versions_of(platform, *(part.id for part in chain)))
-                   for chain in chains if len(self.versions_of(platform, *(part.id for part in chain))) != 1]
-        self.assertEqual(crossed, [])
+        self.check_versions(platform, chains)
         later = [part for chain in chains for part in chain[1:]]
         went_on = sum(part.has_events for part in later)
         self.assertGreaterEqual(went_on / len(later), share, [part.received[:300] for part in later if not part.has_events][:2])
 
+    def check_versions(self, platform, chains):
+        crossed = [(chain[0].id, self.versions_of(platform, *(part.id for part in chain)))
+                   for chain in chains if len(self.versions_of(platform, *(part.id for part in chain))) != 1]
+        self.assertEqual(crossed, [])
+
     def taken_up(self, platform, where, tries=1, before=lambda: None, streams=STREAMS):
         """Begins streams, lets something happen, and takes each up; `where` gives the node of each try."""
         begun = self.in_lanes(lambda number: self.begin(platform, number, where(number, 0)), streams)
@@ -244,6 +247,34 @@
                     self.assertEqual(chain[1].problem["kind"], "stream_not_resumable")
                     self.assertLess(chain[1].seconds, REFUSAL_TIME)
 
+    def test_no_stream_is_joined_when_a_replica_starts_again_with_another_version_unseen(self):
+        """Guards against streams that nodes themselves go on with by a list of any age: while the store is silent, a replica
+        starts again under its name with another version, begins streams, and ends."""
+        with self.deployment(3, ["v1", "v1", "v1"], settings="bounds.revoke_ms=20000\n") as platform:
+            self.settle(platform)
+            changed = platform.replicas[0]
+            for replica in platform.replicas:
+                replica.event_pause = 0.05
+            platform.store.silent = True
+            time.sleep(0.2)
+            changed.break_connections()
+            changed.event_text = "other"
+            time.sleep(1.0)
+
+            def run(number):
+                return Try(platform.nodes[number % 3], f"s-{number}-0", events=60)
+
+            with concurrent.futures.ThreadPoolExecutor(STREAMS) as lanes:
+                running = [lanes.submit(run, number) for number in range(STREAMS)]
+                time.sleep(1.5)
+                at_changed = set(changed.runs)
+                changed.break_connections()
+                tries = [made.result() for made in running]
+            platform.store.silent = False
+            self.assertGreater(len(at_changed), 0, "no stream began at the replica that had started again")
+            joined = [made.id for made in tries if b"data: piece" in made.received and b"data: other" in made.received]
+            self.assertEqual(joined, [])
+
     def test_names_that_are_unknown_or_not_allowed_have_stated_outcomes(self):
         first = configuration(keys=("key-alpha",))
         first["tenants"].append({**first["tenants"][0], "name": "beta", "api_keys": ["key-beta"]})
--- a/tests/unit/BrokenAnswers.cpp
+++ b/tests/unit/BrokenAnswers.cpp
@@ -253,6 +253,8 @@
         settings.retryShare = 10.0;
         state = std::make_unique<ServingState> (loop, settings);
         state->announcePrompt = [] (const PromptNotice&) {};
+        // The list of replicas is always complete here, so that streams may go on.
+        state->storeUpdates.ownDirectoryProvenAt = TimePoint::max();
         state->protocol.setFields = [] (HttpRequest& message, const AttemptFields& fields)
         { message.set ("Last-Event-Id", fields.lastEventId); };
         state->protocol.readAnswer = [] (const http::response_header<>& head, std::string_view)
--- a/tests/unit/StreamVersionTests.cpp
+++ b/tests/unit/StreamVersionTests.cpp
@@ -67,6 +67,16 @@
     CHECK (run.mostAsked <= askedHolders);
 }
 
+// Guards against a list of replicas that is older than the restart of one of them.
+TEST_CASE ("no stream of 10,000 goes on at another version while replicas start again under their names")
+{
+    const auto nodes = GENERATE (std::size_t { 3 }, 7, 83, 295);
+    const auto run = playSeeds (nodes, seedsOfTenThousandStreams, StreamFaults::quickRestarts);
+    CAPTURE (nodes, run.firstCrossed, run.possible, run.wentOn);
+    CHECK (run.streams == 10'000);
+    CHECK (run.crossed == 0);
+}
+
 TEST_CASE ("streams go on without faults, and after nodes have ended")
 {
     const auto nodes = GENERATE (std::size_t { 7 }, 83, 295, 986);
--- a/tests/unit/StreamWorld.cpp
+++ b/tests/unit/StreamWorld.cpp
@@ -113,14 +113,19 @@
             auto at = isFaultTimed() ? faultAt - draw (0.05, 2.0) : start + draw (5.0, 40.0);
 
             // Many begin just after a replica has come or gone.
-            if (faults == StreamFaults::all && chance (0.5))
+            if (hasAllFaults() && chance (0.5))
                 at = std::max (start, log[pick (log.size())].at) + draw (0.0, 2.5);
+
+            if (! quickRestarts.empty())
+                at = quickRestarts[pick (quickRestarts.size())] + draw (0.0, 1.0);
+
             actions.push_back ({ at, index, 0 });
             const auto tries = std::size_t { 1 } + pick (4);
 
             for (auto attempt = std::size_t { 1 }; attempt <= tries; ++attempt)
             {
-                const auto gap = chance (0.5) ? draw (0.001, 0.2) : draw (0.2, 30.0);
+                const auto soonShare = quickRestarts.empty() ? 0.5 : 0.9;
+                const auto gap = chance (soonShare) ? draw (0.001, 0.2) : draw (0.2, 30.0);
                 at = isFaultTimed() ? faultEnd + draw (0.0, 3.0) : at + gap;
                 actions.push_back ({ at, index, attempt });
             }
@@ -188,7 +193,7 @@
     {
         std::vector<Span> spans;
 
-        if (faults == StreamFaults::all && chance (share))
+        if (hasAllFaults() && chance (share))
         {
             const auto from = start + draw (0.0, 45.0);
             spans.push_back ({ from, from + draw (0.1, longest) });
@@ -197,6 +202,11 @@
         return spans;
     }
 
+    [[nodiscard]] auto hasAllFaults() const -> bool
+    {
+        return faults == StreamFaults::all || faults == StreamFaults::quickRestarts;
+    }
+
     [[nodiscard]] auto isFaultTimed() const -> bool
     {
         return faults == StreamFaults::thirdEnds || faults == StreamFaults::restartsInTurn;
@@ -207,7 +217,7 @@
         const auto versionCount = std::size_t { 1 } + pick (4);
         const auto count = std::size_t { 4 } + pick (8);
         const auto end = start + runLength * 2;
-        const auto isCalm = faults != StreamFaults::all;
+        const auto isCalm = ! hasAllFaults();
         storeAway = drawSpans (0.3, 12.0);
 
         // Some versions are there from the beginning, the others come later.
@@ -235,8 +245,17 @@
             // An identifier that starts again with another version.
             if (! isCalm && life.runs.to < end && chance (0.5))
             {
+                const auto isQuick = faults == StreamFaults::quickRestarts;
+                const auto ended = life.runs.to;
                 life.version = "v" + std::to_string (pick (versionCount + 1));
-                life.runs = { life.runs.to + draw (3.0, 6.0), end };
+                life.runs = { ended + (isQuick ? draw (0.2, 1.0) : draw (3.0, 6.0)), end };
+
+                if (isQuick)
+                {
+                    quickRestarts.push_back (std::max (start, life.runs.from));
+                    replaceEntryAt (life.runs.from);
+                }
+
                 add (life);
             }
         }
@@ -263,6 +282,18 @@
         lives.push_back (std::move (life));
     }
 
+    /** Ends the listing of the replica that was added last where its next start is listed, if it lasted longer. */
+    auto replaceEntryAt (TimePoint time) -> void
+    {
+        delayWhileAway (time);
+        auto& listed = lives.back().listed;
+
+        if (listed.to <= time)
+            return;
+
+        listed.to = log.back().at = std::max (time, listed.from);
+    }
+
     auto delayWhileAway (TimePoint& time) const -> void
     {
         for (const auto& span : storeAway)
@@ -283,11 +314,11 @@
 
     auto drawNodes() -> void
     {
-        loss = faults == StreamFaults::all ? std::array { 0.0, 0.01, 0.1, 0.3 }[pick (4)] : 0.001;
+        loss = hasAllFaults() ? std::array { 0.0, 0.01, 0.1, 0.3 }[pick (4)] : 0.001;
         faultAt = start + draw (10.0, 30.0);
         faultEnd = faultAt;
         const auto allKilledAt = start + draw (5.0, 45.0);
-        const auto areAllKilled = faults == StreamFaults::all && chance (0.2);
+        const auto areAllKilled = hasAllFaults() && chance (0.2);
 
         for (auto index = std::size_t { 0 }; index < nodes.size(); ++index)
         {
@@ -666,6 +697,10 @@
             return false;
 
         const auto& [replica, version] = *chosen;
+
+        if (! isProven (node, replica, input.stream, time))
+            return false;
+
         versions.insert (version);
         text += "; " + describe (index, time) + " goes on at " + replica.name + " listed as " +
                 replica.version + ", is " + version + ", source " +
@@ -677,6 +712,39 @@
         return true;
     }
 
+    /** @returns whether the node gets a proof in time that the replicas have the versions that they are listed with. All
+        connections are new.
+    */
+    auto isProven (Node& node, const View& replica, const StreamResponse& stream, TimePoint time) -> bool
+    {
+        VersionProofInput input;
+        input.boundAt = stream ? stream->begun : longAgo;
+        input.connectedAt = time;
+        input.replica = replica.name;
+        input.version = replica.version;
+        input.isTakenUp = true;
+
+        if (stream)
+            input.firstReplica = stream->origin.replica;
+
+        auto proof = VersionProof::beginUnproven;
+        auto at = time;
+
+        for (constexpr auto step = Duration (100ms); at <= time + proofWait (input, proof); at += step)
+        {
+            if (! runs (node, at) || holds (node.frozen, at))
+                return false;
+
+            auto later = node;
+            update (later, at);
+            input.provenAt = provenAt (later, at).value_or (longAgo);
+            input.isStoreReached = ! holds (node.cutFromStore, at) && ! holds (storeAway, at);
+            proof = proveVersions (input, later.versions, at);
+        }
+
+        return maySendOn (input, proof, at);
+    }
+
     auto ask (Node& node, const std::vector<Endpoint>& holders, StreamKey key, TimePoint time)
         -> StreamResponse
     {
@@ -696,9 +764,10 @@
                 continue;
 
             update (other, time);
-            const auto response = deliver (
-                StreamQueryResponse { 1, other.streams.find (std::get<StreamQuery> (*query).key, time) },
-                time);
+            const auto response =
+                deliver (StreamQueryResponse { 1, knownStream (other.streams, other.versions,
+                                                               std::get<StreamQuery> (*query).key, time) },
+                         time);
 
             if (response && ! isConclusive (inquiry))
                 inquiry.responses.push_back (std::get<StreamQueryResponse> (*response).stream);
@@ -725,6 +794,8 @@
     std::vector<ListedChange> log;
     std::vector<std::pair<TimePoint, VersionsByService>> registry;
     std::vector<Span> storeAway;
+    /** When replicas start again under their names while their entries are still listed. */
+    std::vector<TimePoint> quickRestarts;
     /** Planned stops, each with its node. */
     std::vector<std::pair<TimePoint, std::size_t>> stops;
     std::size_t nextStop = 0;
--- a/tests/unit/StreamWorld.h
+++ b/tests/unit/StreamWorld.h
@@ -23,7 +23,9 @@
     /** All nodes are restarted in turn, and streams are taken up within 3 s after it. */
     restartsInTurn,
     /** All that can happen to nodes, replicas, datagrams and the store. */
-    all
+    all,
+    /** All, and replicas that start again within a second of their end, under their name, with another version. */
+    quickRestarts
 };
 
 /** What was counted in one run. */
