--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -247,6 +247,46 @@
                     self.assertEqual(chain[1].problem["kind"], "stream_not_resumable")
                     self.assertLess(chain[1].seconds, REFUSAL_TIME)
 
+    def kill_all(self, platform, before=lambda: None):
+        """Kills all nodes at the same moment, and starts them again."""
+        before()
+        for node in platform.nodes:
+            node.process.kill()
+        for node in platform.nodes:
+            node.process.wait()
+        for node in platform.nodes:
+            node.start()
+        for node in platform.nodes:
+            wait_until(node.is_ready, "the node is ready again")
+
+    def test_no_stream_is_joined_from_two_versions_when_all_nodes_are_killed_at_once(self):
+        """Guards against take-ups of streams at the only version in sight, which is not the one that began them: two versions
+        serve, or the old one leaves 1 s or 0.1 s before all nodes are killed, or at that moment."""
+        with self.deployment(3, ["v1", "v1", "v2", "v2"]) as platform:
+            self.settle(platform)
+            old, new = platform.replicas[:2], platform.replicas[2:]
+            for round_number in range(10):
+                lead = (None, 1.0, 0.1, 0.0)[round_number % 4]
+
+                def old_leaves(lead=lead, old=old):
+                    if lead is not None:
+                        for replica in old:
+                            platform.store.remove(f"servers/{replica.name}")
+                        time.sleep(lead)
+
+                chains = self.taken_up(platform, lambda number, count: platform.nodes[(number + count) % 3],
+                                       before=lambda: self.kill_all(platform, old_leaves))  # pylint: disable=cell-var-from-loop
+                self.check(platform, chains, 0.0)
+                for replica in platform.replicas:
+                    replica.runs.clear()
+                if lead is not None:
+                    # The old version comes back under new names, as one that is new to its service.
+                    old, new = new, old
+                    for number, replica in enumerate(new):
+                        replica.name = f"later-{round_number}-{number}"
+                        platform.list_replica(replica, f"v{round_number + 3}")
+                    time.sleep(2.5)
+
     def test_no_stream_is_joined_when_a_replica_starts_again_with_another_version_unseen(self):
         """Guards against streams that nodes themselves go on with by a list of any age: while the store is silent, a replica
         starts again under its name with another version, begins streams, and ends."""
