--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -576,6 +576,7 @@
 
         if (! request.resumedStream)
             boundAt = call.connectedAt();
+
         isRelayingOther = ! call.hasEvents();
 
         if (co_await exchange.beginStream (relayedHead (call)))
--- a/tests/unit/StreamWorld.cpp
+++ b/tests/unit/StreamWorld.cpp
@@ -99,39 +99,7 @@
             std::size_t lastNode = 0;
         };
 
-        struct Action
-        {
-            TimePoint at;
-            std::size_t stream = 0;
-            std::size_t attempt = 0;
-        };
-
-        std::vector<Action> actions;
-
-        for (auto index = std::size_t { 0 }; index < streamsPerSeed; ++index)
-        {
-            auto at = isFaultTimed() ? faultAt - draw (0.05, 2.0) : start + draw (5.0, 40.0);
-
-            // Many begin just after a replica has come or gone.
-            if (hasAllFaults() && chance (0.5))
-                at = std::max (start, log[pick (log.size())].at) + draw (0.0, 2.5);
-
-            if (! quickRestarts.empty())
-                at = quickRestarts[pick (quickRestarts.size())] + draw (0.0, 1.0);
-
-            actions.push_back ({ at, index, 0 });
-            const auto tries = std::size_t { 1 } + pick (4);
-
-            for (auto attempt = std::size_t { 1 }; attempt <= tries; ++attempt)
-            {
-                const auto soonShare = quickRestarts.empty() ? 0.5 : 0.9;
-                const auto gap = chance (soonShare) ? draw (0.001, 0.2) : draw (0.2, 30.0);
-                at = isFaultTimed() ? faultEnd + draw (0.0, 3.0) : at + gap;
-                actions.push_back ({ at, index, attempt });
-            }
-        }
-
-        std::ranges::stable_sort (actions, {}, &Action::at);
+        const auto actions = drawActions();
         std::vector<Stream> streams (streamsPerSeed);
         StreamRun run;
         run.streams = streamsPerSeed;
@@ -179,6 +147,45 @@
 private:
     // Draws
 
+    /** The begin of a stream, or a try to take it up. */
+    struct Action
+    {
+        TimePoint at;
+        std::size_t stream = 0;
+        std::size_t attempt = 0;
+    };
+
+    auto drawActions() -> std::vector<Action>
+    {
+        std::vector<Action> actions;
+
+        for (auto index = std::size_t { 0 }; index < streamsPerSeed; ++index)
+        {
+            auto at = isFaultTimed() ? faultAt - draw (0.05, 2.0) : start + draw (5.0, 40.0);
+
+            // Many begin just after a replica has come or gone.
+            if (hasAllFaults() && chance (0.5))
+                at = std::max (start, log[pick (log.size())].at) + draw (0.0, 2.5);
+
+            if (! quickRestarts.empty())
+                at = quickRestarts[pick (quickRestarts.size())] + draw (0.0, 1.0);
+
+            actions.push_back ({ at, index, 0 });
+            const auto tries = std::size_t { 1 } + pick (4);
+
+            for (auto attempt = std::size_t { 1 }; attempt <= tries; ++attempt)
+            {
+                const auto soonShare = quickRestarts.empty() ? 0.5 : 0.9;
+                const auto gap = chance (soonShare) ? draw (0.001, 0.2) : draw (0.2, 30.0);
+                at = isFaultTimed() ? faultEnd + draw (0.0, 3.0) : at + gap;
+                actions.push_back ({ at, index, attempt });
+            }
+        }
+
+        std::ranges::stable_sort (actions, {}, &Action::at);
+        return actions;
+    }
+
     auto pick (std::size_t count) -> std::size_t { return random() % count; }
     auto fraction() -> double { return std::uniform_real_distribution (0.0, 1.0) (random); }
     auto chance (double share) -> bool { return fraction() < share; }
