--- a/modules/snowrudder_serving/node/ServingSettings.h
+++ b/modules/snowrudder_serving/node/ServingSettings.h
@@ -43,6 +43,8 @@
     Duration revocationTime = 5s;
     /** Within this time after its acknowledgement, a configuration must be in force. */
     Duration configurationApplyTime = 2s;
+    /** The memory at which the machine ends the process, in bytes; 0 if it is not known. */
+    std::size_t memoryBytes = 0;
     /** Time from the termination signal until the process is killed. */
     Duration grace = 8s;
     /** Retries allowed over all nodes: a share of the requests, and a fixed number in addition. */
