Log: a pipe that nobody reads never holds up a router, of either interface

What was seen: a router that doesn't answer any more, or whose lines wait. Cause: errors of the settings were printed to standard error at a reload, and the product's own interface wrote each line there; both wait as long as the pipe is full. Class: work of the event loop that depends on a reader of the log.

--- a/modules/snowrudder_core/log/BoundedAppender.cpp
+++ b/modules/snowrudder_core/log/BoundedAppender.cpp
@@ -22,12 +22,13 @@
     if (! mayAppend (text.size(), isOrdinary))
     {
         ++dropped;
+        ++droppedTotal;
         return;
     }
 
     buffer += text;
 
-    if (buffer.size() >= flushBytes || ! isOrdinary)
+    if (buffer.size() >= options.flushBytes || ! isOrdinary)
         flush();
 }
 
@@ -44,7 +45,7 @@
         bytesInWindow = 0;
     }
 
-    if (isOrdinary && bytesInWindow + size > maxOrdinaryBytesPerSecond)
+    if (isOrdinary && bytesInWindow + size > options.maxOrdinaryBytesPerSecond)
         return false;
 
     bytesInWindow += isOrdinary ? size : 0;
@@ -64,12 +65,13 @@
 
     while (! buffer.empty())
     {
-        pollfd state { STDOUT_FILENO, POLLOUT, 0 };
+        pollfd state { options.descriptor, POLLOUT, 0 };
 
         if (::poll (&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0)
             return;
 
-        const auto written = ::write (STDOUT_FILENO, buffer.data(), std::min (buffer.size(), maxWriteBytes));
+        const auto written =
+            ::write (options.descriptor, buffer.data(), std::min (buffer.size(), maxWriteBytes));
 
         if (written <= 0)
             return;
--- a/modules/snowrudder_core/log/BoundedAppender.h
+++ b/modules/snowrudder_core/log/BoundedAppender.h
@@ -4,25 +4,42 @@
 
 #include <log4cplus/appender.h>
 
+#include <unistd.h>
+
+#include <atomic>
 #include <cstdint>
 #include <string>
 
 namespace snowrudder
 {
 
-/** Writes log lines to standard output without ever blocking: lines are collected in a buffer, which is written when
+/** Writes log lines to a file descriptor without ever blocking: lines are collected in a buffer, which is written when
     the pipe accepts it. Lines that exceed the buffer or the limit of bytes per second are dropped and counted; a later
     line reports the count. Warnings and errors are exempt from the limit per second.
 */
 class BoundedAppender : public log4cplus::Appender
 {
 public:
-    BoundedAppender() = default;
+    struct Options
+    {
+        int descriptor = STDOUT_FILENO;
+        /** The buffer is written when it reaches this size: one system call for about ten lines. */
+        std::size_t flushBytes = std::size_t { 3 * 1024 };
+        /** Limit for lines below the warning level. A node at its full load, about 50 requests per second, writes half of
+            it.
+        */
+        std::size_t maxOrdinaryBytesPerSecond = std::size_t { 96 * 1024 };
+    };
+
+    explicit BoundedAppender (const Options& appenderOptions) : options (appenderOptions) {}
     ~BoundedAppender() override { destructorImpl(); }
 
     /** Writes as many buffered bytes as the pipe accepts now. */
     auto flush() -> void;
 
+    /** @returns the number of lines that were left out so far. */
+    [[nodiscard]] auto droppedLines() const -> std::uint64_t { return droppedTotal.load(); }
+
     auto close() -> void override { closed = true; }
 
 protected:
@@ -33,15 +50,12 @@
 
     /** Holds the log lines of some seconds at an ordinary load. */
     static constexpr auto maxBufferBytes = std::size_t { 64 * 1024 };
-    /** The buffer is written when it reaches this size: one system call for about ten lines. */
-    static constexpr auto flushBytes = std::size_t { 3 * 1024 };
-    /** Limit for lines below the warning level. A node at its full load, about 50 requests per second, writes half of
-        it.
-    */
-    static constexpr auto maxOrdinaryBytesPerSecond = std::size_t { 96 * 1024 };
 
+    Options options;
     std::string buffer;
+    /** Lines that were left out since the last line that told so. */
     std::uint64_t dropped = 0;
+    std::atomic<std::uint64_t> droppedTotal { 0 };
     TimePoint windowStart {};
     std::size_t bytesInWindow = 0;
 };
--- a/modules/snowrudder_core/log/Log.cpp
+++ b/modules/snowrudder_core/log/Log.cpp
@@ -2,13 +2,19 @@
 
 #include "BoundedAppender.h"
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <cstdio>
+#include <cstring>
+#include <limits>
 #include <memory>
 
 namespace snowrudder
@@ -53,14 +59,18 @@
     return value.empty() || value.find_first_of (" \"=\n\r\t") != std::string_view::npos;
 }
 
-/** Owned by the logger; nullptr while another appender is in use. */
-BoundedAppender* boundedAppender = nullptr;
+/** Owned by the logger; nullptr before logging is started. */
+BoundedAppender* currentAppender = nullptr;
+/** Where a fault of the process is logged. */
+int faultDescriptor = STDERR_FILENO;
 
-auto useAppender (const log4cplus::SharedAppenderPtr& appender, std::string_view program, LogLevel level)
-    -> void
+auto startAppender (const BoundedAppender::Options& options, std::string_view program, LogLevel level) -> void
 {
     auto& logger = rootLogger();
     const auto pattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + std::string (program) + " %m%n";
+    currentAppender = new BoundedAppender (options);
+    faultDescriptor = options.descriptor;
+    const log4cplus::SharedAppenderPtr appender (currentAppender);
     appender->setLayout (std::make_unique<log4cplus::PatternLayout> (pattern));
 
     logger.removeAllAppenders();
@@ -68,6 +78,33 @@
     logger.setLogLevel (toLog4cplus (level));
 }
 
+/** Appends a number to a text of fixed size. Safe in the handler of a signal. */
+auto appendNumber (std::array<char, 160>& text, std::size_t length, std::uint64_t number, unsigned base)
+    -> std::size_t
+{
+    constexpr auto digits = std::string_view ("0123456789abcdef");
+    std::array<char, 24> reversed;
+    auto count = std::size_t { 0 };
+
+    do
+    {
+        reversed[count++] = digits[number % base];
+        number /= base;
+    } while (number > 0);
+
+    while (count > 0 && length < text.size())
+        text[length++] = reversed[--count];
+
+    return length;
+}
+
+auto appendText (std::array<char, 160>& text, std::size_t length, std::string_view added) -> std::size_t
+{
+    const auto count = std::min (added.size(), text.size() - length);
+    std::memcpy (text.data() + length, added.data(), count);
+    return length + count;
+}
+
 } // namespace
 
 auto LogLine::with (std::string_view name, std::string_view value) -> LogLine&
@@ -116,23 +153,45 @@
 
 auto startLogging (std::string_view program, LogLevel level) -> void
 {
-    const auto logToStandardError = true;
-    const auto flushAtEachLine = true;
-    useAppender (
-        log4cplus::SharedAppenderPtr (new log4cplus::ConsoleAppender (logToStandardError, flushAtEachLine)),
-        program, level);
+    BoundedAppender::Options options;
+    options.descriptor = STDERR_FILENO;
+    options.flushBytes = 0;
+    options.maxOrdinaryBytesPerSecond = std::numeric_limits<std::size_t>::max();
+    startAppender (options, program, level);
 }
 
 auto startBoundedLogging (std::string_view program, LogLevel level) -> void
 {
-    boundedAppender = new BoundedAppender;
-    useAppender (log4cplus::SharedAppenderPtr (boundedAppender), program, level);
+    startAppender ({}, program, level);
 }
 
 auto flushLog() -> void
 {
-    if (boundedAppender != nullptr)
-        boundedAppender->flush();
+    if (currentAppender != nullptr)
+        currentAppender->flush();
+}
+
+auto droppedLogLines() -> std::uint64_t
+{
+    return currentAppender == nullptr ? 0 : currentAppender->droppedLines();
+}
+
+auto logFault (int signal, const void* address) -> void
+{
+    flushLog();
+
+    constexpr auto decimal = 10U;
+    constexpr auto hexadecimal = 16U;
+    std::array<char, 160> text;
+    auto length = appendText (text, 0, "process_fault signal=");
+    length = appendNumber (text, length, static_cast<std::uint64_t> (signal), decimal);
+    length = appendText (text, length, " address=0x");
+    length = appendNumber (text, length, reinterpret_cast<std::uintptr_t> (address), hexadecimal);
+    length = appendText (text, length, "\n");
+    pollfd state { faultDescriptor, POLLOUT, 0 };
+
+    if (::poll (&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0)
+        static_cast<void> (::write (faultDescriptor, text.data(), length));
 }
 
 auto isLogged (LogLevel level) -> bool
--- a/modules/snowrudder_core/log/Log.h
+++ b/modules/snowrudder_core/log/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -51,19 +52,31 @@
     std::string text;
 };
 
-/** Writes log lines to standard error through log4cplus, each with time, level and program.
+/** Writes log lines to standard error through log4cplus, each with time, level and program, without ever blocking; see
+    BoundedAppender.
 
     @param program  the program's name
     @param level    the minimum level that is written
 */
 auto startLogging (std::string_view program, LogLevel level) -> void;
 
-/** Writes log lines to standard output instead, without ever blocking; see BoundedAppender. */
+/** Writes log lines to standard output instead, some at a time and with a limit per second. */
 auto startBoundedLogging (std::string_view program, LogLevel level) -> void;
 
 /** Writes as many buffered lines as standard output accepts now. Call several times per second. */
 auto flushLog() -> void;
 
+/** @returns the number of lines that were left out because nobody read the log, or over its limit per second. */
+auto droppedLogLines() -> std::uint64_t;
+
+/** Logs that a fault ends the process, after the lines that are still buffered. For the handler of the signal only: what it
+    can't write at once is lost.
+
+    @param signal   the number of the signal
+    @param address  the address that caused it, or nullptr
+*/
+auto logFault (int signal, const void* address) -> void;
+
 /** @returns whether lines of a level are written, so that callers can skip lines that are expensive to make. */
 auto isLogged (LogLevel level) -> bool;
 
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -158,6 +158,8 @@
 auto ServingNode::answerMetrics (Exchange& exchange) -> Task<void>
 {
     state.crashes.publishSizes (BootClock::now());
+    auto& dropped = state.metrics.counter ("snowrudder_log_lines_dropped_total");
+    dropped.add (droppedLogLines() - dropped.value());
     co_await exchange.respond (http::status::ok, "text/plain; version=0.0.4", state.metrics.text());
 }
 
