Signals are held from main() on, and a process says in its log why it ends

What was seen: processes ended by signal 1, 2, 13 and 15. Cause: handlers were installed after listening, and taken back before the process had ended (the own interface: at the first stop; it had none for a reload), so that the default action ended the process. Class: a moment without a handler. Change: the signals of stops and reloads are held from the first statement of main() until the event loop's handlers are there, and again when they go; those that mean nothing here are ignored, SIGPIPE among them. What comes before main(), while libraries are loaded, still ends a process.

--- a/modules/snowrudder_core/snowrudder_core.h
+++ b/modules/snowrudder_core/snowrudder_core.h
@@ -8,7 +8,7 @@
     - log/         structured logging
     - metrics/     counters, gauges and histograms in Prometheus' text format
     - assertions/  invariants that are checked in every build
-    - program/     command line and exit codes shared by all programs
+    - program/     command line, exit codes, signals and use of memory, shared by all programs
 
     Depends on: Boost (Histogram, System), log4cplus, OpenSSL (random bytes, SHA-256), xxHash.
 */
@@ -23,7 +23,9 @@
 #include "ids/Uuid.h"
 #include "log/Log.h"
 #include "metrics/Metrics.h"
+#include "program/MemoryWatch.h"
 #include "program/Program.h"
+#include "program/Signals.h"
 #include "random/Jitter.h"
 #include "time/BootClock.h"
 #include "time/Suspension.h"
--- a/modules/snowrudder_net/server/RunServer.cpp
+++ b/modules/snowrudder_net/server/RunServer.cpp
@@ -1,8 +1,8 @@
 #include "RunServer.h"
 
+#include "../concurrency/ProcessSignals.h"
 #include "ProblemResponse.h"
 
-#include <csignal>
 #include <cstdio>
 
 namespace snowrudder
@@ -28,8 +28,8 @@
         return static_cast<int> (ExitCode::unavailable);
     }
 
-    asio::signal_set signals (loop, SIGTERM, SIGINT);
-    signals.async_wait ([&loop] (auto, auto) { loop.stop(); });
+    const ProcessSignals signals (
+        loop.get_executor(), [&loop] { loop.stop(); }, [] {});
 
     LogLine ("started").with ("listen", listen).info();
     loop.run();
--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -20,6 +20,7 @@
 #include "concurrency/BootTimer.h"
 #include "concurrency/EventLoop.h"
 #include "concurrency/Pause.h"
+#include "concurrency/ProcessSignals.h"
 #include "concurrency/ResetConnection.h"
 #include "concurrency/RunAll.h"
 #include "concurrency/Signal.h"
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -11,8 +11,6 @@
 #include "peers/CrashExchange.h"
 #include "peers/TreeExchange.h"
 
-#include <csignal>
-
 namespace snowrudder
 {
 
@@ -50,6 +48,8 @@
         return error;
 
     startBackground();
+    const ProcessSignals signals (
+        workers.front().loop.get_executor(), [this] { isStopRequested = true; }, [] {});
     asio::co_spawn (workers.front().loop, stopOnRequest(), asio::detached);
 
     LogLine ("started")
@@ -137,18 +137,11 @@
 
 auto Router::waitForStopRequest() -> Task<Duration>
 {
-    auto& loop = workers.front().loop;
-    asio::signal_set signals (loop, SIGTERM, SIGINT);
-    BootTimer timer (loop);
-    // Shared, because after a reclaim notice this coroutine's frame is freed before the wait for a signal completes and writes
-    // to the flag.
-    const auto isStopRequested = std::make_shared<bool> (false);
-    signals.async_wait ([isStopRequested] (boost::system::error_code error, int)
-                        { *isStopRequested = ! error; });
+    BootTimer timer (workers.front().loop);
 
     for (;;)
     {
-        if (*isStopRequested)
+        if (isStopRequested)
             co_return state.timeouts.drain;
 
         // A reclaim notice leaves only seconds. Requests that don't finish in the first half of the time are handed over in
--- a/modules/snowrudder_router/Router.h
+++ b/modules/snowrudder_router/Router.h
@@ -45,6 +45,8 @@
     WorkerPool pool;
     RouterState state;
     std::deque<Worker> workers;
+    /** Set by a signal, on the first worker's loop. */
+    bool isStopRequested = false;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -7,7 +7,9 @@
 #include "../store/StoreCallMetrics.h"
 #include "../streams/VersionRegistryLoop.h"
 
-#include <csignal>
+#include <unistd.h>
+
+#include <utility>
 
 namespace snowrudder
 {
@@ -57,14 +59,21 @@
         return error;
 
     startBackground();
-    asio::co_spawn (state.loop, stopOnSignal(), asio::detached);
-    asio::co_spawn (state.loop, reloadOnSignal (onReload), asio::detached);
+    const ProcessSignals signals (
+        state.loop.get_executor(), [this] { stop(); },
+        [&onReload]
+        {
+            LogLine ("reload").info();
+            onReload();
+        });
 
     LogLine ("started")
         .with ("node", state.settings.node)
         .with ("failure_domain", state.settings.failureDomain)
         .with ("listen", state.settings.listen)
         .with ("store", state.settings.store)
+        .with ("process", ::getpid())
+        .with ("memory_limit_bytes", state.settings.memoryBytes)
         .with ("uptime_milliseconds", inMilliseconds (BootClock::now().time_since_epoch()))
         .info();
 
@@ -184,11 +193,14 @@
 auto ServingNode::sweepLoop() -> Task<void>
 {
     SuspensionWatch suspensions;
+    MemoryWatch memory;
+    memory.limitBytes = state.settings.memoryBytes;
 
     for (;;)
     {
         recordSuspension (suspensions, state.metrics);
         const auto now = BootClock::now();
+        recordMemoryPeak (memory, now);
         state.trueTime.compare (now, wallTimeNow().time_since_epoch());
         state.pool.closeExpired (now);
         state.quota.charge (state.peers.chargeSilentPeers (sweepInterval, now), now);
@@ -210,27 +222,14 @@
     }
 }
 
-auto ServingNode::reloadOnSignal (std::function<void()> onReload) -> Task<void>
+auto ServingNode::stop() -> void
 {
-    asio::signal_set signals (state.loop, SIGHUP);
-
-    for (;;)
-    {
-        const auto [error, number] = co_await signals.async_wait (asTuple);
-
-        if (error)
-            co_return;
-
-        LogLine ("reload").info();
-        onReload();
-    }
+    if (! std::exchange (isStopping, true))
+        asio::co_spawn (state.loop, drainAndStop(), asio::detached);
 }
 
-auto ServingNode::stopOnSignal() -> Task<void>
+auto ServingNode::drainAndStop() -> Task<void>
 {
-    asio::signal_set signals (state.loop, SIGTERM, SIGINT);
-    co_await signals.async_wait (asTuple);
-
     const auto asked = BootClock::now();
     const auto drainStart = asked + balancerRemovalTime;
     const auto end = asked + state.settings.grace - graceMargin;
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -50,8 +50,9 @@
     auto answerMetrics (Exchange& exchange) -> Task<void>;
     auto applyConfiguration() -> void;
     auto sweepLoop() -> Task<void>;
-    auto stopOnSignal() -> Task<void>;
-    auto reloadOnSignal (std::function<void()> onReload) -> Task<void>;
+    /** Begins the graceful shutdown, unless it has begun. */
+    auto stop() -> void;
+    auto drainAndStop() -> Task<void>;
 
     ServingState state;
     ServingFace face;
@@ -61,6 +62,7 @@
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
     std::shared_ptr<HttpServer> metricsServer;
+    bool isStopping = false;
 };
 
 } // namespace snowrudder
--- a/programs/snowrudder-admin.cpp
+++ b/programs/snowrudder-admin.cpp
@@ -5,6 +5,7 @@
 auto main (int argumentCount, char** arguments) -> int
 {
     using namespace snowrudder;
+    prepareSignals();
     constexpr auto program = "snowrudder-admin";
 
     const auto line =
--- a/programs/snowrudder-fake-platform.cpp
+++ b/programs/snowrudder-fake-platform.cpp
@@ -7,6 +7,7 @@
 auto main (int argumentCount, char** arguments) -> int
 {
     using namespace snowrudder;
+    prepareSignals();
     constexpr auto program = "snowrudder-fake-platform";
 
     const auto line = readCommandLine (
--- a/programs/snowrudder-fake-service.cpp
+++ b/programs/snowrudder-fake-service.cpp
@@ -5,6 +5,7 @@
 auto main (int argumentCount, char** arguments) -> int
 {
     using namespace snowrudder;
+    prepareSignals();
     constexpr auto program = "snowrudder-fake-service";
 
     const auto line = readCommandLine (
--- a/programs/snowrudder-router.cpp
+++ b/programs/snowrudder-router.cpp
@@ -40,6 +40,8 @@
 /** Receives requests from callers and relays them to upstream replicas. */
 auto main (int argumentCount, char** arguments) -> int
 {
+    prepareSignals();
+
     const auto needsSettings = false;
     const auto line = readCommandLine (
         argumentCount, arguments,
