One bound on what callers make a process hold

What callers saw: a process ended by its memory, and with it the requests of all. Cause: bodies, headers and read buffers had a bound each and none on their sum; the machine's memory was read by nothing; freed blocks stayed with the allocator; the ports for readiness and metrics took bodies. Class: limits on parts without one on the whole. Change: RequestMemory adds up, over all connections and ports, buffers, headers, bodies until their response has ended, and what is read ahead of answers, against 0.4 of the machine's memory. At the bound the incomplete request that has held most for longest gets 503 memory_full, not run; a client account or address holds half at most, and where only complete requests hold the memory the one that asks is refused. Buffers are given back between requests, large blocks at once.

--- a/modules/snowrudder_core/errors/ErrorKind.cpp
+++ b/modules/snowrudder_core/errors/ErrorKind.cpp
@@ -85,6 +85,8 @@
     ErrorDescription { ErrorKind::streamNotResumable, "stream_not_resumable", 503, Ran::no, noRetry,
                        "It is not known which software version began this stream, or none of its replicas is "
                        "left; begin anew." },
+    ErrorDescription { ErrorKind::memoryFull, "memory_full", 503, Ran::no, seconds (1),
+                       "The router holds as many bytes of requests as it may." },
     ErrorDescription { ErrorKind::internal, "internal", 500, Ran::unknown, noRetry,
                        "The router failed in a way that it should not." },
 };
--- a/modules/snowrudder_core/errors/ErrorKind.h
+++ b/modules/snowrudder_core/errors/ErrorKind.h
@@ -42,6 +42,7 @@
     editUnknown,
     crashesReplicas,
     streamNotResumable,
+    memoryFull,
     internal
 };
 
--- a/modules/snowrudder_core/program/MemoryWatch.cpp
+++ b/modules/snowrudder_core/program/MemoryWatch.cpp
@@ -2,6 +2,7 @@
 
 #include "../log/Log.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 namespace snowrudder
@@ -18,6 +19,19 @@
 
 } // namespace
 
+auto prepareAllocator() -> void
+{
+    // Setting the threshold keeps it from growing with the blocks that are freed.
+    constexpr auto largeBlockBytes = 128 * 1024;
+    ::mallopt (M_MMAP_THRESHOLD, largeBlockBytes);
+    ::mallopt (M_TRIM_THRESHOLD, largeBlockBytes * 8);
+}
+
+auto returnFreedMemory() -> void
+{
+    ::malloc_trim (0);
+}
+
 auto peakMemoryBytes() -> std::size_t
 {
     constexpr auto kibibyte = std::size_t { 1024 };
--- a/modules/snowrudder_core/program/MemoryWatch.h
+++ b/modules/snowrudder_core/program/MemoryWatch.h
@@ -18,6 +18,12 @@
     TimePoint lastCheck = longAgo;
 };
 
+/** Makes the allocator return large blocks to the system as soon as they are freed. Call it first in main(). */
+auto prepareAllocator() -> void;
+
+/** Returns to the system what was freed and the allocator keeps. Takes some milliseconds after much has been freed. */
+auto returnFreedMemory() -> void;
+
 /** @returns the most memory that this process has had resident at a time, in bytes. */
 auto peakMemoryBytes() -> std::size_t;
 
--- a/modules/snowrudder_net/server/Exchange.h
+++ b/modules/snowrudder_net/server/Exchange.h
@@ -2,6 +2,7 @@
 
 #include "../concurrency/AsioNames.h"
 #include "../concurrency/Watchdog.h"
+#include "RequestMemory.h"
 
 #include "snowrudder_core/snowrudder_core.h"
 
@@ -33,12 +34,14 @@
 class Exchange
 {
 public:
+    /** @param requestMemory  holds the request's bytes already */
     Exchange (tcp::socket& callerSocket,
               Watchdog::Watch& socketWatch,
+              RequestMemory::Share& requestMemory,
               HttpRequest receivedRequest,
               const ServerLimits& serverLimits)
-        : stream (callerSocket), deadline (socketWatch), received (std::move (receivedRequest)),
-          limits (serverLimits)
+        : stream (callerSocket), deadline (socketWatch), memory (requestMemory),
+          requestBytes (requestMemory.bytes()), received (std::move (receivedRequest)), limits (serverLimits)
     {
     }
 
@@ -107,6 +110,15 @@
         return ended && invariant.empty() && ! closesAfterResponse && received.keep_alive();
     }
 
+    /** Accounts for bytes of the response that wait for the caller.
+
+        @returns whether so many may be held beside the request; otherwise no more should be read ahead
+    */
+    [[nodiscard]] auto holdResponse (std::size_t bytes) -> bool
+    {
+        return memory.tryHold (requestBytes + bytes);
+    }
+
     /** Closes the connection after this response. */
     auto closeAfterResponse() -> void { closesAfterResponse = true; }
 
@@ -136,6 +148,8 @@
 
     tcp::socket& stream;
     Watchdog::Watch& deadline;
+    RequestMemory::Share& memory;
+    std::size_t requestBytes;
     HttpRequest received;
     const ServerLimits& limits;
     bool begun = false;
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -15,7 +15,22 @@
 {
 
 /** The most bytes that are read ahead of what the parser has taken, beside a header. */
-constexpr auto maxReadAheadBytes = std::size_t { 64 } * 1024;
+constexpr auto maxReadAheadBytes = std::size_t { 16 } * 1024;
+
+/** The size of a read of a header. Most requests are smaller. */
+constexpr auto headReadBytes = std::size_t { 2048 };
+
+/** The size of a read of a body. */
+constexpr auto bodyReadBytes = std::size_t { 16 } * 1024;
+
+/** The largest read buffer that a connection keeps between requests. */
+constexpr auto keptBufferBytes = std::size_t { 4096 };
+
+/** What a connection takes beside its buffer and its request. */
+constexpr auto connectionBytes = std::size_t { 4096 };
+
+/** How often the fields of a header are held: as received, and as passed on. */
+constexpr auto headerCopies = std::size_t { 3 };
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -74,6 +89,18 @@
 
 } // namespace
 
+HttpServer::Connection::Connection (tcp::socket& socket, Watchdog& watchdog, RequestMemory& memory)
+    : stream (socket), deadline (watchdog, socket), share (memory,
+                                                           [&socket]
+                                                           {
+                                                               boost::system::error_code ignored;
+                                                               socket.cancel (ignored);
+                                                           })
+{
+    boost::system::error_code ignored;
+    address = "address " + socket.remote_endpoint (ignored).address().to_string();
+}
+
 HttpServer::HttpServer (asio::io_context& eventLoop,
                         const ServerLimits& serverLimits,
                         ExchangeHandler exchangeHandler,
@@ -175,28 +202,32 @@
 
     co_await serveRequests (socket);
     socket.shutdown (tcp::socket::shutdown_send, error);
+
+    if (memory->takeFreedMuch())
+        returnFreedMemory();
 }
 
 auto HttpServer::serveRequests (tcp::socket& stream) -> Task<void>
 {
-    beast::flat_buffer buffer;
-    Watchdog::Watch deadline (watchdog, stream);
+    const auto sharedMemory = memory;
+    Connection connection (stream, watchdog, *sharedMemory);
 
     for (auto isFirst = true; isFirst || ! draining; isFirst = false)
     {
-        auto received = co_await readRequest (stream, buffer, deadline);
-        deadline.stop();
+        auto received = co_await readRequest (connection);
+        connection.deadline.stop();
 
         if (const auto* input = std::get_if<RejectedInput> (&received))
         {
-            co_await reject (stream, deadline, *input);
+            co_await reject (connection, *input);
             co_return;
         }
 
         if (std::holds_alternative<ConnectionClosed> (received))
             co_return;
 
-        Exchange exchange (stream, deadline, std::get<HttpRequest> (std::move (received)), limits);
+        Exchange exchange (stream, connection.deadline, connection.share,
+                           std::get<HttpRequest> (std::move (received)), limits);
 
         if (draining)
             exchange.closeAfterResponse();
@@ -264,83 +295,196 @@
     return std::move (response);
 }
 
-auto HttpServer::readRequest (tcp::socket& stream, beast::flat_buffer& buffer, Watchdog::Watch& deadline)
-    -> Task<ReadResult>
+auto HttpServer::waitForRequest (Connection& connection) -> Task<bool>
+{
+    auto& buffer = connection.buffer;
+    connection.headerBytes = 0;
+
+    if (buffer.capacity() > keptBufferBytes)
+        buffer.shrink_to_fit();
+
+    connection.share.complete();
+
+    // Less than what the request before it held.
+    static_cast<void> (connection.share.tryHold (connectionBytes + buffer.capacity()));
+
+    if (memory->takeFreedMuch())
+        returnFreedMemory();
+
+    connection.deadline.start (limits.idleTimeout);
+    idleConnections.insert (&connection.stream);
+    const auto [error] = co_await connection.stream.async_wait (tcp::socket::wait_read, asTuple);
+
+    idleConnections.erase (&connection.stream);
+    co_return ! error;
+}
+
+auto HttpServer::readPart (Connection& connection, RequestParser& parser, bool isBody) -> Task<ReadProgress>
 {
-    if (buffer.size() == 0)
+    auto& buffer = connection.buffer;
+    ReadProgress progress;
+    parser.eager (isBody);
+
+    while (! (isBody ? parser.is_done() : parser.is_header_done()))
     {
-        deadline.start (limits.idleTimeout);
-        idleConnections.insert (&stream);
-        const auto [waitError] = co_await stream.async_wait (tcp::socket::wait_read, asTuple);
+        if (buffer.size() > 0)
+        {
+            boost::system::error_code error;
+            const auto taken = parser.put (buffer.data(), error);
+            buffer.consume (taken);
+            progress.bytes += taken;
+
+            if (! error && taken > 0)
+                continue;
+
+            if (error && error != http::error::need_more)
+            {
+                progress.error = error;
+                break;
+            }
+        }
+
+        const auto room = buffer.max_size() - buffer.size();
+        const auto readBytes = std::min (room, isBody ? bodyReadBytes : headReadBytes);
+
+        // The deadline cancels a read that waits only.
+        if (room == 0 || connection.deadline.hasExpired())
+        {
+            progress.error = room == 0 ? boost::system::error_code (http::error::buffer_overflow)
+                                       : boost::system::error_code (asio::error::timed_out);
+            break;
+        }
+
+        const auto [error, count] =
+            co_await connection.stream.async_read_some (buffer.prepare (readBytes), asTuple);
+        buffer.commit (count);
+        const auto held = connectionBytes + buffer.capacity() + headerCopies * connection.headerBytes +
+                          parser.get().body().size();
 
-        idleConnections.erase (&stream);
+        if (! connection.share.hold (held, BootClock::now()))
+        {
+            progress.isMemoryFull = true;
+            break;
+        }
+
+        if (error == asio::error::eof && parser.got_some())
+        {
+            boost::system::error_code early;
+            parser.put_eof (early);
+            progress.error = early ? early : boost::system::error_code (http::error::partial_message);
+            break;
+        }
 
-        if (waitError)
-            co_return ConnectionClosed {};
+        if (error)
+        {
+            progress.error =
+                error == asio::error::eof ? boost::system::error_code (http::error::end_of_stream) : error;
+            break;
+        }
     }
 
+    co_return progress;
+}
+
+auto HttpServer::readRequest (Connection& connection) -> Task<ReadResult>
+{
+    auto& buffer = connection.buffer;
+    auto& deadline = connection.deadline;
+
+    if (buffer.size() == 0 && ! co_await waitForRequest (connection))
+        co_return ConnectionClosed {};
+
+    connection.share.begin (connection.address, BootClock::now());
+
     // The limits may have changed while the connection waited.
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     // Parts of the framing of a body have no limit of their own.
     buffer.max_size (std::max (buffer.size(), limits.headerBytes + maxReadAheadBytes));
     parser.header_limit (limits.headerBytes);
     parser.body_limit (limits.bodyBytes);
     deadline.start (limits.headerTimeout);
 
-    const auto [headerError, headerBytes] =
-        co_await http::async_read_header (stream, buffer, parser, asTuple);
+    const auto head = co_await readPart (connection, parser, false);
 
-    if (headerError)
+    if (head.isMemoryFull)
+        co_return outOfMemory (connection, parser);
+
+    if (head.error)
     {
         // On timeout, a connection without any byte of a request is closed silently; an incomplete header gets an
         // error.
         if (deadline.hasExpired() && parser.got_some())
-            co_return rejectedInput (ErrorKind::callerTimeout, headerError, headerBytes, parser, limits);
+            co_return rejectedInput (ErrorKind::callerTimeout, head.error, head.bytes, parser, limits);
 
-        const auto kind = errorKindOf (headerError);
+        const auto kind = errorKindOf (head.error);
 
         if (kind)
-            co_return rejectedInput (*kind, headerError, headerBytes, parser, limits);
+            co_return rejectedInput (*kind, head.error, head.bytes, parser, limits);
 
         if (parser.got_some())
-            logCut (rejectionLines, headerError, headerBytes);
+            logCut (rejectionLines, head.error, head.bytes);
 
         co_return ConnectionClosed {};
     }
 
+    connection.headerBytes = head.bytes;
+
+    if (callerGroup)
+        if (const auto group = callerGroup (parser.get()); ! group.empty())
+            connection.share.setGroup (group);
+
     if (beast::iequals (parser.get()[http::field::expect], "100-continue"))
     {
         http::response<http::empty_body> proceed (http::status::continue_, parser.get().version());
-        co_await http::async_write (stream, proceed, asTuple);
+        co_await http::async_write (connection.stream, proceed, asTuple);
     }
 
     deadline.start (limits.bodyTimeout);
-    const auto [bodyError, bodyBytes] = co_await http::async_read (stream, buffer, parser, asTuple);
+    const auto body = co_await readPart (connection, parser, true);
 
-    if (bodyError)
+    if (body.isMemoryFull)
+        co_return outOfMemory (connection, parser);
+
+    if (body.error)
     {
         const auto kind =
-            deadline.hasExpired() ? std::optional (ErrorKind::callerTimeout) : errorKindOf (bodyError);
+            deadline.hasExpired() ? std::optional (ErrorKind::callerTimeout) : errorKindOf (body.error);
 
         if (kind)
-            co_return rejectedInput (*kind, bodyError, bodyBytes, parser, limits);
+            co_return rejectedInput (*kind, body.error, body.bytes, parser, limits);
 
-        logCut (rejectionLines, bodyError, headerBytes + bodyBytes);
+        logCut (rejectionLines, body.error, head.bytes + body.bytes);
         co_return ConnectionClosed {};
     }
 
     // The message to the upstream can't be made of it, and no caller has a reason to send one (RFC 9110, 9.3.8).
     if (parser.get().method() == http::verb::trace && ! parser.get().body().empty())
         co_return rejectedInput (ErrorKind::invalidRequest, http::error::unexpected_body,
-                                 headerBytes + bodyBytes, parser, limits);
+                                 head.bytes + body.bytes, parser, limits);
 
+    connection.share.complete();
     co_return parser.release();
 }
 
-auto HttpServer::reject (tcp::socket& stream, Watchdog::Watch& deadline, const RejectedInput& input)
-    -> Task<void>
+auto HttpServer::outOfMemory (const Connection& connection, const RequestParser& parser) const
+    -> RejectedInput
+{
+    RejectedInput input;
+    input.kind = ErrorKind::memoryFull;
+    input.reason = connection.share.isEvicted() ? "made room for others" : "no room";
+    input.bytes = connection.headerBytes + parser.get().body().size();
+    input.limit = memory->maxBytes();
+    input.fields = parser.get();
+    return input;
+}
+
+auto HttpServer::reject (Connection& connection, const RejectedInput& input) -> Task<void>
 {
+    auto& stream = connection.stream;
+    auto& deadline = connection.deadline;
     auto [response, requestId] = rejection (input);
+    connection.buffer = {};
+    static_cast<void> (connection.share.tryHold (0));
 
     if (rejectionLines.take (BootClock::now()))
         LogLine ("input_rejected")
--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -30,6 +30,7 @@
 #include "server/Exchange.h"
 #include "server/HttpServer.h"
 #include "server/ProblemResponse.h"
+#include "server/RequestMemory.h"
 #include "server/RunServer.h"
 #include "stream/EventBoundaries.h"
 #include "stream/EventReader.h"
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -76,6 +76,7 @@
                 return Rejection { rejectionResponse (state, input.kind), {} };
             });
 
+        worker.server->shareMemory (std::make_shared<RequestMemory> (requestMemoryBound (0) / workers.size()));
         worker.server->countFaultsIn (state.metrics.counter ("snowrudder_broken_requests_total"));
 
         if (const auto error = worker.server->listen (parseEndpoint (state.settings.listen())))
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -36,7 +36,8 @@
                           const ServingSettings& settings,
                           const std::function<ServingFace (ConnectionPool&)>& makeFace)
     : state (eventLoop, settings), face (makeFace (state.pool)), membership (state, face.store),
-      peers (state, membership), relay (std::make_shared<ConnectionRelay> (state))
+      peers (state, membership), relay (std::make_shared<ConnectionRelay> (state)),
+      requestMemory (std::make_shared<RequestMemory> (requestMemoryBound (settings.memoryBytes)))
 {
     state.probes.confirm = [this] (std::string endpoint, EndpointState own)
     { return askOthersAbout (state, std::move (endpoint), own); };
@@ -85,6 +86,8 @@
 auto ServingNode::listen() -> std::error_code
 {
     const ServerLimits limits;
+    ServerLimits limitsWithoutBody;
+    limitsWithoutBody.bodyBytes = 0;
     const auto rejection = [this] (const RejectedInput& input)
     { return rejectInput (input, makeProblem (input.kind)); };
     callers = std::make_shared<HttpServer> (
@@ -94,8 +97,12 @@
         [this] (const RejectedInput& input)
         { return rejectInput (input, problemOfInput (state, input, BootClock::now())); });
     readiness = std::make_shared<HttpServer> (
-        state.loop, limits, [this] (Exchange& exchange) { return answerReadiness (exchange); }, rejection);
+        state.loop, limitsWithoutBody, [this] (Exchange& exchange) { return answerReadiness (exchange); },
+        rejection);
 
+    callers->shareMemory (requestMemory);
+    callers->groupCallers ([this] (const http::fields& fields) { return callerGroup (fields); });
+    readiness->shareMemory (requestMemory);
     callers->countFaultsIn (state.metrics.counter ("snowrudder_broken_requests_total"));
 
     if (const auto error = callers->listen (parseEndpoint (state.settings.listen)))
@@ -107,7 +114,9 @@
     if (! state.settings.listenMetrics.empty())
     {
         metricsServer = std::make_shared<HttpServer> (
-            state.loop, limits, [this] (Exchange& exchange) { return answerMetrics (exchange); }, rejection);
+            state.loop, limitsWithoutBody, [this] (Exchange& exchange) { return answerMetrics (exchange); },
+            rejection);
+        metricsServer->shareMemory (requestMemory);
 
         if (const auto error = metricsServer->listen (parseEndpoint (state.settings.listenMetrics)))
             return error;
@@ -157,6 +166,17 @@
     return { std::move (response), std::move (id) };
 }
 
+auto ServingNode::callerGroup (const http::fields& fields) const -> std::string
+{
+    const auto& configuration = state.configuration.current;
+
+    if (! configuration)
+        return {};
+
+    const auto account = findAccount (*configuration, face.callerKey (fields));
+    return account ? "account " + account->name : std::string();
+}
+
 auto ServingNode::answerReadiness (Exchange& exchange) -> Task<void>
 {
     const auto isReady = exchange.path() == face.readinessPath && state.isReady (BootClock::now());
@@ -167,6 +187,7 @@
 auto ServingNode::answerMetrics (Exchange& exchange) -> Task<void>
 {
     state.crashes.publishSizes (BootClock::now());
+    publish (*requestMemory, state.metrics);
     auto& dropped = state.metrics.counter ("snowrudder_log_lines_dropped_total");
     dropped.add (droppedLogLines() - dropped.value());
     co_await exchange.respond (http::status::ok, "text/plain; version=0.0.4", state.metrics.text());
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -17,6 +17,8 @@
     UpstreamProtocol upstreams;
     /** Decodes a caller's request; the message is moved out of the exchange. */
     std::function<std::variant<CallerRequest, Problem> (HttpRequest&)> readRequest;
+    /** @returns the key of a caller's request by its header. */
+    std::function<std::string_view (const http::fields&)> callerKey;
     /** Path of the load balancer's readiness check. */
     std::string readinessPath;
     StoreFormats formats;
@@ -46,6 +48,8 @@
     auto listen() -> std::error_code;
     auto startBackground() -> void;
     auto rejectInput (const RejectedInput& input, const Problem& problem) const -> Rejection;
+    /** @returns whose share of the memory for requests a request takes; empty if its key belongs to no client account. */
+    [[nodiscard]] auto callerGroup (const http::fields& fields) const -> std::string;
     auto answerReadiness (Exchange& exchange) -> Task<void>;
     auto answerMetrics (Exchange& exchange) -> Task<void>;
     auto applyConfiguration() -> void;
@@ -59,6 +63,7 @@
     Membership membership;
     PeerExchange peers;
     std::shared_ptr<ConnectionRelay> relay;
+    std::shared_ptr<RequestMemory> requestMemory;
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
     std::shared_ptr<HttpServer> metricsServer;
--- a/modules/snowrudder_serving/relay/AnswerRelay.cpp
+++ b/modules/snowrudder_serving/relay/AnswerRelay.cpp
@@ -30,7 +30,8 @@
 
 } // namespace
 
-auto readAhead (UpstreamCall& call, std::string& body) -> Task<std::error_code>
+auto readAhead (UpstreamCall& call, std::string& body, std::function<bool (std::size_t)> mayHold)
+    -> Task<std::error_code>
 {
     std::string piece;
 
@@ -40,6 +41,9 @@
             co_return error;
 
         body += piece;
+
+        if (! mayHold (body.size()))
+            break;
     }
 
     co_return std::error_code();
@@ -78,7 +82,9 @@
         if (co_await exchange.writeBodyPart (body))
             co_return;
 
-        body.clear();
+        // The part that was read ahead is larger than the others.
+        body = {};
+        static_cast<void> (exchange.holdResponse (0));
 
         if (call.isDone())
             break;
--- a/modules/snowrudder_serving/relay/AnswerRelay.h
+++ b/modules/snowrudder_serving/relay/AnswerRelay.h
@@ -2,6 +2,7 @@
 
 #include "snowrudder_net/snowrudder_net.h"
 
+#include <functional>
 #include <string>
 
 namespace snowrudder
@@ -12,12 +13,16 @@
 */
 inline constexpr auto readAheadBytes = std::size_t { 256 * 1024 };
 
-/** Reads the first `readAheadBytes` of an answer, or all of it if it is smaller.
+/** Reads the first `readAheadBytes` of an answer, or all of it if it is smaller; less if the memory for requests is full.
 
-    @param body  what was read is appended to it
+    @param body     what was read is appended to it
+    @param mayHold  whether so many bytes of the answer may be held
     @returns     an error if the answer ended early
 */
-auto readAhead (UpstreamCall& call, std::string& body) -> Task<std::error_code>;
+auto readAhead (
+    UpstreamCall& call,
+    std::string& body,
+    std::function<bool (std::size_t)> mayHold = [] (std::size_t) { return true; }) -> Task<std::error_code>;
 
 /** @returns the head of an upstream's answer as it is sent to the caller, for a body that is streamed. */
 auto relayedHead (const UpstreamCall& call) -> http::response<http::empty_body>;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -546,7 +546,8 @@
 {
     std::string body;
 
-    if (const auto error = co_await readAhead (call, body))
+    if (const auto error = co_await readAhead (
+            call, body, [this] (std::size_t bytes) { return exchange.holdResponse (bytes); }))
         co_return makeOutcome (call, failureCauseOf (error));
 
     // The caller gets a part of the answer, so that no other replica can go on with it.
--- a/programs/snowrudder-router.cpp
+++ b/programs/snowrudder-router.cpp
@@ -41,6 +41,7 @@
 auto main (int argumentCount, char** arguments) -> int
 {
     prepareSignals();
+    prepareAllocator();
 
     const auto needsSettings = false;
     const auto line = readCommandLine (
