A status outside 100 to 599, and 101, is no answer

What callers saw: 600 and 999 passed on as answers; for 000, 001 and 101 a wait until the deadline, also where another replica could serve the request. Cause: statuses below 200 were taken for interim responses and all others for answers. Class: a number from outside that is used without a check of its range. Change: one check where every answer's head is read, of replicas, store, cloud and other nodes; such a head ends the call as one that can't be parsed, its connection isn't used again. 000 was not passed on here before. Not played: 10,000 mutated status lines, relays.

--- a/modules/snowrudder_net/client/UpstreamCall.cpp
+++ b/modules/snowrudder_net/client/UpstreamCall.cpp
@@ -45,6 +45,17 @@
     return std::min<Duration> (std::chrono::milliseconds (whole * std::int64_t { 800 }), defaultMaxIdleTime);
 }
 
+/** @returns whether a status is one of an answer. No other is passed on, nor taken for an interim response; a change of
+    protocols was never asked for.
+*/
+auto isKnownStatus (unsigned status) -> bool
+{
+    constexpr auto switchingProtocols = 101U;
+    constexpr auto firstStatus = 100U;
+    constexpr auto lastStatus = 599U;
+    return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+}
+
 template <typename Parser>
 auto framingOf (const Parser& parser) -> BodyFraming
 {
@@ -189,7 +200,12 @@
         if (error)
             co_return callerError (error);
 
-        isInterim = parser->get().result_int() < 200;
+        const auto status = parser->get().result_int();
+
+        if (! isKnownStatus (status))
+            co_return callerError (http::error::bad_status);
+
+        isInterim = status < 200;
     }
 
     currentStage = CallStage::receiving;
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -254,7 +254,8 @@
 
 class Replica:
     """A replica. `behave` lists how it handles the next requests, one entry each; it serves all later ones normally.
-    "status-N" runs the request and answers with status N, without saying that it was not run."""
+    "status-N" runs the request and answers with status N, without saying that it was not run. "line-TEXT" answers with TEXT
+    in place of a status line."""
 
     def __init__(self, port, name, events=6):
         self.name = name
@@ -319,6 +320,13 @@
         self.note_run(call)
         if how.startswith("status-"):
             call.answer(int(how.removeprefix("status-")), {"by": self.name}, self.headers(call))
+        elif how.startswith("line-"):
+            call.close_connection = True
+            call.wfile.write(how.removeprefix("line-").encode() + b"\r\nX-Request-Id: " + call.headers["X-Request-Id"].encode()
+                             + b"\r\nX-Response-Signature: x\r\nContent-Length: 4\r\n\r\nodd!")
+            call.wfile.flush()
+            # Says nothing more, but doesn't close the connection.
+            time.sleep(WAITS["slow"])
         elif how in ENDLESS:
             self.send_without_end(call, *ENDLESS[how])
         elif "stream" in call.path:
