Memory for requests: headers without a body, evictions that cancel no read, balancer and groups

Headers of requests whose body came with them, or that have none, were not counted; a request evicted while nothing waited read on; one being rejected could be evicted again; connections that wait took their account's part; the victim came from the group with most complete bytes; what callers held could refuse the load balancer's check; large events weren't counted; a worker of the own interface could refuse a body within its limit for ever.

--- a/modules/snowrudder_core/assertions/Invariant.cpp
+++ b/modules/snowrudder_core/assertions/Invariant.cpp
@@ -1,7 +1,8 @@
 #include "Invariant.h"
 
+#include "../log/Log.h"
+
 #include <atomic>
-#include <cstdio>
 #include <cstdlib>
 
 namespace snowrudder
@@ -12,7 +13,7 @@
 
 auto abortProcess (std::string_view name) -> void
 {
-    std::fprintf (stderr, "invariant broken: %.*s\n", static_cast<int> (name.size()), name.data());
+    LogLine ("process_invariant_broken").with ("invariant", name).error();
     std::abort();
 }
 
--- a/modules/snowrudder_core/log/BoundedAppender.cpp
+++ b/modules/snowrudder_core/log/BoundedAppender.cpp
@@ -52,32 +52,45 @@
     return true;
 }
 
-auto BoundedAppender::flush() -> void
+auto writeAtOnce (int descriptor, std::string_view text) -> std::size_t
 {
     // A pipe that polls as writable accepts this many bytes without blocking (POSIX, PIPE_BUF).
     constexpr auto maxWriteBytes = std::size_t { 4096 };
+    auto total = std::size_t { 0 };
 
-    if (dropped > 0 && buffer.size() < maxBufferBytes / 2)
+    while (total < text.size())
     {
-        buffer += "log_lines_dropped count=" + std::to_string (dropped) + "\n";
-        dropped = 0;
-    }
-
-    while (! buffer.empty())
-    {
-        pollfd state { options.descriptor, POLLOUT, 0 };
+        pollfd state { descriptor, POLLOUT, 0 };
 
         if (::poll (&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0)
-            return;
+            break;
 
         const auto written =
-            ::write (options.descriptor, buffer.data(), std::min (buffer.size(), maxWriteBytes));
+            ::write (descriptor, text.data() + total, std::min (text.size() - total, maxWriteBytes));
 
         if (written <= 0)
-            return;
+            break;
 
-        buffer.erase (0, static_cast<std::size_t> (written));
+        total += static_cast<std::size_t> (written);
     }
+
+    return total;
+}
+
+auto BoundedAppender::flush() -> void
+{
+    if (dropped > 0 && buffer.size() < maxBufferBytes / 2)
+    {
+        buffer += "log_lines_dropped count=" + std::to_string (dropped) + "\n";
+        dropped = 0;
+    }
+
+    buffer.erase (0, writeAtOnce (options.descriptor, buffer));
+}
+
+auto BoundedAppender::writeForFault() const -> void
+{
+    writeAtOnce (options.descriptor, buffer);
 }
 
 } // namespace snowrudder
--- a/modules/snowrudder_core/log/BoundedAppender.h
+++ b/modules/snowrudder_core/log/BoundedAppender.h
@@ -9,10 +9,17 @@
 #include <atomic>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace snowrudder
 {
 
+/** Writes to a file descriptor what it accepts without blocking.
+
+    @returns the number of bytes written
+*/
+auto writeAtOnce (int descriptor, std::string_view text) -> std::size_t;
+
 /** Writes log lines to a file descriptor without ever blocking: lines are collected in a buffer, which is written when
     the pipe accepts it. Lines that exceed the buffer or the limit of bytes per second are dropped and counted; a later
     line reports the count. Warnings and errors are exempt from the limit per second.
@@ -37,6 +44,9 @@
     /** Writes as many buffered bytes as the pipe accepts now. */
     auto flush() -> void;
 
+    /** Writes what is buffered, as far as the pipe accepts it now, and changes nothing. For the handler of a fault. */
+    auto writeForFault() const -> void;
+
     /** @returns the number of lines that were left out so far. */
     [[nodiscard]] auto droppedLines() const -> std::uint64_t { return droppedTotal.load(); }
 
--- a/modules/snowrudder_core/log/Log.cpp
+++ b/modules/snowrudder_core/log/Log.cpp
@@ -6,7 +6,6 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
-#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -178,8 +177,6 @@
 
 auto logFault (int signal, const void* address) -> void
 {
-    flushLog();
-
     constexpr auto decimal = 10U;
     constexpr auto hexadecimal = 16U;
     std::array<char, 160> text;
@@ -188,10 +185,10 @@
     length = appendText (text, length, " address=0x");
     length = appendNumber (text, length, reinterpret_cast<std::uintptr_t> (address), hexadecimal);
     length = appendText (text, length, "\n");
-    pollfd state { faultDescriptor, POLLOUT, 0 };
+    writeAtOnce (faultDescriptor, { text.data(), length });
 
-    if (::poll (&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0)
-        static_cast<void> (::write (faultDescriptor, text.data(), length));
+    if (currentAppender != nullptr)
+        currentAppender->writeForFault();
 }
 
 auto isLogged (LogLevel level) -> bool
--- a/modules/snowrudder_core/log/Log.h
+++ b/modules/snowrudder_core/log/Log.h
@@ -69,7 +69,7 @@
 /** @returns the number of lines that were left out because nobody read the log, or over its limit per second. */
 auto droppedLogLines() -> std::uint64_t;
 
-/** Logs that a fault ends the process, after the lines that are still buffered. For the handler of the signal only: what it
+/** Logs that a fault ends the process, before the lines that are still buffered. For the handler of the signal only: what it
     can't write at once is lost.
 
     @param signal   the number of the signal
--- a/modules/snowrudder_core/program/MemoryWatch.cpp
+++ b/modules/snowrudder_core/program/MemoryWatch.cpp
@@ -3,7 +3,11 @@
 #include "../log/Log.h"
 
 #include <malloc.h>
-#include <sys/resource.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <string_view>
 
 namespace snowrudder
 {
@@ -35,12 +39,16 @@
 auto peakMemoryBytes() -> std::size_t
 {
     constexpr auto kibibyte = std::size_t { 1024 };
-    struct rusage usage = {};
+    constexpr auto field = std::string_view ("VmHWM:");
+    // Not getrusage(), whose figure includes the process that started this one.
+    std::ifstream status ("/proc/self/status");
+    std::string line;
 
-    if (::getrusage (RUSAGE_SELF, &usage) != 0)
-        return 0;
+    while (std::getline (status, line))
+        if (line.starts_with (field))
+            return std::strtoull (line.c_str() + field.size(), nullptr, 10) * kibibyte;
 
-    return static_cast<std::size_t> (usage.ru_maxrss) * kibibyte;
+    return 0;
 }
 
 auto recordMemoryPeak (MemoryWatch& watch, TimePoint now) -> void
--- a/modules/snowrudder_core/program/Signals.cpp
+++ b/modules/snowrudder_core/program/Signals.cpp
@@ -17,8 +17,9 @@
 constexpr auto signalsOfStop = std::array { SIGTERM, SIGINT, SIGQUIT };
 
 /** Signals that end a process by default, though nothing is wrong with it. SIGPIPE and SIGXFSZ show as errors of the call. */
-constexpr auto ignoredSignals = std::array { SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM,   SIGVTALRM, SIGPROF,
-                                             SIGIO,   SIGPWR,  SIGXCPU, SIGSTKFLT, SIGXFSZ };
+constexpr auto ignoredSignals =
+    std::array { SIGPIPE, SIGUSR1, SIGUSR2,   SIGALRM, SIGVTALRM, SIGPROF, SIGIO,
+                 SIGPWR,  SIGXCPU, SIGSTKFLT, SIGXFSZ, SIGTSTP,   SIGTTIN, SIGTTOU };
 
 constexpr auto faultSignals = std::array { SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT };
 
--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -298,15 +298,11 @@
 auto HttpServer::waitForRequest (Connection& connection) -> Task<bool>
 {
     auto& buffer = connection.buffer;
-    connection.headerBytes = 0;
 
     if (buffer.capacity() > keptBufferBytes)
         buffer.shrink_to_fit();
 
-    connection.share.complete();
-
-    // Less than what the request before it held.
-    static_cast<void> (connection.share.tryHold (connectionBytes + buffer.capacity()));
+    connection.share.end (connectionBytes + buffer.capacity());
 
     if (memory->takeFreedMuch())
         returnFreedMemory();
@@ -347,7 +343,14 @@
         const auto room = buffer.max_size() - buffer.size();
         const auto readBytes = std::min (room, isBody ? bodyReadBytes : headReadBytes);
 
-        // The deadline cancels a read that waits only.
+        // An eviction cancels what the connection waits for only.
+        if (connection.share.isEvicted())
+        {
+            progress.isMemoryFull = true;
+            break;
+        }
+
+        // So does the deadline.
         if (room == 0 || connection.deadline.hasExpired())
         {
             progress.error = room == 0 ? boost::system::error_code (http::error::buffer_overflow)
@@ -358,10 +361,8 @@
         const auto [error, count] =
             co_await connection.stream.async_read_some (buffer.prepare (readBytes), asTuple);
         buffer.commit (count);
-        const auto held = connectionBytes + buffer.capacity() + headerCopies * connection.headerBytes +
-                          parser.get().body().size();
 
-        if (! connection.share.hold (held, BootClock::now()))
+        if (! holdRequest (connection, parser))
         {
             progress.isMemoryFull = true;
             break;
@@ -386,12 +387,23 @@
     co_return progress;
 }
 
+auto HttpServer::holdRequest (Connection& connection, const RequestParser& parser) -> bool
+{
+    const auto bytes = connectionBytes + connection.buffer.capacity() +
+                       headerCopies * connection.headerBytes + parser.get().body().size();
+    return connection.share.hold (bytes, BootClock::now());
+}
+
 auto HttpServer::readRequest (Connection& connection) -> Task<ReadResult>
 {
     auto& buffer = connection.buffer;
     auto& deadline = connection.deadline;
 
-    if (buffer.size() == 0 && ! co_await waitForRequest (connection))
+    connection.headerBytes = 0;
+
+    if (buffer.size() > 0)
+        connection.share.end (connectionBytes + buffer.capacity());
+    else if (! co_await waitForRequest (connection))
         co_return ConnectionClosed {};
 
     connection.share.begin (connection.address, BootClock::now());
@@ -462,6 +474,10 @@
         co_return rejectedInput (ErrorKind::invalidRequest, http::error::unexpected_body,
                                  head.bytes + body.bytes, parser, limits);
 
+    // What came with the last read, or with the header.
+    if (! holdRequest (connection, parser))
+        co_return outOfMemory (connection, parser);
+
     connection.share.complete();
     co_return parser.release();
 }
@@ -484,7 +500,7 @@
     auto& deadline = connection.deadline;
     auto [response, requestId] = rejection (input);
     connection.buffer = {};
-    static_cast<void> (connection.share.tryHold (0));
+    connection.share.end (connectionBytes);
 
     if (rejectionLines.take (BootClock::now()))
         LogLine ("input_rejected")
--- a/modules/snowrudder_net/server/HttpServer.h
+++ b/modules/snowrudder_net/server/HttpServer.h
@@ -109,6 +109,8 @@
     auto readRequest (Connection& connection) -> Task<ReadResult>;
     /** Reads until the header, or the whole request, is complete. */
     auto readPart (Connection& connection, RequestParser& parser, bool isBody) -> Task<ReadProgress>;
+    /** @returns whether the connection may hold what was read of its request. */
+    static auto holdRequest (Connection& connection, const RequestParser& parser) -> bool;
     auto waitForRequest (Connection& connection) -> Task<bool>;
     /** @returns what is known of a request that was given up because the memory for requests is full. */
     auto outOfMemory (const Connection& connection, const RequestParser& parser) const -> RejectedInput;
--- a/modules/snowrudder_net/server/RequestMemory.cpp
+++ b/modules/snowrudder_net/server/RequestMemory.cpp
@@ -52,6 +52,7 @@
 
 RequestMemory::Share::~Share()
 {
+    memory.setIncomplete (*entry, false);
     memory.set (*entry, 0);
     memory.leave (*entry);
     memory.entries.erase (entry);
@@ -61,20 +62,30 @@
 {
     setGroup (group);
     entry->begun = now;
-    entry->isIncomplete = true;
+    memory.setIncomplete (*entry, true);
     entry->isEvicted = false;
 }
 
+auto RequestMemory::Share::end (std::size_t bytes) -> void
+{
+    complete();
+    memory.set (*entry, bytes);
+    setGroup ({});
+}
+
 auto RequestMemory::Share::setGroup (const std::string& group) -> void
 {
     if (entry->group->first == group)
         return;
 
     const auto bytes = entry->bytes;
+    const auto isIncomplete = entry->isIncomplete;
+    memory.setIncomplete (*entry, false);
     memory.set (*entry, 0);
     memory.leave (*entry);
     memory.join (*entry, group);
     memory.set (*entry, bytes);
+    memory.setIncomplete (*entry, isIncomplete);
 }
 
 auto RequestMemory::Share::hold (std::size_t bytes, TimePoint now) -> bool
@@ -92,14 +103,14 @@
         {
             ++memory.refused;
             memory.set (*entry, 0);
-            entry->isIncomplete = false;
+            memory.setIncomplete (*entry, false);
             return false;
         }
 
         // Its bytes are freed as soon as the event loop resumes it.
         ++memory.evicted;
         memory.set (*victim, 0);
-        victim->isIncomplete = false;
+        memory.setIncomplete (*victim, false);
         victim->isEvicted = true;
         victim->onEvicted();
     }
@@ -126,7 +137,7 @@
 
 auto RequestMemory::Share::complete() -> void
 {
-    entry->isIncomplete = false;
+    memory.setIncomplete (*entry, false);
 }
 
 auto RequestMemory::Share::isEvicted() const -> bool
@@ -146,11 +157,26 @@
 auto RequestMemory::set (Entry& entry, std::size_t bytes) -> void
 {
     held = held - entry.bytes + bytes;
-    entry.group->second.bytes = entry.group->second.bytes - entry.bytes + bytes;
+    auto& group = entry.group->second;
+    group.bytes = group.bytes - entry.bytes + bytes;
+
+    if (entry.isIncomplete)
+        group.incompleteBytes = group.incompleteBytes - entry.bytes + bytes;
+
     entry.bytes = bytes;
     peak = std::max (peak, held);
 }
 
+auto RequestMemory::setIncomplete (Entry& entry, bool isIncomplete) -> void
+{
+    if (entry.isIncomplete == isIncomplete)
+        return;
+
+    entry.isIncomplete = isIncomplete;
+    auto& bytes = entry.group->second.incompleteBytes;
+    bytes = isIncomplete ? bytes + entry.bytes : bytes - entry.bytes;
+}
+
 auto RequestMemory::join (Entry& entry, const std::string& group) -> void
 {
     entry.group = groups.try_emplace (group).first;
@@ -165,21 +191,27 @@
 
 auto RequestMemory::isOver (const Entry& entry) const -> bool
 {
-    return held > limit || entry.group->second.bytes > groupLimit();
+    return held > limit || isGroupOver (entry);
+}
+
+auto RequestMemory::isGroupOver (const Entry& entry) const -> bool
+{
+    return ! entry.group->first.empty() && entry.group->second.bytes > groupLimit();
 }
 
 auto RequestMemory::findVictim (const Entry& wanting, TimePoint now) -> Entries::iterator
 {
-    const auto isGroupOver = wanting.group->second.bytes > groupLimit();
+    const auto isOfGroup = isGroupOver (wanting);
     auto victim = entries.end();
 
     for (auto each = entries.begin(); each != entries.end(); ++each)
     {
-        if (! each->isIncomplete || (isGroupOver && each->group != wanting.group))
+        if (! each->isIncomplete || each->bytes == 0 || (isOfGroup && each->group != wanting.group))
             continue;
 
-        const auto weigh = [now] (const Entry& entry)
-        { return std::pair (entry.group->second.bytes, weightOf (entry.bytes, now - entry.begun)); };
+        const auto weigh = [now] (const Entry& entry) {
+            return std::pair (entry.group->second.incompleteBytes, weightOf (entry.bytes, now - entry.begun));
+        };
 
         if (victim == entries.end() || weigh (*each) > weigh (*victim))
             victim = each;
--- a/modules/snowrudder_net/server/RequestMemory.h
+++ b/modules/snowrudder_net/server/RequestMemory.h
@@ -37,7 +37,7 @@
     RequestMemory (const RequestMemory&) = delete;
     auto operator= (const RequestMemory&) -> RequestMemory& = delete;
 
-    /** What one connection holds. */
+    /** What one connection holds. Between requests it is in no group, which has no part of its own. */
     class Share
     {
     public:
@@ -76,6 +76,12 @@
         /** Marks the request as complete: it isn't evicted any more. */
         auto complete() -> void;
 
+        /** Ends the request: the connection waits for its next one.
+
+            @param bytes  what it holds meanwhile
+        */
+        auto end (std::size_t bytes) -> void;
+
         /** @returns whether the request had to make room for others. */
         [[nodiscard]] auto isEvicted() const -> bool;
 
@@ -96,6 +102,8 @@
     struct Group
     {
         std::size_t bytes = 0;
+        /** Of those, the bytes of requests that are not complete. */
+        std::size_t incompleteBytes = 0;
         std::size_t connections = 0;
     };
 
@@ -114,12 +122,14 @@
     using Entries = std::list<Entry>;
 
     auto set (Entry& entry, std::size_t bytes) -> void;
+    auto setIncomplete (Entry& entry, bool isIncomplete) -> void;
     auto join (Entry& entry, const std::string& group) -> void;
     auto leave (Entry& entry) -> void;
     [[nodiscard]] auto groupLimit() const -> std::size_t { return limit / 2; }
     [[nodiscard]] auto isOver (const Entry& entry) const -> bool;
+    [[nodiscard]] auto isGroupOver (const Entry& entry) const -> bool;
     /** @returns the request that makes room for another one: of that one's group if the group holds more than its part, of the
-        group that holds most otherwise; entries.end() if all are complete.
+        group whose incomplete requests hold most otherwise; entries.end() if all are complete.
     */
     auto findVictim (const Entry& wanting, TimePoint now) -> Entries::iterator;
 
--- a/modules/snowrudder_router/Router.cpp
+++ b/modules/snowrudder_router/Router.cpp
@@ -22,6 +22,11 @@
 /** Time that the load balancer needs to detect that a router is no longer ready. */
 constexpr auto balancerDelay = 1s;
 
+/** The largest bodies that a worker's memory for requests has room for in any case: half of it is one group's, beside headers and
+    buffers.
+*/
+constexpr auto leastBodies = std::size_t { 3 };
+
 auto workerCount (const schema::RouterSettings& settings) -> std::uint32_t
 {
     return settings.has_workers() ? settings.workers() : defaultWorkers;
@@ -76,7 +81,8 @@
                 return Rejection { rejectionResponse (state, input.kind), {} };
             });
 
-        worker.server->shareMemory (std::make_shared<RequestMemory> (requestMemoryBound (0) / workers.size()));
+        worker.server->shareMemory (std::make_shared<RequestMemory> (
+            std::max (requestMemoryBound (0) / workers.size(), leastBodies * state.limits.bodyBytes)));
         worker.server->countFaultsIn (state.metrics.counter ("snowrudder_broken_requests_total"));
 
         if (const auto error = worker.server->listen (parseEndpoint (state.settings.listen())))
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -27,6 +27,11 @@
 /** How often a node that shuts down without a known peer queries the list of nodes. */
 constexpr auto peerPollInterval = Duration (400ms);
 
+/** The part of the memory for requests that the ports for readiness and metrics have for themselves, so that what callers hold
+    doesn't make the load balancer remove the node.
+*/
+constexpr auto checkShare = std::size_t { 16 };
+
 /** Reserved from the grace time, so that the process exits by itself before it is killed. */
 constexpr auto graceMargin = 700ms;
 
@@ -37,7 +42,8 @@
                           const std::function<ServingFace (ConnectionPool&)>& makeFace)
     : state (eventLoop, settings), face (makeFace (state.pool)), membership (state, face.store),
       peers (state, membership), relay (std::make_shared<ConnectionRelay> (state)),
-      requestMemory (std::make_shared<RequestMemory> (requestMemoryBound (settings.memoryBytes)))
+      requestMemory (std::make_shared<RequestMemory> (requestMemoryBound (settings.memoryBytes))),
+      checkMemory (std::make_shared<RequestMemory> (requestMemory->maxBytes() / checkShare))
 {
     state.probes.confirm = [this] (std::string endpoint, EndpointState own)
     { return askOthersAbout (state, std::move (endpoint), own); };
@@ -102,7 +108,7 @@
 
     callers->shareMemory (requestMemory);
     callers->groupCallers ([this] (const http::fields& fields) { return callerGroup (fields); });
-    readiness->shareMemory (requestMemory);
+    readiness->shareMemory (checkMemory);
     callers->countFaultsIn (state.metrics.counter ("snowrudder_broken_requests_total"));
 
     if (const auto error = callers->listen (parseEndpoint (state.settings.listen)))
@@ -116,7 +122,7 @@
         metricsServer = std::make_shared<HttpServer> (
             state.loop, limitsWithoutBody, [this] (Exchange& exchange) { return answerMetrics (exchange); },
             rejection);
-        metricsServer->shareMemory (requestMemory);
+        metricsServer->shareMemory (checkMemory);
 
         if (const auto error = metricsServer->listen (parseEndpoint (state.settings.listenMetrics)))
             return error;
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -64,6 +64,8 @@
     PeerExchange peers;
     std::shared_ptr<ConnectionRelay> relay;
     std::shared_ptr<RequestMemory> requestMemory;
+    /** Of the ports for readiness and metrics. */
+    std::shared_ptr<RequestMemory> checkMemory;
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
     std::shared_ptr<HttpServer> metricsServer;
--- a/modules/snowrudder_serving/relay/EventAssembler.cpp
+++ b/modules/snowrudder_serving/relay/EventAssembler.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** The most memory that is kept for the next events, in bytes. */
+constexpr auto keptBytes = std::size_t { 16 } * 1024;
+
 /** @returns the position of the last line that begins with a field's name, or npos. */
 auto findLastField (std::string_view events, std::string_view field) -> std::size_t
 {
@@ -25,10 +28,17 @@
 
 auto EventAssembler::add (std::string_view bytes) -> std::string_view
 {
+    if (completeEvents.capacity() > keptBytes)
+        completeEvents = {};
+
     partial += bytes;
     const auto end = endOfCompleteEvents (partial);
     completeEvents.assign (partial, 0, end);
     partial.erase (0, end);
+
+    if (partial.empty() && partial.capacity() > keptBytes)
+        partial = {};
+
     recordIdentifier (completeEvents);
     return completeEvents;
 }
--- a/modules/snowrudder_serving/relay/EventAssembler.h
+++ b/modules/snowrudder_serving/relay/EventAssembler.h
@@ -32,6 +32,12 @@
     /** @returns whether an incomplete event is longer than any may be. */
     [[nodiscard]] auto isTooLong() const -> bool { return partial.size() > maxEventBytes; }
 
+    /** @returns the memory that an event takes which is not complete, or was relayed last, in bytes. */
+    [[nodiscard]] auto heldBytes() const -> std::size_t
+    {
+        return partial.capacity() + completeEvents.capacity();
+    }
+
     /** @returns the bytes of an incomplete event received so far. */
     [[nodiscard]] auto partialEvent() const -> std::string_view { return partial; }
 
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -33,6 +33,9 @@
 /** How often a stream that goes on looks for a proof of the list of replicas. */
 constexpr auto versionProofPause = Duration (20ms);
 
+/** Events up to this size may be held whatever else is, in bytes. */
+constexpr auto ordinaryEventBytes = std::size_t { 64 } * 1024;
+
 /** How often a request looks for a free place on a replica whose places are divided among the nodes. */
 constexpr auto placePause = 5ms;
 
@@ -594,6 +597,10 @@
         recordBytes (call);
         const auto completeEvents = events.add (piece);
 
+        // An event that is held back until it is complete is too long where the memory for requests is full.
+        if (! exchange.holdResponse (events.heldBytes()) && events.heldBytes() > ordinaryEventBytes)
+            co_return makeOutcome (call, FailureCause::invalid);
+
         if (! completeEvents.empty())
         {
             recordPause();
