--- a/tests/process/test_signals.py
+++ b/tests/process/test_signals.py
@@ -2,6 +2,7 @@
 
 Guards against signals that came before their handlers were installed, and a closed log, which ended the process.
 """
+import errno
 import os
 import random
 import signal
@@ -40,8 +41,17 @@
         self.node.start()
         self.process = self.node.process
         platform.nodes.append(self.node)
-        # Opens when the process has opened its side.
-        self.pipe = os.open(self.node.settings, os.O_WRONLY)
+        self.pipe = wait_until(self.open_pipe, "the process reads its settings")
+        os.set_blocking(self.pipe, True)
+
+    def open_pipe(self):
+        """@returns the pipe, or None until the process has opened its side."""
+        try:
+            return os.open(self.node.settings, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError as error:
+            if error.errno != errno.ENXIO:
+                raise
+            return None
 
     def release(self):
         regular = self.node.settings.with_suffix(".next")
