A node out of step takes up no stream by a list that it alone believes

Callers saw streams of two versions: a node that was cut off from the store and the other nodes went on at v1 with streams that had begun at v2 through others, or at a replica that had started again as v2 with streams of v1.

Cause: the node took its own silence for an outage of the store. Without a record it went on by the only version that it knew, by a list of up to 1.5 s, though a version that takes the place of another gets streams at once. With a record it asked nobody and went on by a list of up to 2.6 s that was proven before the connection to the replica.

Change: without a record the list has to be proven as of a time after the request came. Before a stream goes on by a list that isn't proven so far, other nodes are asked about it; if none answers, or one has seen another version at its replica, it doesn't go on. While the store doesn't respond to a node, a stream waits for a proof through others until the list is 1.8 s old.

--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -218,8 +218,8 @@
     std::function<void (KnownStream)> announceStream = [this] (KnownStream stream)
     { streamOrigins.record (stream, BootClock::now()); };
     /** Asks other nodes where a stream began that a request takes up. Set once, before the first request. */
-    std::function<Task<StreamResponse> (StreamKey, std::string)> askForStream =
-        [] (StreamKey, std::string) -> Task<StreamResponse> { co_return std::nullopt; };
+    std::function<Task<StreamInquiry> (StreamKey, std::string)> askForStream =
+        [] (StreamKey, std::string) -> Task<StreamInquiry> { co_return StreamInquiry(); };
     ConnectionPool pool;
     SharedProbes probes;
     Metrics metrics;
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -48,6 +48,8 @@
 
     if (request.resumedStream)
         boundAt = request.resumedStream->begun;
+    else if (request.caller.resumesStream)
+        boundAt = request.accepted;
 }
 
 RoutedRequestRunner::~RoutedRequestRunner()
@@ -660,6 +662,8 @@
     input.replica = lastReplica.name;
     input.version = lastReplica.version;
     input.isTakenUp = ! exchange.hasBegun();
+    input.isOnlyVersion = firstReplica.empty() && ! request.resumedStream;
+    input.waitingSince = began;
     input.endedAt = partEndedAt;
     input.provenAtEnd = provenAtPartEnd;
 
@@ -683,8 +687,24 @@
         proof = prove();
     }
 
+    // Another version may have come while the stream waited.
+    const auto isStillOnly = [&]
+    {
+        const auto only = state.versions.onlyVersion (request.service, state.versionRegistry, input.provenAt,
+                                                      BootClock::now());
+        return only && *only == lastReplica.version;
+    };
+
+    if (input.isOnlyVersion && proof == VersionProof::known && ! isStillOnly())
+        proof = VersionProof::changed;
+
+    auto isEnough = maySendOn (input, proof, BootClock::now());
+    const auto isAsked = isEnough && proof != VersionProof::known;
+
+    if (isAsked)
+        isEnough = co_await isInStep (state, request) && maySendOn (input, prove(), BootClock::now());
+
     const auto now = BootClock::now();
-    const auto isEnough = maySendOn (input, proof, now);
 
     if (proof != VersionProof::known || now - began >= versionProofPause)
         LogLine ("version_proof")
@@ -693,6 +713,7 @@
             .with ("software_version", lastReplica.version)
             .with ("outcome", toString (proof))
             .with ("goes_on", isEnough ? "yes" : "no")
+            .with ("asked", isAsked ? "yes" : "no")
             .with ("list_milliseconds", inMilliseconds (now - input.provenAt))
             .with ("connection_milliseconds", inMilliseconds (now - connectedAt))
             .with ("waited_milliseconds", inMilliseconds (now - began))
--- a/modules/snowrudder_serving/streams/ResumedStream.cpp
+++ b/modules/snowrudder_serving/streams/ResumedStream.cpp
@@ -67,7 +67,7 @@
 
         if (! request.resumedStream)
         {
-            request.resumedStream = co_await state.askForStream (key, request.caller.id);
+            request.resumedStream = combine (co_await state.askForStream (key, request.caller.id));
             source = OriginSource::otherNode;
         }
     }
@@ -100,6 +100,13 @@
     co_return std::nullopt;
 }
 
+auto isInStep (ServingState& state, const RoutedRequest& request) -> Task<bool>
+{
+    const auto key =
+        request.resumedStream ? request.resumedStream->key : keyOf (state, request, request.caller.id);
+    co_return isInStep (co_await state.askForStream (key, request.caller.id));
+}
+
 auto announceStream (ServingState& state, const RoutedRequest& request, const ReplicaInfo& replica) -> void
 {
     const auto now = BootClock::now();
--- a/modules/snowrudder_serving/streams/ResumedStream.h
+++ b/modules/snowrudder_serving/streams/ResumedStream.h
@@ -14,6 +14,12 @@
 */
 auto findResumedStream (ServingState& state, RoutedRequest& request) -> Task<std::optional<Problem>>;
 
+/** Asks other nodes about the stream that a request goes on with, taken up or within its answer.
+
+    @returns whether one of them responded and none has seen another version at its replica
+*/
+auto isInStep (ServingState& state, const RoutedRequest& request) -> Task<bool>;
+
 /** Records the beginning of a stream here and at other nodes, before its caller receives a part of it. A stream that was
     taken up is told again under its first name, since nodes may have left meanwhile.
 */
--- a/modules/snowrudder_serving/streams/StreamContinuation.cpp
+++ b/modules/snowrudder_serving/streams/StreamContinuation.cpp
@@ -1,5 +1,6 @@
 #include "StreamContinuation.h"
 
+#include "../members/StoreUpdates.h"
 #include "StreamHolders.h"
 
 #include <algorithm>
@@ -14,6 +15,12 @@
            static_cast<std::size_t> (known) >= std::min (streamHolders, inquiry.asked);
 }
 
+auto isInStep (const StreamInquiry& inquiry) -> bool
+{
+    const auto known = combine (inquiry);
+    return (inquiry.asked == 0 || ! inquiry.responses.empty()) && ! (known && known->isConflicting);
+}
+
 auto combine (const StreamInquiry& inquiry) -> StreamResponse
 {
     StreamResponse combined;
@@ -112,7 +119,15 @@
 {
     const auto isProofPossible =
         proof == VersionProof::beginUnproven || proof == VersionProof::targetUnproven;
-    return isProofPossible && input.isStoreReached ? versionProofWait : Duration::zero();
+
+    if (! isProofPossible)
+        return Duration::zero();
+
+    if (input.isStoreReached)
+        return versionProofWait;
+
+    return std::clamp (input.provenAt + storeUpdateAgeLimit - input.waitingSince, Duration::zero(),
+                       versionProofWait);
 }
 
 auto maySendOn (const VersionProofInput& input, VersionProof proof, TimePoint now) -> bool
@@ -123,7 +138,7 @@
             return true;
         case VersionProof::beginUnproven:
         case VersionProof::targetUnproven:
-            return now - input.provenAt <= continuationListAge;
+            return ! input.isOnlyVersion && now - input.provenAt <= continuationListAge;
         case VersionProof::changed:
         case VersionProof::listTooOld:
             break;
--- a/modules/snowrudder_serving/streams/StreamContinuation.h
+++ b/modules/snowrudder_serving/streams/StreamContinuation.h
@@ -27,6 +27,12 @@
 */
 auto isConclusive (const StreamInquiry& inquiry) -> bool;
 
+/** @returns whether the node that asked is in step with the others as far as a stream goes: one of them responded, unless there are
+    none, and none has seen that the stream's replica has changed its version. A node that nobody answers can't tell an outage of
+    the state store from its own.
+*/
+auto isInStep (const StreamInquiry& inquiry) -> bool;
+
 /** @returns what the responses say together; conflicting if they differ. */
 auto combine (const StreamInquiry& inquiry) -> StreamResponse;
 
@@ -140,6 +146,10 @@
     TimePoint provenAtEnd {};
     /** Whether the state store responds to this node, so that a proof is to be expected. */
     bool isStoreReached = true;
+    /** Whether nothing is known of the stream but that its service has a single version. */
+    bool isOnlyVersion = false;
+    /** When the stream began to wait for a proof. */
+    TimePoint waitingSince {};
 };
 
 /** @returns what is known of the versions. A replica may start again under its name with another version, in less time than the
@@ -148,11 +158,13 @@
 auto proveVersions (const VersionProofInput& input, const VersionHistory& history, TimePoint now)
     -> VersionProof;
 
-/** @returns how long a stream waits for a better proof. */
+/** @returns how long a stream waits for a better proof. Where the state store doesn't respond to this node, others may still give one,
+    until the list is so old that they have none either.
+*/
 auto proofWait (const VersionProofInput& input, VersionProof proof) -> Duration;
 
 /** @returns whether a stream goes on, once it has waited for a better proof. While the state store is away for a moment, streams go
-    on by a list that was proven shortly before.
+    on by a list that was proven shortly before, but only where the version that began them was recorded.
 */
 auto maySendOn (const VersionProofInput& input, VersionProof proof, TimePoint now) -> bool;
 
--- a/modules/snowrudder_serving/streams/StreamExchange.cpp
+++ b/modules/snowrudder_serving/streams/StreamExchange.cpp
@@ -33,12 +33,12 @@
         sendTo (holder, StreamNotice { { stream } }, now);
 }
 
-auto StreamExchange::ask (StreamKey key, std::string request) -> Task<StreamResponse>
+auto StreamExchange::ask (StreamKey key, std::string request) -> Task<StreamInquiry>
 {
     const auto holders = holdersOf (key, membership.streamHolderCandidates(), askedHolders);
 
     if (holders.empty() || membership.secret().empty())
-        co_return StreamResponse();
+        co_return StreamInquiry();
 
     const auto now = BootClock::now();
     const auto number = ++lastNumber;
@@ -52,14 +52,14 @@
 
     co_await wake->wait (now + streamQueryTime);
 
-    const auto inquiry = std::move (openQueries.extract (number).mapped().inquiry);
+    auto inquiry = std::move (openQueries.extract (number).mapped().inquiry);
     LogLine ("stream_asked")
         .with ("request", request)
         .with ("asked", inquiry.asked)
         .with ("responses", inquiry.responses.size())
         .with ("milliseconds", inMilliseconds (BootClock::now() - now))
         .info();
-    co_return combine (inquiry);
+    co_return inquiry;
 }
 
 auto StreamExchange::receive (std::string_view datagram, const Endpoint& sender) -> void
--- a/modules/snowrudder_serving/streams/StreamExchange.h
+++ b/modules/snowrudder_serving/streams/StreamExchange.h
@@ -29,7 +29,7 @@
 
         @param request  the request that takes the stream up, for the log
     */
-    auto ask (StreamKey key, std::string request) -> Task<StreamResponse>;
+    auto ask (StreamKey key, std::string request) -> Task<StreamInquiry>;
 
     /** Handles a datagram for which isStreamMessage() is true. */
     auto receive (std::string_view datagram, const Endpoint& sender) -> void;
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -26,6 +26,7 @@
     def __init__(self, node, id, resumes=None, last=None, events=EVENTS_BEFORE_LEAVING, more=(), key="key-alpha",
                  path="/resumed-stream/x"):
         self.id = id
+        self.wanted = events
         lines = [f"POST {path} HTTP/1.1", "Host: one.example", f"X-Request-Id: {id}", "X-Deadline-Ms: 5000",
                  f"X-Api-Key: {key}", "Content-Length: 0"]
         if resumes is not None:
--- a/tests/unit/StreamVersionTests.cpp
+++ b/tests/unit/StreamVersionTests.cpp
@@ -1,5 +1,6 @@
 #include "StreamWorld.h"
 
+#include "snowrudder_serving/members/StoreUpdates.h"
 #include "snowrudder_serving/streams/VersionRegistry.h"
 
 #include <catch2/catch.hpp>
@@ -365,6 +366,49 @@
     CHECK (decideContinuation (input, history, {}, now + 4s).outcome == ContinuationOutcome::versionGone);
 }
 
+TEST_CASE ("a node that nobody answers is out of step, and so is one whose stream's replica has changed")
+{
+    CHECK (isInStep ({ 0, {} }));
+    CHECK_FALSE (isInStep ({ 3, {} }));
+    CHECK (isInStep ({ 3, { std::nullopt } }));
+    CHECK (isInStep ({ 3, { std::nullopt, stream (1, 1) } }));
+
+    auto changed = stream (1, 1);
+    changed.isConflicting = true;
+    CHECK_FALSE (isInStep ({ 3, { std::nullopt, changed } }));
+}
+
+TEST_CASE ("a stream waits for other nodes' proof while the store is away, until they have none either")
+{
+    VersionProofInput input;
+    input.provenAt = now;
+    input.isStoreReached = false;
+
+    for (const auto proof : { VersionProof::beginUnproven, VersionProof::targetUnproven })
+    {
+        input.waitingSince = now + 100ms;
+        CHECK (proofWait (input, proof) == versionProofWait);
+        input.waitingSince = now + storeUpdateAgeLimit - 300ms;
+        CHECK (proofWait (input, proof) == 300ms);
+        input.waitingSince = now + storeUpdateAgeLimit + 1ms;
+        CHECK (proofWait (input, proof) == Duration::zero());
+        CHECK (maySendOn (input, proof, now + continuationListAge));
+        CHECK_FALSE (maySendOn (input, proof, now + continuationListAge + 1ms));
+    }
+
+    CHECK (proofWait (input, VersionProof::changed) == Duration::zero());
+}
+
+TEST_CASE ("a stream that goes on by the only version needs a proof")
+{
+    VersionProofInput input;
+    input.provenAt = now;
+    input.isOnlyVersion = true;
+    CHECK (maySendOn (input, VersionProof::known, now));
+    CHECK_FALSE (maySendOn (input, VersionProof::beginUnproven, now));
+    CHECK_FALSE (maySendOn (input, VersionProof::targetUnproven, now));
+}
+
 TEST_CASE ("the registry keeps what a node has not followed for long enough")
 {
     VersionHistory history;
--- a/tests/unit/StreamWorld.cpp
+++ b/tests/unit/StreamWorld.cpp
@@ -687,7 +687,7 @@
         {
             const auto holders = holdersOf (keyOf (name), othersOf (node, time), askedHolders);
             run.mostAsked = std::max (run.mostAsked, holders.size());
-            input.stream = ask (node, holders, keyOf (name), time);
+            input.stream = combine (ask (node, holders, keyOf (name), time));
             input.source = input.stream ? OriginSource::otherNode : OriginSource::none;
         }
 
@@ -705,7 +705,7 @@
 
         const auto& [replica, version] = *chosen;
 
-        if (! isProven (node, replica, input.stream, time))
+        if (! isProven (node, replica, name, input.stream, time))
             return false;
 
         versions.insert (version);
@@ -722,10 +722,16 @@
     /** @returns whether the node gets a proof in time that the replicas have the versions that they are listed with. All
         connections are new.
     */
-    auto isProven (Node& node, const View& replica, const StreamResponse& stream, TimePoint time) -> bool
+    auto isProven (Node& node,
+                   const View& replica,
+                   const std::string& name,
+                   const StreamResponse& stream,
+                   TimePoint time) -> bool
     {
         VersionProofInput input;
-        input.boundAt = stream ? stream->begun : longAgo;
+        input.boundAt = stream ? stream->begun : time;
+        input.isOnlyVersion = ! stream;
+        input.waitingSince = time;
         input.connectedAt = time;
         input.replica = replica.name;
         input.version = replica.version;
@@ -749,11 +755,16 @@
             proof = proveVersions (input, later.versions, at);
         }
 
-        return maySendOn (input, proof, at);
+        if (! maySendOn (input, proof, at))
+            return false;
+
+        return proof == VersionProof::known ||
+               isInStep (
+                   ask (node, holdersOf (keyOf (name), othersOf (node, at), askedHolders), keyOf (name), at));
     }
 
     auto ask (Node& node, const std::vector<Endpoint>& holders, StreamKey key, TimePoint time)
-        -> StreamResponse
+        -> StreamInquiry
     {
         StreamInquiry inquiry;
         inquiry.asked = holders.size();
@@ -780,7 +791,7 @@
                 inquiry.responses.push_back (std::get<StreamQueryResponse> (*response).stream);
         }
 
-        return combine (inquiry);
+        return inquiry;
     }
 
     static auto keyOf (const std::string& name) -> StreamKey
