--- a/modules/snowrudder_net/server/HttpServer.cpp
+++ b/modules/snowrudder_net/server/HttpServer.cpp
@@ -418,26 +418,8 @@
 
     const auto head = co_await readPart (connection, parser, false);
 
-    if (head.isMemoryFull)
-        co_return outOfMemory (connection, parser);
-
-    if (head.error)
-    {
-        // On timeout, a connection without any byte of a request is closed silently; an incomplete header gets an
-        // error.
-        if (deadline.hasExpired() && parser.got_some())
-            co_return rejectedInput (ErrorKind::callerTimeout, head.error, head.bytes, parser, limits);
-
-        const auto kind = errorKindOf (head.error);
-
-        if (kind)
-            co_return rejectedInput (*kind, head.error, head.bytes, parser, limits);
-
-        if (parser.got_some())
-            logCut (rejectionLines, head.error, head.bytes);
-
-        co_return ConnectionClosed {};
-    }
+    if (head.error || head.isMemoryFull)
+        co_return failedRead (connection, parser, head);
 
     connection.headerBytes = head.bytes;
 
@@ -454,20 +436,8 @@
     deadline.start (limits.bodyTimeout);
     const auto body = co_await readPart (connection, parser, true);
 
-    if (body.isMemoryFull)
-        co_return outOfMemory (connection, parser);
-
-    if (body.error)
-    {
-        const auto kind =
-            deadline.hasExpired() ? std::optional (ErrorKind::callerTimeout) : errorKindOf (body.error);
-
-        if (kind)
-            co_return rejectedInput (*kind, body.error, body.bytes, parser, limits);
-
-        logCut (rejectionLines, body.error, head.bytes + body.bytes);
-        co_return ConnectionClosed {};
-    }
+    if (body.error || body.isMemoryFull)
+        co_return failedRead (connection, parser, body);
 
     // The message to the upstream can't be made of it, and no caller has a reason to send one (RFC 9110, 9.3.8).
     if (parser.get().method() == http::verb::trace && ! parser.get().body().empty())
@@ -482,6 +452,26 @@
     co_return parser.release();
 }
 
+auto HttpServer::failedRead (const Connection& connection,
+                             const RequestParser& parser,
+                             const ReadProgress& progress) -> ReadResult
+{
+    if (progress.isMemoryFull)
+        return outOfMemory (connection, parser);
+
+    // On timeout, a connection without any byte of a request is closed silently; an incomplete one gets an error.
+    if (connection.deadline.hasExpired() && parser.got_some())
+        return rejectedInput (ErrorKind::callerTimeout, progress.error, progress.bytes, parser, limits);
+
+    if (const auto kind = errorKindOf (progress.error))
+        return rejectedInput (*kind, progress.error, progress.bytes, parser, limits);
+
+    if (parser.got_some())
+        logCut (rejectionLines, progress.error, connection.headerBytes + progress.bytes);
+
+    return ConnectionClosed {};
+}
+
 auto HttpServer::outOfMemory (const Connection& connection, const RequestParser& parser) const
     -> RejectedInput
 {
--- a/modules/snowrudder_net/server/HttpServer.h
+++ b/modules/snowrudder_net/server/HttpServer.h
@@ -112,6 +112,9 @@
     /** @returns whether the connection may hold what was read of its request. */
     static auto holdRequest (Connection& connection, const RequestParser& parser) -> bool;
     auto waitForRequest (Connection& connection) -> Task<bool>;
+    /** @returns what becomes of a connection whose request couldn't be read. */
+    auto failedRead (const Connection& connection, const RequestParser& parser, const ReadProgress& progress)
+        -> ReadResult;
     /** @returns what is known of a request that was given up because the memory for requests is full. */
     auto outOfMemory (const Connection& connection, const RequestParser& parser) const -> RejectedInput;
     auto reject (Connection& connection, const RejectedInput& input) -> Task<void>;
