A stopping node answers all that a replica began through it

Callers saw: of requests taken late in a planned stop of one node, some were passed on to a replica and got no answer when the node ended, also of those that may run only once.

Cause: requests were taken for 2.3 s after SIGTERM and the loop was ended 0.7 s before the grace time. A request's only limit was its own deadline; requests in queues and at replicas weren't told of the end.

Change: the stop sets its times once (NodeStop.h) and tells what is open. What may run only once and has a deadline after the last answers is refused at once (503 node_leaving), also out of the queue and before it is sent. What may be repeated gets the time that is left. At the moment of the former end (0.7 s before the grace time) all without an answer get one: 504, or 503 if nothing was sent. Such an end says nothing of the replica.

--- a/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.cpp
@@ -44,6 +44,8 @@
             return ErrorKind::crashesReplicas;
         case FailureCause::versionGone:
             return ErrorKind::streamNotResumable;
+        case FailureCause::nodeLeaving:
+            return ErrorKind::deadlineExceeded;
         case FailureCause::cut:
         case FailureCause::failed:
         case FailureCause::moved:
@@ -84,6 +86,8 @@
             return "abandoned";
         case FailureCause::stopped:
             return "stopped";
+        case FailureCause::nodeLeaving:
+            return "node_leaving";
         case FailureCause::deadline:
             break;
     }
--- a/modules/snowrudder_requests/attempt/AttemptOutcome.h
+++ b/modules/snowrudder_requests/attempt/AttemptOutcome.h
@@ -36,7 +36,9 @@
     /** The router ended the attempt because the request's deadline has passed. */
     deadline,
     /** The router did not send the request because it crashes the replicas that run it. */
-    stopped
+    stopped,
+    /** The router did not send the request, or ended the attempt, because it is about to end itself. */
+    nodeLeaving
 };
 
 /** The outcome of a failed attempt: how far it came and why it failed. */
--- a/modules/snowrudder_requests/retry/RetryDecision.cpp
+++ b/modules/snowrudder_requests/retry/RetryDecision.cpp
@@ -34,7 +34,8 @@
     decision.ran = isProvedNotRun ? Ran::no : Ran::unknown;
 
     if (outcome.cause == FailureCause::abandoned || outcome.cause == FailureCause::deadline ||
-        outcome.cause == FailureCause::stopped || outcome.cause == FailureCause::versionGone)
+        outcome.cause == FailureCause::stopped || outcome.cause == FailureCause::versionGone ||
+        outcome.cause == FailureCause::nodeLeaving)
         return decision;
 
     if (! input.repeatable && ! isProvedNotRun)
--- a/modules/snowrudder_serving/attempt/AttemptErrors.cpp
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.cpp
@@ -3,6 +3,7 @@
 #include "snowrudder_net/snowrudder_net.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snowrudder
 {
@@ -14,6 +15,9 @@
 */
 constexpr auto shortRetryDelay = 100ms;
 
+/** Retry delay of a node that shuts down: another node can take the request at once. */
+constexpr auto leavingRetryDelay = 10ms;
+
 } // namespace
 
 auto failureCauseOf (std::error_code error) -> FailureCause
@@ -50,6 +54,7 @@
         case FailureCause::abandoned:
         case FailureCause::deadline:
         case FailureCause::stopped:
+        case FailureCause::nodeLeaving:
             break;
     }
 
@@ -76,6 +81,11 @@
                         "replicas end when they run this request");
 }
 
+auto problemWhenLeaving (std::string detail) -> Problem
+{
+    return withRetry (makeProblem (ErrorKind::nodeLeaving, std::move (detail)), leavingRetryDelay);
+}
+
 auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem
 {
     return makeProblem (decision.kind, decision.ran,
@@ -87,6 +97,10 @@
     if (last.outcome.cause == FailureCause::stopped)
         return problemWhenStopped (last.mayHaveRun);
 
+    if (last.outcome.cause == FailureCause::nodeLeaving)
+        return last.mayHaveRun ? makeProblem (ErrorKind::deadlineExceeded, Ran::unknown, "this node's end")
+                               : problemWhenLeaving ("this node's end");
+
     auto problem = problemAfter (last.outcome, last.decision);
 
     if (! last.mayHaveRun)
--- a/modules/snowrudder_serving/attempt/AttemptErrors.h
+++ b/modules/snowrudder_serving/attempt/AttemptErrors.h
@@ -4,6 +4,7 @@
 #include "snowrudder_requests/retry/RetryDecision.h"
 #include "snowrudder_routing/snowrudder_routing.h"
 
+#include <string>
 #include <string_view>
 #include <system_error>
 
@@ -31,6 +32,9 @@
 /** @returns the error for the caller after the last attempt has failed. */
 auto problemAfter (const AttemptOutcome& outcome, const RetryDecision& decision) -> Problem;
 
+/** @returns the refusal of a node that shuts down: the request has not run here and won't. */
+auto problemWhenLeaving (std::string detail) -> Problem;
+
 /** The state of a request whose last attempt has failed, on which the error for its caller depends. */
 struct LastFailure
 {
--- a/modules/snowrudder_serving/gateway/RoutedGateway.cpp
+++ b/modules/snowrudder_serving/gateway/RoutedGateway.cpp
@@ -1,5 +1,6 @@
 #include "RoutedGateway.h"
 
+#include "../attempt/AttemptErrors.h"
 #include "../relay/RoutedRequestRunner.h"
 #include "../streams/ResumedStream.h"
 
@@ -32,9 +33,6 @@
 /** How often a waiting request polls whether the node is ready to admit it. */
 constexpr auto startPollInterval = 5ms;
 
-/** Retry delay of a node that shuts down: another node can take the request at once. */
-constexpr auto leavingRetryDelay = 10ms;
-
 /** @returns a refusal that the configuration gives reason to, or one that promises nothing if a newer configuration may
     allow the request.
 */
@@ -222,7 +220,7 @@
 
     // The request might not end within the grace time, so the caller is sent to another node at once.
     if (state.isDrained)
-        return withRetry (makeProblem (ErrorKind::nodeLeaving), leavingRetryDelay);
+        return problemWhenLeaving ({});
 
     if (! request.configuration)
         return withRetry (makeProblem (ErrorKind::noReplica, "no configuration yet"), freshnessRetryDelay);
@@ -252,12 +250,16 @@
     if (caller.timeLimit && *caller.timeLimit <= Duration::zero())
         return makeProblem (ErrorKind::overloaded, "the caller's time is over");
 
+    const auto timeLimit = caller.timeLimit.value_or (request.route->timeout);
+    request.deadline = arrived + std::min (timeLimit, request.route->timeout);
+
+    if (state.stop && verdictAtStop (atStop (request), *state.stop, now) == StopVerdict::refused)
+        return problemWhenLeaving ("the answer might come after this node's end");
+
     if (request.account)
         if (auto refusal = checkQuota (state, caller, *request.account, isSecondCheck, now))
             return std::move (*refusal);
 
-    const auto timeLimit = caller.timeLimit.value_or (request.route->timeout);
-    request.deadline = arrived + std::min (timeLimit, request.route->timeout);
     request.caller = std::move (caller);
     return request;
 }
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -19,17 +19,9 @@
 
 constexpr auto sweepInterval = 100ms;
 
-/** The load balancer checks readiness every second and removes a node after two failed checks; until then it sends
-    callers to the node.
-*/
-constexpr auto balancerRemovalTime = 2300ms;
-
 /** How often a node that shuts down without a known peer queries the list of nodes. */
 constexpr auto peerPollInterval = Duration (400ms);
 
-/** Reserved from the grace time, so that the process exits by itself before it is killed. */
-constexpr auto graceMargin = 700ms;
-
 } // namespace
 
 ServingNode::ServingNode (asio::io_context& eventLoop,
@@ -251,11 +243,12 @@
 
 auto ServingNode::drainAndStop() -> Task<void>
 {
-    const auto asked = BootClock::now();
-    const auto drainStart = asked + balancerRemovalTime;
-    const auto end = asked + state.settings.grace - graceMargin;
+    const auto stop = stopTimes (BootClock::now(), state.settings.grace);
     state.leaving = true;
-    LogLine ("leaving").with ("open_requests", state.openRequests).info();
+    state.stop = stop;
+    LogLine ("leaving").with ("open_requests", state.openRequests.size()).info();
+    tellOpenRequests();
+    asio::co_spawn (state.loop, endOpenRequests (stop), asio::detached);
     peers.streams().handOver();
     co_await releaseLeadership (state, face.store);
     // Before the drain wait: the store may be unavailable, and the grace time is running.
@@ -263,23 +256,39 @@
 
     // While this node drains, its counts are sent to the other nodes. If it knows none, it keeps querying: one may
     // have just started.
-    while (BootClock::now() < drainStart)
+    while (BootClock::now() < stop.drainStart)
     {
         co_await membership.listOthersIfNone();
-        co_await pauseFor (state.loop, std::min<Duration> (peerPollInterval, drainStart - BootClock::now()));
+        co_await pauseFor (state.loop,
+                           std::min<Duration> (peerPollInterval, stop.drainStart - BootClock::now()));
     }
 
     state.isDrained = true;
     callers->drain();
 
-    while (BootClock::now() < end &&
-           (state.openRequests > 0 || callers->busyConnections() > 0 || state.relayedConnections > 0))
+    while (BootClock::now() < stop.end &&
+           (! state.openRequests.empty() || callers->busyConnections() > 0 || state.relayedConnections > 0))
     {
         co_await pauseFor (state.loop, sweepInterval);
     }
 
-    LogLine ("drained").with ("open_requests", state.openRequests).info();
+    LogLine ("drained").with ("open_requests", state.openRequests.size()).info();
     state.loop.stop();
 }
 
+auto ServingNode::endOpenRequests (StopTimes stop) -> Task<void>
+{
+    for (const auto time : { stop.lastAnswer, stop.lastByte })
+    {
+        co_await pauseFor (state.loop, std::max (Duration::zero(), time - BootClock::now()));
+        tellOpenRequests();
+    }
+}
+
+auto ServingNode::tellOpenRequests() -> void
+{
+    for (const auto& followStop : state.openRequests)
+        followStop();
+}
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/node/ServingNode.h
+++ b/modules/snowrudder_serving/node/ServingNode.h
@@ -57,6 +57,9 @@
     /** Begins the graceful shutdown, unless it has begun. */
     auto stop() -> void;
     auto drainAndStop() -> Task<void>;
+    /** Ends requests in time before this node does. */
+    auto endOpenRequests (StopTimes stop) -> Task<void>;
+    auto tellOpenRequests() -> void;
 
     ServingState state;
     ServingFace face;
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -26,6 +26,7 @@
 #include "../request/UpstreamProtocol.h"
 #include "../rollout/RolloutState.h"
 #include "../streams/StreamContinuation.h"
+#include "NodeStop.h"
 #include "ServingMetrics.h"
 #include "ServingSettings.h"
 
@@ -33,6 +34,7 @@
 #include "snowrudder_requests/snowrudder_requests.h"
 #include "snowrudder_routing/snowrudder_routing.h"
 
+#include <optional>
 #include <utility>
 
 namespace snowrudder
@@ -278,7 +280,9 @@
     bool leaving = false;
     /** Whether this node, which is shutting down, no longer admits requests. */
     bool isDrained = false;
-    std::size_t openRequests = 0;
+    /** Set once this node shuts down. */
+    std::optional<StopTimes> stop;
+    OpenRequests openRequests;
 };
 
 } // namespace snowrudder
--- a/modules/snowrudder_serving/queue/ServiceQueues.cpp
+++ b/modules/snowrudder_serving/queue/ServiceQueues.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace snowrudder
 {
@@ -34,6 +35,15 @@
                              QueuedRequest wanted,
                              std::uint32_t maxQueued,
                              asio::any_io_executor executor) -> Task<PermitOutcome>
+{
+    return acquire (std::move (service), std::move (wanted), maxQueued,
+                    std::make_shared<Signal> (std::move (executor)));
+}
+
+auto ServiceQueues::acquire (std::string service,
+                             QueuedRequest wanted,
+                             std::uint32_t maxQueued,
+                             std::shared_ptr<Signal> wake) -> Task<PermitOutcome>
 {
     PermitOutcome permit;
     std::shared_ptr<Waiter> waiter;
@@ -57,7 +67,7 @@
         if (answer.action == QueueAction::wait)
         {
             waiter = std::make_shared<Waiter>();
-            waiter->signal = std::make_shared<Signal> (executor);
+            waiter->signal = std::move (wake);
             entry.waiters.emplace (wanted.ticket, waiter);
         }
     }
--- a/modules/snowrudder_serving/queue/ServiceQueues.h
+++ b/modules/snowrudder_serving/queue/ServiceQueues.h
@@ -57,6 +57,15 @@
                   std::uint32_t maxQueued,
                   asio::any_io_executor executor) -> Task<PermitOutcome>;
 
+    /** The same for a request that may give up before its deadline.
+
+        @param wake  ends the wait when it is notified
+    */
+    auto acquire (std::string service,
+                  QueuedRequest wanted,
+                  std::uint32_t maxQueued,
+                  std::shared_ptr<Signal> wake) -> Task<PermitOutcome>;
+
     /** Releases a permit.
 
         @param account  client account of the request
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.cpp
@@ -42,18 +42,18 @@
                                           Exchange& callerExchange,
                                           RoutedRequest routedRequest)
     : state (servingState), exchange (callerExchange), request (std::move (routedRequest)),
-      prompt (promptOf (request.caller))
+      askedDeadline (request.deadline), queueWake (std::make_shared<Signal> (exchange.executor())),
+      listedRequest (state.openRequests, [this] { followStop(); }), prompt (promptOf (request.caller))
 {
-    ++state.openRequests;
-
     if (request.resumedStream)
         boundAt = request.resumedStream->begun;
+
+    followStop();
 }
 
 RoutedRequestRunner::~RoutedRequestRunner()
 {
     exchange.stopWatching();
-    --state.openRequests;
 
     if (hasReservedRetry)
         state.retryBudgets.giveBack ({}, request.service);
@@ -70,9 +70,11 @@
 
     if (! permit.granted)
     {
-        if (! isCallerGone)
-            co_await respondWithProblem (withRetry (makeProblem (ErrorKind::overloaded), permit.retryAfter));
+        if (isCallerGone)
+            co_return;
 
+        auto problem = problemWithoutPermit (permit.retryAfter);
+        co_await respondWithProblem (std::move (problem));
         co_return;
     }
 
@@ -80,6 +82,14 @@
     co_await runAttempts();
 }
 
+auto RoutedRequestRunner::problemWithoutPermit (Duration retryAfter) const -> Problem
+{
+    if (isEndedByStop || isRefusedByStop())
+        return problemWhenLeaving ("it waited in the queue");
+
+    return withRetry (makeProblem (ErrorKind::overloaded), retryAfter);
+}
+
 auto RoutedRequestRunner::endOfWaiting() const -> TimePoint
 {
     const auto wait =
@@ -91,7 +101,7 @@
 {
     const auto end = endOfWaiting();
 
-    while (! isCallerGone && BootClock::now() < end &&
+    while (! isCallerGone && ! isEndedByStop && ! isRefusedByStop() && BootClock::now() < end &&
            state.replicas.mustWaitForPlace (request.service, tried, BootClock::now()))
         co_await pauseFor (state.loop, placePause);
 }
@@ -102,7 +112,79 @@
     wanted.account = request.accountName();
     wanted.cost = std::max (1.0, request.caller.promptTokens + request.caller.answerTokens);
     wanted.deadline = endOfWaiting();
-    return state.queues.acquire (request.service, std::move (wanted), maxQueued, exchange.executor());
+    return state.queues.acquire (request.service, std::move (wanted), maxQueued, queueWake);
+}
+
+auto RoutedRequestRunner::isRefusedByStop() const -> bool
+{
+    if (! state.stop)
+        return false;
+
+    auto asked = atStop (request);
+    asked.deadline = askedDeadline;
+
+    // Another attempt may still give the answer of a request that may have run.
+    if (failures.mayHaveRun > 0)
+        asked.expectedTime = Duration::zero();
+
+    return verdictAtStop (asked, *state.stop, BootClock::now()) == StopVerdict::refused;
+}
+
+auto RoutedRequestRunner::followStop() -> void
+{
+    if (! state.stop || isCallerGone || isEndedByStop)
+        return;
+
+    const auto now = BootClock::now();
+    cutDeadlineAtStop (now);
+
+    if (isRefusedByStop())
+        queueWake->notify();
+
+    const auto hasAnswer = exchange.hasBegun() || attemptFirstByte.has_value();
+
+    if (! mustEnd (*state.stop, hasAnswer, now))
+        return;
+
+    isEndedByStop = true;
+    queueWake->notify();
+    LogLine ("request_ended_by_stop")
+        .with ("request", request.caller.id)
+        .with ("sends", attemptCount)
+        .with ("caller_has", toString (callerProgress()))
+        .info();
+
+    if (currentCall != nullptr)
+        currentCall->cancel();
+}
+
+auto RoutedRequestRunner::cutDeadlineAtStop (TimePoint now) -> void
+{
+    if (request.deadline <= state.stop->lastAnswer)
+        return;
+
+    LogLine ("request_at_stop")
+        .with ("request", request.caller.id)
+        .with ("verdict", toString (verdictAtStop (atStop (request), *state.stop, now)))
+        .with ("under_way", currentCall != nullptr ? "yes" : "no")
+        .with ("asked_milliseconds", inMilliseconds (request.deadline - now))
+        .with ("left_milliseconds", inMilliseconds (state.stop->lastAnswer - now))
+        .info();
+    request.deadline = state.stop->lastAnswer;
+}
+
+auto RoutedRequestRunner::failureBeforeSending() const -> Failure
+{
+    if (isCallerGone)
+        return AttemptOutcome { CallStage::notSent, FailureCause::abandoned };
+
+    if (isEndedByStop || isRefusedByStop())
+        return AttemptOutcome { CallStage::notSent, FailureCause::nodeLeaving };
+
+    if (BootClock::now() >= request.deadline)
+        return AttemptOutcome { CallStage::notSent, FailureCause::deadline };
+
+    return {};
 }
 
 auto RoutedRequestRunner::runAttempts() -> Task<void>
@@ -178,15 +260,13 @@
     }
 
     // The caller may have disconnected, or the deadline passed, during the wait for a verdict.
-    if (isCallerGone || BootClock::now() >= request.deadline)
-        co_return AttemptOutcome { CallStage::notSent,
-                                   isCallerGone ? FailureCause::abandoned : FailureCause::deadline };
+    if (const auto failure = failureBeforeSending())
+        co_return failure;
 
     co_await waitForPlace();
 
-    if (isCallerGone || BootClock::now() >= request.deadline)
-        co_return AttemptOutcome { CallStage::notSent,
-                                   isCallerGone ? FailureCause::abandoned : FailureCause::deadline };
+    if (const auto failure = failureBeforeSending())
+        co_return failure;
 
     if (attemptCount == 1)
         state.requestRates.record (request.service, BootClock::now());
@@ -279,6 +359,10 @@
     if (state.replicas.isWithdrawn (ticket.number, BootClock::now()))
         co_return AttemptOutcome { CallStage::notSent, FailureCause::moved };
 
+    // The same is true of this node's shutdown.
+    if (isEndedByStop || isRefusedByStop())
+        co_return AttemptOutcome { CallStage::notSent, FailureCause::nodeLeaving };
+
     auto& message = request.caller.message;
     state.protocol.setFields (message, attemptFields (ticket));
     sentAt = BootClock::now();
@@ -325,7 +409,7 @@
         if (! error)
             co_return Failure {};
 
-        if (isCallerGone || BootClock::now() >= request.deadline)
+        if (isCallerGone || isEndedByStop || BootClock::now() >= request.deadline)
             co_return makeOutcome (call, FailureCause::connectFailed);
 
         isPathTrial = false;
@@ -647,8 +731,7 @@
 auto RoutedRequestRunner::waitForVerdict() -> Task<CrashAssessment>
 {
     return state.crashes.waitForVerdict (state.loop, request.subjects, request.service,
-                                         [this]
-                                         { return isCallerGone || BootClock::now() >= request.deadline; });
+                                         [this] { return failureBeforeSending().has_value(); });
 }
 
 auto RoutedRequestRunner::waitForVersionProof (TimePoint connectedAt) -> Task<bool>
@@ -787,7 +870,8 @@
             return false;
 
         return ranAfter (*outcome) == Ran::no || outcome->cause == FailureCause::abandoned ||
-               outcome->cause == FailureCause::deadline || outcome->cause == FailureCause::pathLost;
+               outcome->cause == FailureCause::deadline || outcome->cause == FailureCause::pathLost ||
+               outcome->cause == FailureCause::nodeLeaving;
     };
 
     // A stream that a caller takes up goes to its version whatever the share on trial, and says little about a first event.
@@ -999,6 +1083,13 @@
         cause = FailureCause::abandoned;
     else if (direct && (direct->isLost || (isPathTrial && cause == FailureCause::cut && ! attemptFirstByte)))
         cause = FailureCause::pathLost;
+    else if (isEndedByStop || (isCutShort() && BootClock::now() >= request.deadline))
+    {
+        // What the replica has answered stays.
+        const auto isOwnEnd = cause == FailureCause::cut || cause == FailureCause::timedOut ||
+                              cause == FailureCause::connectFailed;
+        cause = isOwnEnd ? FailureCause::nodeLeaving : cause;
+    }
 
     return { call.stage(), cause };
 }
--- a/modules/snowrudder_serving/relay/RoutedRequestRunner.h
+++ b/modules/snowrudder_serving/relay/RoutedRequestRunner.h
@@ -5,6 +5,7 @@
 #include "EventAssembler.h"
 #include "RoutedPrompt.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,10 +34,21 @@
     using Failure = std::optional<AttemptOutcome>;
 
     auto enterQueue() -> Task<ServiceQueues::PermitOutcome>;
+    /** @returns the error for a request that left the queue without a permit. */
+    [[nodiscard]] auto problemWithoutPermit (Duration retryAfter) const -> Problem;
     /** @returns until when the request may wait before it is sent. */
     [[nodiscard]] auto endOfWaiting() const -> TimePoint;
     /** Waits while all places are taken that this node may use. */
     auto waitForPlace() -> Task<void>;
+    /** Adapts the request to this node's shutdown, and ends it when that is due. */
+    auto followStop() -> void;
+    auto cutDeadlineAtStop (TimePoint now) -> void;
+    /** @returns whether the request must not be sent any more because this node shuts down. */
+    [[nodiscard]] auto isRefusedByStop() const -> bool;
+    /** @returns whether this node's end comes before the deadline that the caller and the route set. */
+    [[nodiscard]] auto isCutShort() const -> bool { return request.deadline < askedDeadline; }
+    /** @returns why the current attempt must not begin, or nothing. */
+    [[nodiscard]] auto failureBeforeSending() const -> Failure;
     auto runAttempts() -> Task<void>;
     auto attempt() -> Task<Failure>;
     auto waitForVerdict() -> Task<CrashAssessment>;
@@ -126,6 +138,11 @@
     ServingState& state;
     Exchange& exchange;
     RoutedRequest request;
+    /** The deadline that the caller and the route set. */
+    const TimePoint askedDeadline;
+    /** Ends the wait in the queue. */
+    const std::shared_ptr<Signal> queueWake;
+    const ListedRequest listedRequest;
 
     RoutedPrompt prompt;
     std::vector<ReplicaNumber> tried;
@@ -170,6 +187,8 @@
     /** Whether the caller has a part of a body that isn't a stream of events. */
     bool isRelayingOther = false;
     bool isCallerGone = false;
+    /** Whether the request was ended because this node is about to end. */
+    bool isEndedByStop = false;
     bool isUsageCounted = false;
     /** Whether the current attempt tries paths that are taken for lost. */
     bool isPathTrial = false;
--- a/modules/snowrudder_serving/request/RoutedRequest.h
+++ b/modules/snowrudder_serving/request/RoutedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../configuration/RoutingConfiguration.h"
+#include "../node/NodeStop.h"
 #include "../streams/StreamOriginTable.h"
 
 #include "snowrudder_net/snowrudder_net.h"
@@ -85,6 +86,15 @@
              caller.message.body() };
 }
 
+/** @returns what decides about an unsent request at a node that shuts down. */
+inline auto atStop (const RoutedRequest& request) -> StoppedRequest
+{
+    // A request that usually ends soon is worth an attempt whatever its route's target.
+    constexpr auto mostExpectedTime = Duration (1s);
+    return { request.route->isRepeatable(), request.deadline,
+             std::min (request.route->latencyTarget, mostExpectedTime) };
+}
+
 /** Most parts of one prompt for which crash evidence is kept, from its beginning: a prompt with more of them can't fill
     the evidence of its account.
 */
--- a/modules/snowrudder_serving/snowrudder_serving.h
+++ b/modules/snowrudder_serving/snowrudder_serving.h
@@ -16,7 +16,7 @@
     - limits/         account limits that are shared by all nodes
     - duties/         work that one node does for the whole fleet: leadership, usage reports
     - capacity/       how many replicas to order, and of which kind
-    - node/           a node, assembled from the above
+    - node/           a node, assembled from the above, and what its shutdown means for requests
 
     Decisions are functions over plain structs, with the current time as a parameter. Depends on: core, net, routing, limits, requests, schema.
 */
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -10,7 +10,7 @@
 
 
 # Seconds until a replica answers, by how it behaves.
-WAITS = {"slow": 3, "hang": 12}
+WAITS = {"slow": 3, "slower": 4.5, "hang": 12}
 
 
 # What a replica sends first, and then for ever, instead of an answer or in the middle of one. "{id}" is the request's identifier.
--- a/tests/unit/AnswerUseTests.cpp
+++ b/tests/unit/AnswerUseTests.cpp
@@ -73,11 +73,11 @@
 TEST_CASE ("the error after the last attempt promises nothing of a request that may have run and may not be "
            "repeated")
 {
-    for (const auto cause :
-         { FailureCause::noReplica, FailureCause::connectFailed, FailureCause::pathLost,
-           FailureCause::refused, FailureCause::misdirected, FailureCause::cut, FailureCause::timedOut,
-           FailureCause::invalid, FailureCause::failed, FailureCause::moved, FailureCause::abandoned,
-           FailureCause::deadline, FailureCause::stopped, FailureCause::versionGone })
+    for (const auto cause : { FailureCause::noReplica, FailureCause::connectFailed, FailureCause::pathLost,
+                              FailureCause::refused, FailureCause::misdirected, FailureCause::cut,
+                              FailureCause::timedOut, FailureCause::invalid, FailureCause::failed,
+                              FailureCause::moved, FailureCause::abandoned, FailureCause::deadline,
+                              FailureCause::stopped, FailureCause::versionGone, FailureCause::nodeLeaving })
         for (const auto stage :
              { CallStage::notSent, CallStage::sending, CallStage::sent, CallStage::receiving })
             for (const auto isLate : { false, true })
