Store client: keys go into targets escaped

Cause: the key behind which a page of a list begins, the key of a read and the prefix of a watch went into the target as they were. With an entry of another system under the replicas' prefix whose key has one of % & + # or a blank, the store read another key, another parameter or no call at all, so that the list went round, left the rest out or was refused.

Change: queryText() escapes a text of any bytes for the value of a query's parameter (Boost.URL), used wherever a target is built from a name. The stand-in store of the process tests decodes queries as a server does, answers malformed ones with 400 and records them, and gives lists in pages by number and size; before, it did none of these, so that no test could see the fault.

--- a/modules/snowrudder_net/snowrudder_net.h
+++ b/modules/snowrudder_net/snowrudder_net.h
@@ -14,6 +14,7 @@
 #include "client/BodyFraming.h"
 #include "client/ConnectionPool.h"
 #include "client/ProbeEndpoint.h"
+#include "client/QueryText.h"
 #include "client/SignedRequest.h"
 #include "client/SimpleCall.h"
 #include "client/UpstreamCall.h"
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -3,10 +3,12 @@
 import contextlib
 import http.server
 import json
+import re
 import socket
 import struct
 import threading
 import time
+import urllib.parse
 
 
 # Seconds until a replica answers, by how it behaves.
@@ -58,6 +60,8 @@
 
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    # Otherwise each body waits for the acknowledgement of its head.
+    disable_nagle_algorithm = True
 
     def log_message(self, *_):
         pass
@@ -79,8 +83,31 @@
     do_GET = do_POST = do_DELETE = take
 
 
+# The parameters that a call of the store may have.
+PARAMETERS = {"kv-key": {"key", "stale_ok"}, "kv-range": {"path_prefix", "after", "stale_ok"},
+              "kv-watch": {"path_prefix", "after", "wait_ms"}}
+
+
+def read_query(name, text):
+    """Returns the parameters of a query, decoded as a server does. Raises ValueError where the query is malformed."""
+    # RFC 3986 allows nothing else in a query.
+    if not re.fullmatch(r"(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*", text):
+        raise ValueError(f"not a query: {text!r}")
+    pairs = urllib.parse.parse_qsl(text, keep_blank_values=True, strict_parsing=bool(text), encoding="utf-8", errors="strict")
+    if len(dict(pairs)) != len(pairs) or not {key for key, _ in pairs} <= PARAMETERS.get(name, set()):
+        raise ValueError(f"unknown or repeated parameters: {text!r}")
+    return dict(pairs)
+
+
 class Store:
-    """The state store: revisions, conditions, leases and watches. Its boolean attributes switch on faults."""
+    """The state store: revisions, conditions, leases and watches. Its boolean attributes switch on faults.
+
+    A list has pages of at most `page_items` items and `page_bytes` bytes. A malformed call is answered with 400 and recorded in
+    `malformed`.
+    """
+
+    page_items = 500
+    page_bytes = 1_000_000
 
     def __init__(self, port):
         self.changed = threading.Condition()
@@ -96,6 +123,9 @@
         self.garble_lists = False
         self.lose_answers = False
         self.calls = []
+        self.malformed = []
+        # Whether the store answers each call for a page with the first one.
+        self.repeats_pages = False
         self.server = Server(port, self)
         threading.Thread(target=self.expire, daemon=True).start()
 
@@ -140,7 +170,6 @@
 
     def handle(self, call, body):
         path, _, text = call.path.partition("?")
-        query = dict(part.split("=", 1) for part in text.split("&") if part)
         self.calls.append(path)
         if self.silent:
             time.sleep(3)
@@ -149,8 +178,13 @@
         if self.busy:
             call.answer(503)
             return
-        data = json.loads(body) if body else {}
-        status, value = self.serve(call.command, path, query, data)
+        try:
+            query = read_query(path.removeprefix("/snowrudder/"), text)
+            data = json.loads(body) if body else {}
+            status, value = self.serve(call.command, path, query, data)
+        except (ValueError, KeyError) as fault:
+            self.malformed.append((call.path, body, repr(fault)))
+            status, value = 400, {"error": "malformed"}
         if self.garble_lists and path.endswith("kv-range"):
             value = "half a list"
         if self.lose_answers and call.command == "POST":
@@ -170,8 +204,7 @@
                 item = self.items.get(query["key"])
                 return (200, {**item, "store_revision": self.revision}) if item else (404, {"store_revision": self.revision})
             if name == "kv-range":
-                items = [item for key, item in sorted(self.items.items()) if key.startswith(query["path_prefix"])]
-                return 200, {"items": items, "more_pages": False, "store_revision": self.revision}
+                return 200, {**self.page(query["path_prefix"], query.get("after", "")), "store_revision": self.revision}
             if name == "kv-txn":
                 return self.commit(data)
             if name == "kv-lease":
@@ -189,6 +222,28 @@
                 self.end(lease)
             return 200, {}
 
+    def page(self, prefix, after):
+        """Returns the items with a prefix that come after a key, up to the size of a page, and whether there are more."""
+        items = []
+        size = 0
+        after = "" if self.repeats_pages else after
+        # The order of the keys' bytes.
+        for key in sorted(self.items, key=str.encode):
+            if not key.startswith(prefix) or key.encode() <= after.encode():
+                continue
+            size += len(key) + len(self.items[key]["value"])
+            if len(items) == self.page_items or (items and size > self.page_bytes):
+                return {"items": items, "more_pages": True}
+            items.append(self.items[key])
+        return {"items": items, "more_pages": False}
+
+    def compact(self):
+        """Forgets the history, so that watches have to begin anew."""
+        with self.changed:
+            self.revision += 1
+            self.compacted = self.revision
+            self.changed.notify_all()
+
     def commit(self, data):
         conditions = data["expected_rev"]
         if any(self.items.get(entry["key"], {}).get("revision", 0) != entry["revision"] for entry in conditions):
--- a/tests/unit/NetTests.cpp
+++ b/tests/unit/NetTests.cpp
@@ -7,10 +7,32 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <cstdio>
 #include <thread>
 
 using namespace snowrudder;
 
+TEST_CASE ("a text of any bytes is one value of a query")
+{
+    constexpr auto plain =
+        std::string_view ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/");
+
+    for (auto code = 0; code < 256; ++code)
+    {
+        const auto character = static_cast<char> (code);
+        std::array<char, 4> escaped {};
+        std::snprintf (escaped.data(), escaped.size(), "%%%02X", static_cast<unsigned> (code));
+        const auto isPlain = plain.find (character) != std::string_view::npos;
+        const auto expected = isPlain ? std::string (1, character) : std::string (escaped.data());
+        CHECK (queryText (std::string (1, character)) == expected);
+        CHECK (queryText ("a" + std::string (1, character) + "b") == "a" + expected + "b");
+    }
+
+    CHECK (queryText ("").empty());
+    CHECK (queryText ("servers/a02&b=1+%C3 \u00e9") == "servers/a02%26b%3D1%2B%25C3%20%C3%A9");
+}
+
 TEST_CASE ("events are parsed from a stream however it is split")
 {
     const auto text =
