Lists of the store are read to their end, or say that they aren't

What callers saw: with many entries of others in the store a node that started never got ready, and a node that listed again could lose replicas that were there.

Cause: a list ended after 64 pages, a page that went back was read up to 63 times, and in both cases the list counted as whole: what it did not hold was removed, and changes were watched as if all was known. The whole list was kept in memory until its end.

Change: paging moved out of platform/ into ListPages: pages go forward by the order of the keys' bytes, without a bound on their number, or the list ends at once with a line that names the key and the page (list_stuck; list_cut_short where a page has failed four times). Each page is applied to the directory as it arrives and is used after half a second, so that a list of any length costs one page of memory. During a list of more than a second the changes since its beginning are applied too. A list that isn't whole removes nothing: what it holds is used, the directory is not passed on as complete, and the next list follows after 1, 2, 4 ... 20 s. Of entries that can't be parsed eight a page are logged each by itself.

All nodes of six that start together with lists of three pages were ready in time before, too (a guard).

--- a/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
@@ -1,7 +1,6 @@
 #include "ReplicaDirectory.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace snowrudder
@@ -269,12 +268,13 @@
         directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, change.revision);
 }
 
-/** @returns whether an earlier watch should have returned a listed entry but did not. */
-auto wasMissed (const ReplicaDirectory& directory, const DirectoryEntry& listed) -> bool
+/** @returns whether a watch before the list should have returned a listed entry but did not. */
+auto wasMissed (const ReplicaDirectory& directory, const DirectoryList& list, const DirectoryEntry& listed)
+    -> bool
 {
     const auto known = directory.entries.find (listed.key);
     const auto isNew = known == directory.entries.end() || known->second.revision < listed.revision;
-    return isNew && listed.revision <= directory.revision;
+    return list.reason == ListReason::check && isNew && listed.revision <= list.watchedRevision;
 }
 
 } // namespace
@@ -285,40 +285,51 @@
     mergeEntry (directory, std::move (entry), isLogged);
 }
 
-auto applyList (ReplicaDirectory& directory,
-                ListedEntries listed,
-                std::uint64_t revision,
-                TimePoint now,
-                ListReason reason) -> void
+auto beginList (const ReplicaDirectory& directory, ListReason reason, std::uint64_t revision) -> DirectoryList
 {
-    std::set<std::string> present;
-    const auto isCheck = reason == ListReason::check;
-    auto isMissed = false;
+    DirectoryList list;
+    list.reason = reason;
+    list.revision = revision;
+    list.watchedRevision = directory.revision;
+    return list;
+}
 
-    for (const auto& unreadable : listed.unreadable)
+auto applyPage (ReplicaDirectory& directory, DirectoryList& list, ListedEntries page, TimePoint now) -> void
+{
+    for (const auto& unreadable : page.unreadable)
     {
-        present.insert (unreadable.key);
+        list.present.insert (unreadable.key);
         applyRemoval (directory, unreadable.key, unreadable.removal, now);
     }
 
     // A list that continues a known state has few changes.
-    const auto isLogged = directory.revision > 0 || listed.entries.size() <= maxLoggedEntries;
+    const auto isLogged =
+        directory.revision > 0 || list.present.size() + page.entries.size() <= maxLoggedEntries;
 
     if (! isLogged)
-        logMany ("list", listed.entries.size(), revision);
+        list.unlogged += page.entries.size();
 
-    for (auto& entry : listed.entries)
+    for (auto& entry : page.entries)
     {
-        present.insert (entry.key);
-        isMissed = isMissed || (isCheck && wasMissed (directory, entry));
+        list.present.insert (entry.key);
+        list.isMissed = list.isMissed || wasMissed (directory, list, entry);
         mergeEntry (directory, std::move (entry), isLogged);
     }
+}
+
+auto endList (ReplicaDirectory& directory, const DirectoryList& list, TimePoint now) -> void
+{
+    const auto isCheck = list.reason == ListReason::check;
+    auto isMissed = list.isMissed;
+
+    if (list.unlogged > 0)
+        logMany ("list", list.unlogged, list.revision);
 
     for (auto place = directory.entries.begin(); place != directory.entries.end();)
     {
         auto& [key, entry] = *place;
 
-        if (present.contains (key) || entry.revision > revision)
+        if (list.present.contains (key) || entry.revision > list.revision)
         {
             ++place;
             continue;
@@ -327,8 +338,8 @@
         // The revision of the removal is unknown; the list's revision announces it to all nodes with an older state.
         if (! directory.removals.contains (key))
         {
-            recordRemoval (directory, key, { revision, false }, now);
-            isMissed = isMissed || (isCheck && revision <= directory.revision);
+            recordRemoval (directory, key, { list.revision, false }, now);
+            isMissed = isMissed || (isCheck && list.revision <= list.watchedRevision);
         }
 
         if (! isDroppedWhenMissing (directory, entry, now))
@@ -344,15 +355,44 @@
 
     // Another node may still have a replica that was added and removed during the gap.
     if (! isCheck)
-        directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, revision);
+        directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, list.revision);
 
     if (isMissed)
     {
         ++directory.missedChanges;
-        LogLine ("changes_missed").with ("revision", directory.revision).with ("listed", revision).warning();
+        LogLine ("changes_missed")
+            .with ("revision", list.watchedRevision)
+            .with ("listed", list.revision)
+            .warning();
     }
 
-    directory.revision = std::max (directory.revision, revision);
+    directory.isPartial = false;
+    directory.revision = std::max (directory.revision, list.revision);
+}
+
+auto endPartialList (ReplicaDirectory& directory, const DirectoryList& list) -> void
+{
+    if (list.unlogged > 0)
+        logMany ("list", list.unlogged, list.revision);
+
+    // What the watches before a check have shown holds on.
+    if (list.reason == ListReason::check)
+        return;
+
+    directory.isPartial = true;
+    directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, list.revision);
+    directory.revision = std::max (directory.revision, list.revision);
+}
+
+auto applyList (ReplicaDirectory& directory,
+                ListedEntries listed,
+                std::uint64_t revision,
+                TimePoint now,
+                ListReason reason) -> void
+{
+    auto list = beginList (directory, reason, revision);
+    applyPage (directory, list, std::move (listed), now);
+    endList (directory, list, now);
 }
 
 auto applyRemoval (ReplicaDirectory& directory, const std::string& key, EntryRemoval removal, TimePoint now)
@@ -381,7 +421,8 @@
 {
     DirectoryChanges changes;
     changes.revision = directory.revision;
-    changes.isComplete = directory.revision > 0 && revision >= directory.removalsCompleteAfter;
+    changes.isComplete =
+        directory.revision > 0 && ! directory.isPartial && revision >= directory.removalsCompleteAfter;
     auto bytes = std::size_t { 0 };
     auto lastRevision = revision;
 
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.h
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -77,6 +78,10 @@
     std::map<std::string, std::string> unlistedChanges;
     /** `removals` contains all removals after this revision. */
     std::uint64_t removalsCompleteAfter = 0;
+    /** Whether the last list after a gap wasn't whole, so that entries may be missing that the store has, and others may be
+        here that it no longer has.
+    */
+    bool isPartial = false;
     /** When answers last showed that incarnations are leaving, by incarnationHash(). It outlives their entries, which may
         lapse and be written again.
     */
@@ -102,7 +107,7 @@
     EntryRemoval removal;
 };
 
-/** All entries of the store at one revision. */
+/** Entries as they were listed. */
 struct ListedEntries
 {
     std::vector<DirectoryEntry> entries;
@@ -148,7 +153,41 @@
     check
 };
 
-/** Applies a complete list. Entries that are not in it are removed, or marked as missing until `keepMissingUntil`. */
+/** A list of the entries while its pages are applied. */
+struct DirectoryList
+{
+    ListReason reason = ListReason::afterGap;
+    /** The store's revision at the time of the first page. */
+    std::uint64_t revision = 0;
+    /** ReplicaDirectory::revision at that time. */
+    std::uint64_t watchedRevision = 0;
+    /** The keys so far, including those of entries that can't be parsed. */
+    std::set<std::string> present;
+    /** How many entries were not logged each by itself. */
+    std::size_t unlogged = 0;
+    /** Whether there are changes that the watches before should have returned. */
+    bool isMissed = false;
+};
+
+/** @returns a list without pages.
+
+    @param revision  the store's revision at the time of the first page
+*/
+auto beginList (const ReplicaDirectory& directory, ListReason reason, std::uint64_t revision)
+    -> DirectoryList;
+
+/** Applies the entries of one page of a list. Nothing is removed but what the page shows as unreadable. */
+auto applyPage (ReplicaDirectory& directory, DirectoryList& list, ListedEntries page, TimePoint now) -> void;
+
+/** Ends a list of which all pages that there are were applied. Entries that are not in it are removed, or marked as missing
+    until `keepMissingUntil`.
+*/
+auto endList (ReplicaDirectory& directory, const DirectoryList& list, TimePoint now) -> void;
+
+/** Ends a list that isn't whole. Nothing is removed, and changes are watched from its beginning on. */
+auto endPartialList (ReplicaDirectory& directory, const DirectoryList& list) -> void;
+
+/** Applies a whole list in one. */
 auto applyList (ReplicaDirectory& directory,
                 ListedEntries listed,
                 std::uint64_t revision,
--- a/modules/snowrudder_serving/duties/UsageReportLoop.cpp
+++ b/modules/snowrudder_serving/duties/UsageReportLoop.cpp
@@ -1,3 +1,4 @@
+#include "../store/ListPages.h"
 #include "../store/StoreTransactions.h"
 #include "DutyLoops.h"
 #include "UsageSchedule.h"
@@ -95,9 +96,11 @@
 
     @returns whether the store responded
 */
-auto readLastPersistedWindow (UsageSchedule& schedule, const StateStore& store) -> Task<bool>
+auto readLastPersistedWindow (ServingState& state, UsageSchedule& schedule, const StateStore& store)
+    -> Task<bool>
 {
-    const auto listed = co_await store.list (std::string (usagePrefix), ReadFreshness::newest);
+    const auto listed =
+        co_await listItems (state.loop, store, std::string (usagePrefix), ReadFreshness::newest);
 
     if (listed.outcome != StoreOutcome::done)
         co_return false;
@@ -135,7 +138,7 @@
         schedule.reported.erase (schedule.reported.begin(), schedule.reported.lower_bound (oldestKept));
 
         if (mayCallDuty (state.leadership, state.leadershipTimes, BootClock::now()) &&
-            state.leadership.fence != fence && co_await readLastPersistedWindow (schedule, store))
+            state.leadership.fence != fence && co_await readLastPersistedWindow (state, schedule, store))
             fence = state.leadership.fence;
 
         for (const auto window : windowsDue (schedule, state.usage, state.usageOfOthers, now))
--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -1,5 +1,6 @@
 #include "Membership.h"
 
+#include "../store/ListPages.h"
 #include "../store/StoreTransactions.h"
 #include "ReportTimes.h"
 
@@ -64,7 +65,8 @@
     if (! endpointsOfOthers.empty())
         co_return;
 
-    const auto listed = co_await store.list (std::string (memberPrefix), ReadFreshness::newest);
+    const auto listed =
+        co_await listItems (state.loop, store, std::string (memberPrefix), ReadFreshness::newest);
 
     if (listed.outcome == StoreOutcome::done)
         applyMembers (listed);
@@ -205,7 +207,7 @@
 
 auto Membership::listDomain (ReadFreshness age) -> Task<bool>
 {
-    const auto listed = co_await store.list (domainPrefix(), age);
+    const auto listed = co_await listItems (state.loop, store, domainPrefix(), age);
 
     if (listed.outcome != StoreOutcome::done)
         co_return false;
@@ -214,6 +216,11 @@
         takeUpLease (listed);
 
     auto& storeUpdates = state.storeUpdates;
+
+    // A member that is missing from a list that isn't whole may be there.
+    if (listed.hasMore && storeUpdates.domainMembers)
+        co_return true;
+
     const auto members = readMembers (listed);
     storeUpdates.domainMembers = members.size();
 
@@ -233,7 +240,8 @@
 
 auto Membership::listAll() -> Task<bool>
 {
-    const auto listed = co_await store.list (std::string (memberPrefix), ReadFreshness::secondsOld);
+    const auto listed =
+        co_await listItems (state.loop, store, std::string (memberPrefix), ReadFreshness::secondsOld);
 
     if (listed.outcome == StoreOutcome::done)
         applyMembers (listed);
@@ -376,6 +384,9 @@
 
 auto Membership::applyMembers (const ReadItems& listed) -> void
 {
+    if (listed.hasMore && state.sharing.members)
+        return;
+
     const auto members = readMembers (listed);
     auto hash = std::uint64_t { 1 };
 
--- a/modules/snowrudder_serving/members/StoreUpdates.cpp
+++ b/modules/snowrudder_serving/members/StoreUpdates.cpp
@@ -41,7 +41,7 @@
                   const StoreUpdateQuery& query,
                   const ReplicaDirectory& directory) -> void
 {
-    if (response.changes.revision == 0)
+    if (response.changes.revision == 0 || directory.isPartial)
         return;
 
     if (query.directoryRevision == 0)
@@ -267,6 +267,7 @@
     if (storeUpdates.awaitsSnapshot && ! hasMore)
     {
         removeUnlisted (storeUpdates, directory, now);
+        directory.isPartial = false;
         storeUpdates.awaitsSnapshot = false;
         storeUpdates.snapshotRevision = 0;
         effect.directory = true;
--- a/modules/snowrudder_serving/rollout/RolloutFollower.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutFollower.cpp
@@ -1,3 +1,4 @@
+#include "../store/ListPages.h"
 #include "RolloutLoops.h"
 
 namespace snowrudder
@@ -45,7 +46,8 @@
 
 auto readAll (ServingState& state, const StateStore& store, const StoreFormats& formats) -> Task<ReadItems>
 {
-    const auto statuses = co_await store.list (formats.rolloutStatusPrefix, ReadFreshness::newest);
+    const auto statuses =
+        co_await listItems (state.loop, store, formats.rolloutStatusPrefix, ReadFreshness::newest);
 
     if (statuses.outcome != StoreOutcome::done)
         co_return statuses;
@@ -54,7 +56,7 @@
         if (const auto status = formats.readRolloutStatus (item))
             state.rollouts.statuses[status->service] = *status;
 
-    auto orders = co_await store.list (formats.rolloutPrefix, ReadFreshness::newest);
+    auto orders = co_await listItems (state.loop, store, formats.rolloutPrefix, ReadFreshness::newest);
 
     if (orders.outcome != StoreOutcome::done)
         co_return orders;
@@ -62,7 +64,9 @@
     for (const auto& item : orders.items)
         applyOrder (state, formats, item);
 
-    state.rollouts.table.isLoaded = true;
+    if (! orders.hasMore)
+        state.rollouts.table.isLoaded = true;
+
     co_return orders;
 }
 
--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -71,7 +71,7 @@
     std::vector<StoredItem> items;
     /** The store's revision at the time of the response. */
     std::uint64_t revision = 0;
-    /** Whether there are more pages after those that were read. */
+    /** Whether there are more items behind these. */
     bool hasMore = false;
 };
 
@@ -132,9 +132,10 @@
 struct StateStore
 {
     std::function<Task<ReadItems> (std::string key, ReadFreshness age)> read;
-    std::function<Task<ReadItems> (std::string prefix, ReadFreshness age)> list;
-    /** Like `list`, but reads only the first page. */
-    std::function<Task<ReadItems> (std::string prefix, ReadFreshness age)> listPage;
+    /** Reads the page of the items with a prefix that follows a key, in the order of the keys' bytes; the first page where
+        that key is empty. See listPages().
+    */
+    std::function<Task<ReadItems> (std::string prefix, std::string after, ReadFreshness age)> listPage;
     /** Waits for changes of keys with a prefix after a revision, or until the wait time has passed. */
     std::function<Task<ReadItems> (std::string prefix, std::uint64_t after, WatchTimes times)> watch;
     std::function<Task<TransactionResult> (StoreTransaction transaction)> commit;
--- a/modules/snowrudder_serving/store/StoreCallMetrics.cpp
+++ b/modules/snowrudder_serving/store/StoreCallMetrics.cpp
@@ -66,12 +66,12 @@
     made.read = [call = std::move (store.read), newest = metricsOf ("reads"),
                  old = metricsOf ("old_reads")] (std::string key, ReadFreshness age)
     { return measured (age == ReadFreshness::newest ? newest : old, call (std::move (key), age)); };
-    made.list = [call = std::move (store.list), newest = metricsOf ("lists"),
-                 old = metricsOf ("old_lists")] (std::string prefix, ReadFreshness age)
-    { return measured (age == ReadFreshness::newest ? newest : old, call (std::move (prefix), age)); };
     made.listPage = [call = std::move (store.listPage), newest = metricsOf ("lists"),
-                     old = metricsOf ("old_lists")] (std::string prefix, ReadFreshness age)
-    { return measured (age == ReadFreshness::newest ? newest : old, call (std::move (prefix), age)); };
+                     old = metricsOf ("old_lists")] (std::string prefix, std::string after, ReadFreshness age)
+    {
+        return measured (age == ReadFreshness::newest ? newest : old,
+                         call (std::move (prefix), std::move (after), age));
+    };
     made.watch = [call = std::move (store.watch),
                   of = countersOf ("watches")] (std::string prefix, std::uint64_t after, WatchTimes times)
     { return measured (of, call (std::move (prefix), after, times)); };
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -1,8 +1,11 @@
 #include "StoreFollowers.h"
 
+#include "ReplicaListing.h"
 #include "ReplicaWatchTimes.h"
 #include "StorePauses.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace snowrudder
@@ -31,77 +34,26 @@
 /** Interval of lists, as watches may miss changes. */
 constexpr auto relistInterval = Duration (20s);
 
-/** The longest part of a key that is logged, in bytes. */
-constexpr auto maxLoggedKeyLength = std::size_t { 256 };
+/** How many times as long as a list took the next one waits, so that lists of many pages don't fill the store's link. */
+constexpr auto pauseByListTime = 9;
 
-/** The longest key of an entry that can't be parsed that other nodes are told of. No replica has a longer one, and a message that
-    doesn't fit into a datagram reaches no node.
-*/
-constexpr auto maxSharedKeyLength = std::size_t { 512 };
-
-/** @returns a replica's entry, or nothing when it can't be parsed, which is logged once until it can be. */
-auto readEntry (ServingState& state, const StoreFormats& formats, const StoredItem& item)
-    -> std::optional<DirectoryEntry>
-{
-    auto entry = formats.readReplica (item);
-
-    if (entry)
-        return entry;
-
-    const auto& removals = state.directory.removals;
-    const auto known = removals.find (item.key);
-
-    if (known != removals.end() && known->second.revision >= item.revision)
-        return {};
-
-    state.metrics.counter ("snowrudder_replicas_unreadable_total").add();
-
-    // Its replica may write it anew with each heartbeat.
-    if (known == removals.end() || ! known->second.isUnreadable)
-        LogLine ("replica_unreadable")
-            .with ("key", std::string_view (item.key).substr (0, maxLoggedKeyLength))
-            .with ("revision", item.revision)
-            .with ("fault", formats.replicaFault (item))
-            .warning();
-
-    return {};
-}
-
-auto applyListResult (ServingState& state,
-                      const StoreFormats& formats,
-                      const ReadItems& read,
-                      ListReason reason) -> void
-{
-    ListedEntries listed;
-
-    for (const auto& item : read.items)
-        if (auto entry = readEntry (state, formats, item))
-            listed.entries.push_back (std::move (*entry));
-        else if (item.key.size() <= maxSharedKeyLength)
-            listed.unreadable.push_back ({ item.key, { item.revision, true } });
-
-    const auto now = BootClock::now();
-    applyList (state.directory, std::move (listed), read.revision, now, reason);
-    state.publishDirectory (now);
+/** The time until the next list after one that wasn't whole. It doubles up to `relistInterval`. */
+constexpr auto partialRelistInterval = Duration (1s);
+constexpr auto maxPartialDoublings = std::size_t { 5 };
 
-    if (reason == ListReason::afterGap)
-        state.versions.recordGap (now);
-}
+/** @returns the time from the end of a list to the next one.
 
-auto applyWatchEvents (ServingState& state, const StoreFormats& formats, const ReadItems& read) -> void
+    @param partialLists  number of consecutive lists that weren't whole, including the last one
+    @param listTime      how long the last one took
+*/
+auto pauseBeforeList (std::size_t partialLists, Duration listTime) -> Duration
 {
-    for (const auto& item : read.items)
-    {
-        if (item.isRemoved)
-            applyRemoval (state.directory, item.key, { item.revision, false }, BootClock::now());
-        else if (auto entry = readEntry (state, formats, item))
-            applyEntry (state.directory, std::move (*entry));
-        else if (item.key.size() <= maxSharedKeyLength)
-            applyRemoval (state.directory, item.key, { item.revision, true }, BootClock::now());
-    }
+    if (partialLists == 0)
+        return std::max (relistInterval, pauseByListTime * listTime);
 
-    state.directory.revision = std::max (state.directory.revision, read.revision);
-    state.publishDirectory (BootClock::now());
+    const auto doublings = std::min (partialLists - 1, maxPartialDoublings);
+    const auto pause = std::min (partialRelistInterval * (1U << doublings), relistInterval);
+    return std::max (pause, pauseByListTime * listTime);
 }
 
 } // namespace
@@ -158,11 +110,16 @@
 
     // An empty response does not advance the revision, as the watch may have missed changes without an error.
     const auto hasChanges = ! changed.items.empty();
-    provenAt = std::max (provenAt, provenByWatch (sentAt, receivedAt, times.wait, hasChanges));
+
+    // What a list that wasn't whole has left out may have changed before the watches began.
+    if (! state.directory.isPartial)
+        provenAt = std::max (provenAt, provenByWatch (sentAt, receivedAt, times.wait, hasChanges));
 
     if (hasChanges)
     {
-        applyWatchEvents (state, formats, changed);
+        applyEvents (state, formats, changed.items);
+        state.directory.revision = std::max (state.directory.revision, changed.revision);
+        state.publishDirectory (BootClock::now());
         co_await pauseFor (state.loop, batchingDelay);
     }
 
@@ -173,14 +130,16 @@
     store for this one.
 
     @param listedAt  when the list was sent that the watches continue
+    @param interval  the time until the next list
     @returns         the reason of the next list
 */
 auto watchReplicas (ServingState& state,
                     const StateStore& store,
                     const StoreFormats& formats,
-                    TimePoint listedAt) -> Task<ListReason>
+                    TimePoint listedAt,
+                    Duration interval = relistInterval) -> Task<ListReason>
 {
-    const auto listEnd = BootClock::now() + relistInterval;
+    const auto listEnd = BootClock::now() + interval;
 
     const auto mustReceiveAll = [&state]
     { return state.storeUpdates.mustListReplicas && reliesOnReaders (state.storeUpdates); };
@@ -200,7 +159,8 @@
             continue;
         }
 
-        const auto times = nextWatchTimes (state.storeUpdates.ownDirectoryProvenAt, now);
+        const auto provenAt = state.directory.isPartial ? now : state.storeUpdates.ownDirectoryProvenAt;
+        const auto times = nextWatchTimes (provenAt, now);
         auto outcome = co_await watchOnce (state, store, formats, times);
 
         const auto relies = reliesOnReaders (state.storeUpdates);
@@ -293,6 +253,7 @@
 {
     auto reason = ListReason::afterGap;
     auto failures = std::size_t { 0 };
+    auto partialLists = std::size_t { 0 };
     auto isFirst = true;
     co_await awaitDomainMembers (state);
 
@@ -324,18 +285,14 @@
             }
         }
 
-        const auto sentAt = BootClock::now();
-        // Two calls in one conditional expression make GCC 12 destroy the key of the call that isn't made.
-        ReadItems listed;
-
-        if (isFirst)
-            listed = co_await store.listPage (formats.replicaPrefix, ReadFreshness::newest);
-        else
-            listed = co_await store.list (formats.replicaPrefix, ReadFreshness::newest);
+        if (state.directory.isPartial)
+            reason = ListReason::afterGap;
 
-        recordStoreOutcome (state, listed.outcome, "replicas");
+        const auto sentAt = BootClock::now();
+        const auto mostPages = isFirst ? 1 : std::numeric_limits<std::size_t>::max();
+        const auto end = co_await listReplicas (state, store, formats, reason, mostPages);
 
-        if (listed.outcome != StoreOutcome::done)
+        if (end.outcome != StoreOutcome::done && end.pages == 0)
         {
             co_await pauseFor (state.loop, pauseAfterFailure (state, ++failures));
             continue;
@@ -343,7 +300,7 @@
 
         failures = 0;
 
-        if (std::exchange (isFirst, false) && listed.hasMore)
+        if (std::exchange (isFirst, false) && ! end.isWhole)
         {
             const auto isReceived = co_await receiveSnapshot (state);
             state.storeUpdates.mustListReplicas = ! isReceived;
@@ -351,9 +308,9 @@
         }
 
         state.storeUpdates.mustListReplicas = false;
-        applyListResult (state, formats, listed, reason);
-        state.storeUpdates.ownDirectoryProvenAt = std::max (state.storeUpdates.ownDirectoryProvenAt, sentAt);
-        reason = co_await watchReplicas (state, store, formats, sentAt);
+        partialLists = end.isWhole ? 0 : partialLists + 1;
+        const auto pause = pauseBeforeList (partialLists, BootClock::now() - sentAt);
+        reason = co_await watchReplicas (state, store, formats, sentAt, pause);
     }
 }
 
--- a/tests/process/test_store_lists.py
+++ b/tests/process/test_store_lists.py
@@ -80,6 +80,42 @@
             self.check_all_replicas_are_used(platform)
             self.check_calls(platform)
 
+    def test_replicas_behind_hundreds_of_pages_with_entries_of_others_are_used(self):
+        with Platform(nodes=2, replicas=3) as platform:
+            platform.store.page_items = 1
+            for number in range(300):
+                platform.store.put(f"servers/a{number:03}", {"owner": "another system"})
+            self.restart(platform)
+            self.check_all_replicas_are_used(platform)
+            self.check_calls(platform)
+
+    def test_all_nodes_that_start_together_are_ready_in_time_though_lists_have_several_pages(self):
+        with Platform(nodes=6, replicas=5) as platform:
+            platform.store.page_items = 2
+            for _ in range(3):
+                self.restart(platform)
+            self.check_all_replicas_are_used(platform)
+            self.check_calls(platform)
+
+    def test_a_list_that_does_not_go_forward_removes_no_replica_and_is_not_repeated_without_end(self):
+        with Platform(nodes=2, replicas=4) as platform:
+            store = platform.store
+            store.page_items = 2
+            self.check_all_replicas_are_used(platform)
+            store.repeats_pages = True
+            # Nodes that watch have to list the replicas.
+            store.compact()
+            calls = store.calls.count("/snowrudder/kv-range")
+            time.sleep(3.0)
+            self.check_all_replicas_are_used(platform)
+            # Members are listed too, 2.5 times a second at a node that has just started.
+            self.assertLess(store.calls.count("/snowrudder/kv-range") - calls, 60)
+            self.assertTrue(any("list_stuck" in node.log.read_text() for node in platform.nodes))
+            store.repeats_pages = False
+            self.restart(platform)
+            self.check_all_replicas_are_used(platform)
+            self.check_calls(platform)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/unit/ListPagesTests.cpp
@@ -0,0 +1,348 @@
+#include "ServingFixtures.h"
+
+#include "snowrudder_serving/store/ReplicaListing.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace snowrudder;
+
+namespace
+{
+
+/** What is wrong with the pages of a store. */
+enum class PageFault
+{
+    none,
+    repeatsPage,
+    repeatsFirstPage,
+    emptyPage,
+    reversedPage,
+    skipsBack
+};
+
+constexpr auto pageFaults = std::array { PageFault::none,
+                                         PageFault::none,
+                                         PageFault::none,
+                                         PageFault::repeatsPage,
+                                         PageFault::repeatsFirstPage,
+                                         PageFault::emptyPage,
+                                         PageFault::reversedPage,
+                                         PageFault::skipsBack };
+
+constexpr auto prefix = std::string_view ("r/");
+constexpr auto replicaValue = std::string_view ("replica");
+
+/** A store in memory with replicas and foreign entries, which change while its pages are read. */
+struct PagedStore
+{
+    explicit PagedStore (unsigned seed)
+        : random (seed), pageItems (1 + random() % 4), fault (pageFaults.at (random() % pageFaults.size())),
+          faultyPage (random() % 6), changesPerCall (random() % 3)
+    {
+        for (auto count = random() % 30; count > 0; --count)
+            change();
+    }
+
+    /** Puts, changes or removes an entry. */
+    auto change() -> void
+    {
+        ++revision;
+        auto key = randomKey();
+
+        if (random() % 3 == 0 && ! items.empty())
+            key = std::next (items.begin(), static_cast<long> (random() % items.size()))->first;
+
+        if (items.contains (key) && random() % 2 == 0)
+        {
+            items.erase (key);
+            events.push_back ({ key, {}, revision, 0, true });
+            return;
+        }
+
+        const auto value = random() % 3 == 0 ? std::string ("foreign") : std::string (replicaValue);
+        items[key] = { key, value, revision, 0, false };
+        events.push_back (items[key]);
+    }
+
+    auto randomKey() -> std::string
+    {
+        auto key = std::string (prefix);
+
+        for (auto length = 1 + random() % 4; length > 0; --length)
+            key += random() % 2 == 0 ? "%&+=a2 "[random() % 7] : static_cast<char> (random() % 256);
+
+        return key;
+    }
+
+    auto page (const std::string& after) -> ReadItems
+    {
+        ReadItems read { StoreOutcome::done, {}, revision };
+
+        for (auto place = items.upper_bound (after); place != items.end(); ++place)
+        {
+            if (read.items.size() == pageItems)
+            {
+                read.hasMore = true;
+                break;
+            }
+
+            read.items.push_back (place->second);
+        }
+
+        return read;
+    }
+
+    /** Answers a call for a page as the fault of the store has it. */
+    auto answer (const std::string& after) -> ReadItems
+    {
+        const auto isFaulty = calls++ >= faultyPage;
+        auto read = page (after);
+
+        if (isFaulty && fault == PageFault::repeatsPage && lastPage.hasMore)
+            return lastPage;
+
+        if (isFaulty && fault == PageFault::repeatsFirstPage)
+            read = page ({});
+
+        if (isFaulty && fault == PageFault::emptyPage && read.hasMore)
+            read.items.clear();
+
+        if (isFaulty && fault == PageFault::reversedPage)
+            std::ranges::reverse (read.items);
+
+        if (isFaulty && fault == PageFault::skipsBack && ! after.empty())
+            read = page (after.substr (0, after.size() - 1));
+
+        lastPage = read;
+
+        for (auto changes = changesPerCall; changes > 0; --changes)
+            change();
+
+        return read;
+    }
+
+    auto face() -> StateStore
+    {
+        StateStore store;
+        store.listPage = [this] (std::string, std::string after, ReadFreshness) -> Task<ReadItems>
+        { co_return answer (after); };
+        return store;
+    }
+
+    auto replicas() const -> std::set<std::string>
+    {
+        std::set<std::string> keys;
+
+        for (const auto& [key, item] : items)
+            if (item.value == replicaValue)
+                keys.insert (key);
+
+        return keys;
+    }
+
+    std::mt19937 random;
+    std::map<std::string, StoredItem> items;
+    std::vector<StoredItem> events;
+    std::uint64_t revision = 1;
+    std::size_t pageItems;
+    PageFault fault;
+    std::size_t faultyPage;
+    std::size_t changesPerCall;
+    std::size_t calls = 0;
+    ReadItems lastPage;
+};
+
+/** A node that lists the replicas. */
+struct ListingNode
+{
+    ListingNode() : state (loop, ServingSettings())
+    {
+        formats.replicaPrefix = prefix;
+        formats.readReplica = [] (const StoredItem& item) -> std::optional<DirectoryEntry>
+        {
+            if (item.value != replicaValue)
+                return {};
+
+            DirectoryEntry entry;
+            entry.key = item.key;
+            entry.revision = item.revision;
+            entry.info.name = item.key;
+            entry.info.vm = item.key;
+            entry.info.service = "svc";
+            entry.info.endpoint = "127.0.0.1:80";
+            entry.info.slots = 1;
+            return entry;
+        };
+    }
+
+    auto list (PagedStore& store, ListReason reason = ListReason::afterGap) -> ListEnd
+    {
+        ListEnd end;
+        const auto face = store.face();
+        asio::co_spawn (
+            loop, [&]() -> Task<void> { end = co_await listReplicas (state, face, formats, reason); },
+            asio::detached);
+        loop.restart();
+        loop.run();
+        return end;
+    }
+
+    /** Applies what a watch after the list returns. */
+    auto watch (const PagedStore& store) -> void
+    {
+        std::vector<StoredItem> changed;
+
+        for (const auto& event : store.events)
+            if (event.revision > state.directory.revision)
+                changed.push_back (event);
+
+        applyEvents (state, formats, changed);
+        state.directory.revision = store.revision;
+    }
+
+    auto known() const -> std::set<std::string>
+    {
+        std::set<std::string> keys;
+
+        for (const auto& [key, entry] : state.directory.entries)
+            keys.insert (key);
+
+        return keys;
+    }
+
+    asio::io_context loop;
+    ServingState state;
+    StoreFormats formats;
+};
+
+auto pageOf (std::vector<std::string> keys, bool hasMore) -> ReadItems
+{
+    ReadItems page { StoreOutcome::done, {}, 7 };
+
+    for (auto& key : keys)
+        page.items.push_back ({ std::move (key), {}, 1, 0, false });
+
+    page.hasMore = hasMore;
+    return page;
+}
+
+} // namespace
+
+TEST_CASE ("the pages of a list go forward, or it is stuck")
+{
+    ListPosition position;
+    CHECK (passPage (position, pageOf ({ "b", "a", "c" }, true)) == PageStep::nextPage);
+    CHECK (position.lastKey == "c");
+    CHECK (position.pages == 1);
+
+    SECTION ("to the end")
+    {
+        CHECK (passPage (position, pageOf ({ "e", "d" }, false)) == PageStep::end);
+        CHECK (position.lastKey == "e");
+    }
+
+    SECTION ("to an empty page at the end")
+    {
+        CHECK (passPage (position, pageOf ({}, false)) == PageStep::end);
+        CHECK (position.lastKey == "c");
+    }
+
+    SECTION ("not by an empty page before others")
+    {
+        CHECK (passPage (position, pageOf ({}, true)) == PageStep::stuck);
+    }
+
+    SECTION ("not by a page that repeats a key")
+    {
+        CHECK (passPage (position, pageOf ({ "c" }, false)) == PageStep::stuck);
+        CHECK (passPage (position, pageOf ({ "a", "d" }, true)) == PageStep::stuck);
+    }
+
+    SECTION ("not by a page that doesn't end at its last key")
+    {
+        CHECK (passPage (position, pageOf ({ "e", "d" }, true)) == PageStep::stuck);
+    }
+
+    SECTION ("in the order of the keys' bytes")
+    {
+        CHECK (passPage (position, pageOf ({ "\x7f" }, true)) == PageStep::nextPage);
+        CHECK (passPage (position, pageOf ({ "\xc3\xa9" }, false)) == PageStep::end);
+    }
+}
+
+TEST_CASE ("a node knows exactly the listed replicas of 10,000 stores, or that its list isn't whole")
+{
+    constexpr auto stores = 10'000U;
+    auto whole = 0U;
+    auto partial = 0U;
+
+    for (auto seed = 0U; seed < stores; ++seed)
+    {
+        CAPTURE (seed);
+        PagedStore store (seed);
+        ListingNode node;
+        const auto fault = std::exchange (store.fault, PageFault::none);
+        REQUIRE (node.list (store).isWhole);
+        node.watch (store);
+        REQUIRE (node.known() == store.replicas());
+
+        // Changes that no watch has returned.
+        for (auto changes = store.random() % 8; changes > 0; --changes)
+            store.change();
+
+        const auto knownBefore = node.known();
+        store.fault = fault;
+        store.calls = 0;
+        const auto end = node.list (store);
+        // Each page but the last holds an item, and entries may be added meanwhile.
+        CHECK (store.calls <= store.items.size() + store.events.size() + 2);
+        node.watch (store);
+        CHECK (node.state.directory.isPartial == ! end.isWhole);
+
+        if (end.isWhole)
+        {
+            ++whole;
+            REQUIRE (node.known() == store.replicas());
+            continue;
+        }
+
+        ++partial;
+        const auto present = store.replicas();
+
+        for (const auto& key : knownBefore)
+            if (present.contains (key))
+                REQUIRE (node.known().contains (key));
+
+        store.fault = PageFault::none;
+        REQUIRE (node.list (store).isWhole);
+        node.watch (store);
+        REQUIRE (node.known() == store.replicas());
+    }
+
+    CHECK (whole > stores / 3);
+    CHECK (partial > stores / 10);
+}
+
+TEST_CASE ("a list that isn't whole is no complete directory for other nodes")
+{
+    ReplicaDirectory directory;
+    auto list = beginList (directory, ListReason::afterGap, 9);
+    applyPage (directory, list, { { tests::replicaEntry ("one", 3) }, {} }, tests::start);
+    endPartialList (directory, list);
+    CHECK (directory.entries.size() == 1);
+    CHECK_FALSE (changesAfter (directory, 9, 1000).isComplete);
+
+    auto whole = beginList (directory, ListReason::afterGap, 10);
+    applyPage (directory, whole, { { tests::replicaEntry ("one", 3) }, {} }, tests::start);
+    applyPage (directory, whole, { { tests::replicaEntry ("two", 4) }, {} }, tests::start);
+    endList (directory, whole, tests::start);
+    CHECK (directory.entries.size() == 2);
+    CHECK (changesAfter (directory, 10, 1000).isComplete);
+}
--- a/tests/unit/MembershipTests.cpp
+++ b/tests/unit/MembershipTests.cpp
@@ -17,7 +17,7 @@
     auto face() -> StateStore
     {
         StateStore store;
-        store.list = [this] (std::string prefix, ReadFreshness) -> Task<ReadItems>
+        store.listPage = [this] (std::string prefix, std::string, ReadFreshness) -> Task<ReadItems>
         {
             ++lists;
             listedPrefixes.push_back (prefix);
