A directory that lacks entries claims no proof, and tells others nothing it lacks

Causes: a node whose own list was cut short counted as proven by its readers' next changes and never listed again. A check that was cut short, or that read changes while it went on, raised the revision past changes on pages that it had not read. Between two pages a reader told followers of entries with later revisions than its own, so that the follower skipped those of the pages to come. A change that a check showed as missed was forgotten if the check was cut short. The first page alone was used at once, so that some replicas would have got all requests. A watch that failed began the next list at once.

The pause by the time a list took is gone (it would exceed the store's history).

"The largest response fits into a datagram" had a reader with entries of later revisions than its own: its revision is now that of its last entry, as a watch leaves it; its checks are the same.

--- a/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.cpp
@@ -268,13 +268,20 @@
         directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, change.revision);
 }
 
+/** Records that watches have left out changes that a list shows. */
+auto recordMissedChanges (ReplicaDirectory& directory, const DirectoryList& list) -> void
+{
+    ++directory.missedChanges;
+    LogLine ("changes_missed").with ("revision", directory.revision).with ("listed", list.revision).warning();
+}
+
 /** @returns whether a watch before the list should have returned a listed entry but did not. */
 auto wasMissed (const ReplicaDirectory& directory, const DirectoryList& list, const DirectoryEntry& listed)
     -> bool
 {
     const auto known = directory.entries.find (listed.key);
     const auto isNew = known == directory.entries.end() || known->second.revision < listed.revision;
-    return list.reason == ListReason::check && isNew && listed.revision <= list.watchedRevision;
+    return list.reason == ListReason::check && isNew && listed.revision <= directory.revision;
 }
 
 } // namespace
@@ -285,15 +292,6 @@
     mergeEntry (directory, std::move (entry), isLogged);
 }
 
-auto beginList (const ReplicaDirectory& directory, ListReason reason, std::uint64_t revision) -> DirectoryList
-{
-    DirectoryList list;
-    list.reason = reason;
-    list.revision = revision;
-    list.watchedRevision = directory.revision;
-    return list;
-}
-
 auto applyPage (ReplicaDirectory& directory, DirectoryList& list, ListedEntries page, TimePoint now) -> void
 {
     for (const auto& unreadable : page.unreadable)
@@ -303,8 +301,8 @@
     }
 
     // A list that continues a known state has few changes.
-    const auto isLogged =
-        directory.revision > 0 || list.present.size() + page.entries.size() <= maxLoggedEntries;
+    const auto isStateKnown = directory.revision > 0 && ! directory.isPartial;
+    const auto isLogged = isStateKnown || list.present.size() + page.entries.size() <= maxLoggedEntries;
 
     if (! isLogged)
         list.unlogged += page.entries.size();
@@ -339,7 +337,7 @@
         if (! directory.removals.contains (key))
         {
             recordRemoval (directory, key, { list.revision, false }, now);
-            isMissed = isMissed || (isCheck && list.revision <= list.watchedRevision);
+            isMissed = isMissed || (isCheck && list.revision <= directory.revision);
         }
 
         if (! isDroppedWhenMissing (directory, entry, now))
@@ -358,13 +356,7 @@
         directory.removalsCompleteAfter = std::max (directory.removalsCompleteAfter, list.revision);
 
     if (isMissed)
-    {
-        ++directory.missedChanges;
-        LogLine ("changes_missed")
-            .with ("revision", list.watchedRevision)
-            .with ("listed", list.revision)
-            .warning();
-    }
+        recordMissedChanges (directory, list);
 
     directory.isPartial = false;
     directory.revision = std::max (directory.revision, list.revision);
@@ -375,7 +367,9 @@
     if (list.unlogged > 0)
         logMany ("list", list.unlogged, list.revision);
 
-    // What the watches before a check have shown holds on.
+    if (list.isMissed)
+        recordMissedChanges (directory, list);
+
     if (list.reason == ListReason::check)
         return;
 
@@ -390,7 +384,9 @@
                 TimePoint now,
                 ListReason reason) -> void
 {
-    auto list = beginList (directory, reason, revision);
+    DirectoryList list;
+    list.reason = reason;
+    list.revision = revision;
     applyPage (directory, list, std::move (listed), now);
     endList (directory, list, now);
 }
@@ -426,8 +422,10 @@
     auto bytes = std::size_t { 0 };
     auto lastRevision = revision;
 
-    for (auto place = directory.keysByRevision.upper_bound (revision);
-         place != directory.keysByRevision.end(); ++place)
+    // The pages of a list that goes on have entries of later revisions, but not all of them.
+    const auto end = directory.keysByRevision.upper_bound (std::max (revision, directory.revision));
+
+    for (auto place = directory.keysByRevision.upper_bound (revision); place != end; ++place)
     {
         if (place->first != lastRevision && bytes > mostBytes)
         {
--- a/modules/snowrudder_serving/directory/ReplicaDirectory.h
+++ b/modules/snowrudder_serving/directory/ReplicaDirectory.h
@@ -159,23 +159,14 @@
     ListReason reason = ListReason::afterGap;
     /** The store's revision at the time of the first page. */
     std::uint64_t revision = 0;
-    /** ReplicaDirectory::revision at that time. */
-    std::uint64_t watchedRevision = 0;
     /** The keys so far, including those of entries that can't be parsed. */
-    std::set<std::string> present;
+    std::set<std::string> present {};
     /** How many entries were not logged each by itself. */
     std::size_t unlogged = 0;
     /** Whether there are changes that the watches before should have returned. */
     bool isMissed = false;
 };
 
-/** @returns a list without pages.
-
-    @param revision  the store's revision at the time of the first page
-*/
-auto beginList (const ReplicaDirectory& directory, ListReason reason, std::uint64_t revision)
-    -> DirectoryList;
-
 /** Applies the entries of one page of a list. Nothing is removed but what the page shows as unreadable. */
 auto applyPage (ReplicaDirectory& directory, DirectoryList& list, ListedEntries page, TimePoint now) -> void;
 
@@ -184,7 +175,9 @@
 */
 auto endList (ReplicaDirectory& directory, const DirectoryList& list, TimePoint now) -> void;
 
-/** Ends a list that isn't whole. Nothing is removed, and changes are watched from its beginning on. */
+/** Ends a list that isn't whole. Nothing is removed. After a gap, changes are watched from its beginning on; after a check they are
+    watched from where they were before.
+*/
 auto endPartialList (ReplicaDirectory& directory, const DirectoryList& list) -> void;
 
 /** Applies a whole list in one. */
@@ -203,7 +196,7 @@
 auto applyRemoval (ReplicaDirectory& directory, const std::string& key, EntryRemoval removal, TimePoint now)
     -> void;
 
-/** @returns the changes after a revision. Where they exceed a size, these are the oldest ones, up to the revision in the
+/** @returns the changes after a revision, up to that of the directory. Where they exceed a size, these are the oldest ones, up to the revision in the
     result; those of one revision are never divided.
 
     @param mostBytes  the approximate size of the changes in a message
--- a/modules/snowrudder_serving/members/StoreUpdates.cpp
+++ b/modules/snowrudder_serving/members/StoreUpdates.cpp
@@ -250,8 +250,11 @@
     if (! response.changes.isComplete)
         return effect;
 
-    // With the oldest changes only, the directory is as old as before.
-    if (! response.changes.hasMore)
+    // With the oldest changes only, the directory is as old as before. Changes don't complete one that lacks entries, other than
+    // a snapshot.
+    const auto completes = ! directory.isPartial || storeUpdates.awaitsSnapshot;
+
+    if (! response.changes.hasMore && completes)
         storeUpdates.provenAt = std::max (storeUpdates.provenAt, completeAt);
 
     if (storeUpdates.awaitsSnapshot)
--- a/modules/snowrudder_serving/rollout/RolloutFollower.cpp
+++ b/modules/snowrudder_serving/rollout/RolloutFollower.cpp
@@ -84,12 +84,17 @@
 
         auto known = co_await readAll (state, store, formats);
 
+        const auto isWhole = ! known.hasMore;
+
         while (known.outcome == StoreOutcome::done && state.storeUpdates.isReader)
         {
             known = co_await store.watch (formats.rolloutPrefix, known.revision, WatchTimes { watchTime });
 
             for (const auto& item : known.items)
                 applyOrder (state, formats, item);
+
+            if (! isWhole)
+                break;
         }
 
         co_await pauseFor (state.loop, failurePause);
--- a/modules/snowrudder_serving/store/ListPages.cpp
+++ b/modules/snowrudder_serving/store/ListPages.cpp
@@ -13,9 +13,6 @@
 constexpr auto maxPageCalls = 4;
 constexpr auto repeatPause = Duration (250ms);
 
-/** The longest part of a key that is logged, in bytes. */
-constexpr auto maxLoggedKeyLength = std::size_t { 256 };
-
 auto logEnd (std::string_view event,
              std::string_view prefix,
              const ListPosition& position,
--- a/modules/snowrudder_serving/store/ListPages.h
+++ b/modules/snowrudder_serving/store/ListPages.h
@@ -10,6 +10,9 @@
 namespace snowrudder
 {
 
+/** The longest part of a key that is logged, in bytes. */
+inline constexpr auto maxLoggedKeyLength = std::size_t { 256 };
+
 /** How far the pages of a list have been read. */
 struct ListPosition
 {
--- a/modules/snowrudder_serving/store/ReplicaListing.cpp
+++ b/modules/snowrudder_serving/store/ReplicaListing.cpp
@@ -11,10 +11,7 @@
 namespace
 {
 
-/** The longest part of a key that is logged, in bytes. */
-constexpr auto maxLoggedKeyLength = std::size_t { 256 };
-
-/** The number of entries that can't be parsed which are logged each by itself, of those in one page or response. */
+/** The number of entries that can't be parsed which are logged each by itself, of those in one list or response. */
 constexpr auto maxLoggedFaults = std::size_t { 8 };
 
 /** The longest key of an entry that can't be parsed that other nodes are told of. No replica has a longer one, and a message that
@@ -22,11 +19,6 @@
 */
 constexpr auto maxSharedKeyLength = std::size_t { 512 };
 
-/** From what time on the replicas of a list are used before it has ended. A list of some thousands takes less, and requests that
-    only go to its first replicas would be too many for them.
-*/
-constexpr auto earlyUseInterval = Duration (500ms);
-
 /** How often the changes since the beginning of a list are read during it. */
 constexpr auto changesInterval = Duration (1s);
 
@@ -94,12 +86,14 @@
     TimePoint changesReadAt {};
     /** None before the first page. */
     std::optional<DirectoryList> list {};
-    /** The store's revision up to which all changes since the beginning were applied. */
+    /** The store's revision up to which all changes were applied: those since the list began, or in a check those since the
+        watch before.
+    */
     std::uint64_t changesRevision = 0;
     UnreadableEntries unreadable {};
 };
 
-/** Applies the changes since a list began. */
+/** Applies the changes that came during a list. */
 auto readChanges (PagedList& listing) -> Task<void>
 {
     const auto sentAt = BootClock::now();
@@ -130,8 +124,9 @@
 
     if (! listing.list)
     {
-        listing.list = beginList (state.directory, listing.reason, page.revision);
-        listing.changesRevision = page.revision;
+        const auto isCheck = listing.reason == ListReason::check;
+        listing.list = DirectoryList { listing.reason, page.revision };
+        listing.changesRevision = isCheck ? state.directory.revision : page.revision;
     }
 
     ListedEntries entries;
@@ -207,7 +202,10 @@
     }
 
     directory.revision = std::max (directory.revision, listing.changesRevision);
-    state.publishDirectory (now);
+
+    // The first page alone is followed by the others, or by a snapshot.
+    if (end.isWhole || end.pages < mostPages)
+        state.publishDirectory (now);
 
     if (reason == ListReason::afterGap)
         state.versions.recordGap (now);
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -34,9 +34,6 @@
 /** Interval of lists, as watches may miss changes. */
 constexpr auto relistInterval = Duration (20s);
 
-/** How many times as long as a list took the next one waits, so that lists of many pages don't fill the store's link. */
-constexpr auto pauseByListTime = 9;
-
 /** The time until the next list after one that wasn't whole. It doubles up to `relistInterval`. */
 constexpr auto partialRelistInterval = Duration (1s);
 constexpr auto maxPartialDoublings = std::size_t { 5 };
@@ -44,16 +41,14 @@
 /** @returns the time from the end of a list to the next one.
 
     @param partialLists  number of consecutive lists that weren't whole, including the last one
-    @param listTime      how long the last one took
 */
-auto pauseBeforeList (std::size_t partialLists, Duration listTime) -> Duration
+auto pauseBeforeList (std::size_t partialLists) -> Duration
 {
     if (partialLists == 0)
-        return std::max (relistInterval, pauseByListTime * listTime);
+        return relistInterval;
 
     const auto doublings = std::min (partialLists - 1, maxPartialDoublings);
-    const auto pause = std::min (partialRelistInterval * (1U << doublings), relistInterval);
-    return std::max (pause, pauseByListTime * listTime);
+    return std::min (partialRelistInterval * (1U << doublings), relistInterval);
 }
 
 } // namespace
@@ -199,6 +194,7 @@
     auto revision = state.directory.revision;
     const auto began = BootClock::now();
     auto progressedAt = began;
+    auto usedAt = began;
 
     const auto isKnownReader = [&state] { return state.sharing.members && state.storeUpdates.isReader; };
 
@@ -211,6 +207,12 @@
             progressedAt = BootClock::now();
 
         revision = state.directory.revision;
+
+        if (const auto now = BootClock::now(); now - usedAt >= earlyUseInterval)
+        {
+            usedAt = now;
+            state.publishDirectory (now);
+        }
     }
 
     const auto isReceived = ! storeUpdates.awaitsSnapshot;
@@ -254,6 +256,7 @@
     auto reason = ListReason::afterGap;
     auto failures = std::size_t { 0 };
     auto partialLists = std::size_t { 0 };
+    auto nextListAt = longAgo;
     auto isFirst = true;
     co_await awaitDomainMembers (state);
 
@@ -285,6 +288,12 @@
             }
         }
 
+        if (state.directory.isPartial && BootClock::now() < nextListAt)
+        {
+            co_await pauseFor (state.loop, recheckPause);
+            continue;
+        }
+
         if (state.directory.isPartial)
             reason = ListReason::afterGap;
 
@@ -309,7 +318,8 @@
 
         state.storeUpdates.mustListReplicas = false;
         partialLists = end.isWhole ? 0 : partialLists + 1;
-        const auto pause = pauseBeforeList (partialLists, BootClock::now() - sentAt);
+        const auto pause = pauseBeforeList (partialLists);
+        nextListAt = BootClock::now() + pause;
         reason = co_await watchReplicas (state, store, formats, sentAt, pause);
     }
 }
--- a/tests/unit/ListPagesTests.cpp
+++ b/tests/unit/ListPagesTests.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -125,6 +125,9 @@
         for (auto changes = changesPerCall; changes > 0; --changes)
             change();
 
+        if (onPage)
+            onPage();
+
         return read;
     }
 
@@ -133,9 +136,22 @@
         StateStore store;
         store.listPage = [this] (std::string, std::string after, ReadFreshness) -> Task<ReadItems>
         { co_return answer (after); };
+        store.watch = [this] (std::string, std::uint64_t after, WatchTimes) -> Task<ReadItems>
+        { co_return changesAfter (after); };
         return store;
     }
 
+    auto changesAfter (std::uint64_t after) const -> ReadItems
+    {
+        ReadItems read { StoreOutcome::done, {}, revision };
+
+        for (const auto& event : events)
+            if (event.revision > after)
+                read.items.push_back (event);
+
+        return read;
+    }
+
     auto replicas() const -> std::set<std::string>
     {
         std::set<std::string> keys;
@@ -157,6 +173,43 @@
     std::size_t changesPerCall;
     std::size_t calls = 0;
     ReadItems lastPage;
+    /** Called before each page is returned. */
+    std::function<void()> onPage;
+};
+
+auto keysOf (const ReplicaDirectory& directory) -> std::set<std::string>
+{
+    std::set<std::string> keys;
+
+    for (const auto& [key, entry] : directory.entries)
+        keys.insert (key);
+
+    return keys;
+}
+
+/** A node that gets the replicas from another one, in small messages. */
+struct FollowingDirectory
+{
+    /** Asks for changes until there are no more. */
+    auto follow (const ReplicaDirectory& reader) -> void
+    {
+        constexpr auto messageBytes = std::size_t { 100 };
+
+        for (auto hasMore = true; hasMore;)
+        {
+            auto changes = changesAfter (reader, directory.revision, messageBytes);
+            isComplete = changes.isComplete;
+
+            if (! isComplete)
+                return;
+
+            hasMore = changes.hasMore;
+            applyChanges (directory, std::move (changes), BootClock::now());
+        }
+    }
+
+    ReplicaDirectory directory;
+    bool isComplete = false;
 };
 
 /** A node that lists the replicas. */
@@ -197,25 +250,11 @@
     /** Applies what a watch after the list returns. */
     auto watch (const PagedStore& store) -> void
     {
-        std::vector<StoredItem> changed;
-
-        for (const auto& event : store.events)
-            if (event.revision > state.directory.revision)
-                changed.push_back (event);
-
-        applyEvents (state, formats, changed);
+        applyEvents (state, formats, store.changesAfter (state.directory.revision).items);
         state.directory.revision = store.revision;
     }
 
-    auto known() const -> std::set<std::string>
-    {
-        std::set<std::string> keys;
-
-        for (const auto& [key, entry] : state.directory.entries)
-            keys.insert (key);
-
-        return keys;
-    }
+    auto known() const -> std::set<std::string> { return keysOf (state.directory); }
 
     asio::io_context loop;
     ServingState state;
@@ -298,15 +337,24 @@
             store.change();
 
         const auto knownBefore = node.known();
+        FollowingDirectory follower;
+        follower.directory = node.state.directory;
+        store.onPage = [&] { follower.follow (node.state.directory); };
         store.fault = fault;
         store.calls = 0;
-        const auto end = node.list (store);
+        const auto reason = store.random() % 2 == 0 ? ListReason::check : ListReason::afterGap;
+        const auto end = node.list (store, reason);
         // Each page but the last holds an item, and entries may be added meanwhile.
         CHECK (store.calls <= store.items.size() + store.events.size() + 2);
         node.watch (store);
-        CHECK (node.state.directory.isPartial == ! end.isWhole);
+        CHECK (node.state.directory.isPartial == (reason == ListReason::afterGap && ! end.isWhole));
+        follower.follow (node.state.directory);
+        CHECK ((! follower.isComplete || ! node.state.directory.isPartial));
+
+        if (follower.isComplete)
+            REQUIRE (keysOf (follower.directory) == store.replicas());
 
-        if (end.isWhole)
+        if (end.isWhole || reason == ListReason::check)
         {
             ++whole;
             REQUIRE (node.known() == store.replicas());
@@ -321,6 +369,7 @@
                 REQUIRE (node.known().contains (key));
 
         store.fault = PageFault::none;
+        store.onPage = {};
         REQUIRE (node.list (store).isWhole);
         node.watch (store);
         REQUIRE (node.known() == store.replicas());
@@ -330,16 +379,173 @@
     CHECK (partial > stores / 10);
 }
 
+TEST_CASE ("a list goes on after a page that failed, and ends early after four failures in a row")
+{
+    PagedStore store (3);
+    store.fault = PageFault::none;
+    store.changesPerCall = 0;
+    store.pageItems = 2;
+
+    while (store.replicas().size() < 8)
+        store.change();
+
+    ListingNode node;
+    auto face = store.face();
+    auto calls = 0;
+    auto failing = std::set<int>();
+    face.listPage = [&] (std::string, std::string after, ReadFreshness) -> Task<ReadItems>
+    {
+        if (failing.contains (++calls))
+            co_return ReadItems { StoreOutcome::unavailable, {}, 0 };
+
+        co_return store.answer (after);
+    };
+    const auto list = [&]
+    {
+        ListEnd end;
+        calls = 0;
+        asio::co_spawn (
+            node.loop,
+            [&]() -> Task<void>
+            { end = co_await listReplicas (node.state, face, node.formats, ListReason::afterGap); },
+            asio::detached);
+        node.loop.restart();
+        node.loop.run();
+        return end;
+    };
+
+    failing = { 2, 3, 4, 5 };
+    const auto cut = list();
+    CHECK_FALSE (cut.isWhole);
+    CHECK (cut.outcome == StoreOutcome::unavailable);
+    CHECK (cut.pages == 1);
+    CHECK (calls == 5);
+    CHECK (node.state.directory.isPartial);
+    CHECK_FALSE (node.state.storeUpdates.ownDirectoryProvenAt > longAgo);
+
+    failing = { 2, 3, 4, 6 };
+    const auto whole = list();
+    CHECK (whole.isWhole);
+    CHECK (node.known() == store.replicas());
+    CHECK_FALSE (node.state.directory.isPartial);
+    CHECK (node.state.storeUpdates.ownDirectoryProvenAt > longAgo);
+
+    // Without any page there is no list.
+    failing = { 1 };
+    const auto none = list();
+    CHECK (calls == 1);
+    CHECK (none.pages == 0);
+    CHECK (node.known() == store.replicas());
+    CHECK_FALSE (node.state.directory.isPartial);
+}
+
+TEST_CASE ("changes during a list of more than a second are applied, since the store forgets them")
+{
+    for (const auto reason : { ListReason::afterGap, ListReason::check })
+    {
+        PagedStore store (5);
+        store.fault = PageFault::none;
+        store.changesPerCall = 1;
+        store.pageItems = 4;
+
+        while (store.replicas().size() < 12)
+            store.change();
+
+        ListingNode node;
+        REQUIRE (node.list (store).isWhole);
+        node.watch (store);
+        auto face = store.face();
+        face.listPage = [&] (std::string, std::string after, ReadFreshness) -> Task<ReadItems>
+        {
+            co_await pauseFor (node.loop, 400ms);
+            co_return store.answer (after);
+        };
+        auto watchedAfter = std::vector<std::uint64_t>();
+        face.watch = [&] (std::string, std::uint64_t after, WatchTimes) -> Task<ReadItems>
+        {
+            watchedAfter.push_back (after);
+            co_return store.changesAfter (after);
+        };
+        const auto before = store.revision;
+        asio::co_spawn (
+            node.loop,
+            [&]() -> Task<void>
+            { CHECK ((co_await listReplicas (node.state, face, node.formats, reason)).isWhole); },
+            asio::detached);
+        node.loop.restart();
+        node.loop.run();
+        REQUIRE_FALSE (watchedAfter.empty());
+        CHECK (watchedAfter.front() == before);
+        CHECK (node.state.directory.revision > before);
+        node.watch (store);
+        CHECK (node.known() == store.replicas());
+    }
+}
+
+TEST_CASE ("a node whose own list was cut short isn't proven complete by changes from others")
+{
+    auto follower = tests::makeStoreView (false);
+    auto reader = tests::makeStoreView (true);
+    const auto now = tests::start + 10s;
+    reader.storeUpdates.ownDirectoryProvenAt = now;
+    follower.storeUpdates.provenAt = longAgo;
+    follower.directory.isPartial = true;
+    const auto ask = [&]
+    {
+        const auto query = makeStoreUpdateQuery (follower.storeUpdates, follower.directory, "follower", now);
+        auto response = makeStoreUpdateResponse (query, reader.storeUpdates, reader.configuration,
+                                                 reader.directory, "reader", now);
+        applyStoreUpdateResponse (follower.storeUpdates, follower.configuration, follower.directory,
+                                  std::move (response), now);
+    };
+    ask();
+    CHECK (follower.storeUpdates.provenAt == longAgo);
+    CHECK (mustQueryStore (follower.storeUpdates, now));
+
+    SECTION ("a snapshot completes it")
+    {
+        beginSnapshot (follower.storeUpdates, follower.directory);
+        ask();
+        CHECK_FALSE (follower.directory.isPartial);
+        CHECK (follower.storeUpdates.provenAt == now);
+        CHECK (follower.directory.entries.size() == reader.directory.entries.size());
+    }
+
+    SECTION ("a reader's that isn't whole doesn't")
+    {
+        reader.directory.isPartial = true;
+        beginSnapshot (follower.storeUpdates, follower.directory);
+        ask();
+        CHECK (follower.directory.isPartial);
+        CHECK (follower.storeUpdates.provenAt == longAgo);
+        CHECK (follower.storeUpdates.awaitsSnapshot);
+    }
+}
+
+TEST_CASE ("a change that a check shows as missed is recorded though the check was cut short")
+{
+    ReplicaDirectory directory;
+    applyList (directory, { { tests::replicaEntry ("one", 3) }, {} }, 10, tests::start);
+    auto leaving = tests::replicaEntry ("one", 8);
+    leaving.isLeaving = true;
+    DirectoryList check { ListReason::check, 12 };
+    applyPage (directory, check, { { leaving }, {} }, tests::start);
+    endPartialList (directory, check);
+    CHECK (directory.missedChanges == 1);
+    CHECK (directory.revision == 10);
+    CHECK_FALSE (directory.isPartial);
+}
+
 TEST_CASE ("a list that isn't whole is no complete directory for other nodes")
 {
     ReplicaDirectory directory;
-    auto list = beginList (directory, ListReason::afterGap, 9);
+    DirectoryList list { ListReason::afterGap, 9 };
     applyPage (directory, list, { { tests::replicaEntry ("one", 3) }, {} }, tests::start);
     endPartialList (directory, list);
     CHECK (directory.entries.size() == 1);
     CHECK_FALSE (changesAfter (directory, 9, 1000).isComplete);
 
-    auto whole = beginList (directory, ListReason::afterGap, 10);
+    DirectoryList whole { ListReason::afterGap, 10 };
     applyPage (directory, whole, { { tests::replicaEntry ("one", 3) }, {} }, tests::start);
     applyPage (directory, whole, { { tests::replicaEntry ("two", 4) }, {} }, tests::start);
     endList (directory, whole, tests::start);
--- a/tests/unit/StoreUpdateTests.cpp
+++ b/tests/unit/StoreUpdateTests.cpp
@@ -263,6 +263,7 @@
         entry.info.failureDomain = "launceston-north";
         entry.isReclaimable = true;
         applyEntry (reader.directory, std::move (entry));
+        reader.directory.revision = 10 + number;
     }
 
     const auto query = makeStoreUpdateQuery (storeUpdates, {}, "asker", start);
