The stand-in store refuses what the platform's store refuses

What tests could not see: a call of a node outside the platform's contract (a long key or value, a transaction of more than 32 entries, a write under the operator's or the replicas' keys, a lease or a wait out of its range, a wrong method or member) was served.

Change: such calls get 400, writes that are not the system's 403, and both are recorded in `malformed`; what the operator and others write is held to the same sizes. Pages are read from a sorted list, and a watch looks at new events only, so that lists of thousands of pages can be tested. test_a_watch_that_lost_its_history_is_followed_by_a_list drops its item by a method of the store, as the sorted list has to follow; what it does is the same.

--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -1,5 +1,6 @@
 """A stand-in for the users' platform in the test process: its state store, its replicas and its cloud interface."""
 import base64
+import bisect
 import contextlib
 import http.server
 import json
@@ -83,9 +84,21 @@
     do_GET = do_POST = do_DELETE = take
 
 
-# The parameters that a call of the store may have.
+# The methods of the store's calls, and the parameters that each may and must have.
+METHODS = {"kv-key": "GET", "kv-range": "GET", "kv-watch": "GET", "kv-txn": "POST", "kv-lease": "POST", "kv-keep": "POST",
+           "kv-lease-end": "DELETE"}
 PARAMETERS = {"kv-key": {"key", "stale_ok"}, "kv-range": {"path_prefix", "after", "stale_ok"},
               "kv-watch": {"path_prefix", "after", "wait_ms"}}
+REQUIRED = {"kv-key": {"key"}, "kv-range": {"path_prefix"}, "kv-watch": {"path_prefix", "after", "wait_ms"}}
+
+KEY_BYTES = 200
+VALUE_BYTES = 1_048_576
+TRANSACTION_ENTRIES = 32
+SHORTEST_LEASE_MS = 1000
+LONGEST_LEASE_MS = 600_000
+LONGEST_WAIT_MS = 30_000
+# Keys that are not for the system to write.
+FOREIGN_PREFIXES = ("op/", "servers/")
 
 
 def read_query(name, text):
@@ -94,16 +107,95 @@
     if not re.fullmatch(r"(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*", text):
         raise ValueError(f"not a query: {text!r}")
     pairs = urllib.parse.parse_qsl(text, keep_blank_values=True, strict_parsing=bool(text), encoding="utf-8", errors="strict")
-    if len(dict(pairs)) != len(pairs) or not {key for key, _ in pairs} <= PARAMETERS.get(name, set()):
-        raise ValueError(f"unknown or repeated parameters: {text!r}")
-    return dict(pairs)
+    query = dict(pairs)
+    if len(query) != len(pairs) or not REQUIRED.get(name, set()) <= set(query) <= PARAMETERS.get(name, set()):
+        raise ValueError(f"unknown, missing or repeated parameters: {text!r}")
+    if "key" in query:
+        check_key(query["key"])
+    if query.get("stale_ok", "1") != "1":
+        raise ValueError(f"stale_ok is not 1: {text!r}")
+    if name == "kv-watch":
+        whole_number(query["after"])
+        if whole_number(query["wait_ms"]) > LONGEST_WAIT_MS:
+            raise ValueError(f"waits too long: {text!r}")
+    return query
+
+
+def whole_number(text):
+    """Returns the number that a parameter or a part of a path is. Raises ValueError where it has anything but digits."""
+    if not re.fullmatch("[0-9]{1,20}", text):
+        raise ValueError(f"no whole number: {text!r}")
+    return int(text)
+
+
+def check_key(key):
+    if not isinstance(key, str) or not 1 <= len(key.encode()) <= KEY_BYTES:
+        raise ValueError(f"no key of at most {KEY_BYTES} bytes: {key!r}")
+
+
+def check_value(value):
+    if not isinstance(value, str):
+        raise ValueError(f"no text: {value!r}")
+    data = base64.b64decode(value, validate=True)
+    if base64.b64encode(data).decode() != value:
+        raise ValueError(f"no standard base64 with padding: {value!r}")
+    if len(data) > VALUE_BYTES:
+        raise ValueError(f"a value of {len(data)} bytes")
+
+
+def check_members(entry, members):
+    """Raises ValueError unless a value is an object of exactly these members."""
+    if not isinstance(entry, dict) or entry.keys() != members:
+        raise ValueError(f"not an object of {sorted(members)}: {entry!r}")
+
+
+def check_number(value, least=0, most=2**64 - 1):
+    if type(value) is not int or not least <= value <= most:
+        raise ValueError(f"no whole number from {least} to {most}: {value!r}")
+
+
+def check_transaction(data):
+    """Raises ValueError where the body of a kv-txn is malformed."""
+    check_members(data, {"expected_rev", "set_keys", "remove"})
+    if not all(isinstance(entries, list) for entries in data.values()):
+        raise ValueError("no lists of entries")
+    if sum(map(len, data.values())) > TRANSACTION_ENTRIES:
+        raise ValueError(f"{sum(map(len, data.values()))} entries")
+    for entry in data["expected_rev"]:
+        check_members(entry, {"key", "revision"})
+        check_key(entry["key"])
+        check_number(entry["revision"])
+    for entry in data["set_keys"]:
+        check_members(entry, {"key", "value", "lease"})
+        check_key(entry["key"])
+        check_value(entry["value"])
+        check_number(entry["lease"])
+    for key in data["remove"]:
+        check_key(key)
+
+
+def check_call(method, name, number, data):
+    """Raises ValueError where a call's method, path or body is malformed; read_query() does where its query is."""
+    if METHODS.get(name) != method:
+        raise ValueError(f"no call: {method} {name}")
+    if name in ("kv-keep", "kv-lease-end"):
+        whole_number(number)
+    elif number:
+        raise ValueError(f"no call: {name}/{number}")
+    if name == "kv-txn":
+        check_transaction(data)
+    elif name == "kv-lease":
+        check_members(data, {"ttl_ms"})
+        check_number(data["ttl_ms"], SHORTEST_LEASE_MS, LONGEST_LEASE_MS)
+    elif data is not None:
+        raise ValueError(f"a body: {data!r}")
 
 
 class Store:
     """The state store: revisions, conditions, leases and watches. Its boolean attributes switch on faults.
 
-    A list has pages of at most `page_items` items and `page_bytes` bytes. A malformed call is answered with 400 and recorded in
-    `malformed`.
+    A list has pages of at most `page_items` items and `page_bytes` bytes. A malformed call is answered with 400, a write that is
+    not the system's with 403, and both are recorded in `malformed`.
     """
 
     page_items = 500
@@ -112,6 +204,8 @@
     def __init__(self, port):
         self.changed = threading.Condition()
         self.items = {}
+        # The order of code points is the one of the bytes in UTF-8.
+        self.sorted_keys = []
         self.events = []
         self.leases = {}
         self.revision = 1
@@ -130,9 +224,13 @@
         threading.Thread(target=self.expire, daemon=True).start()
 
     def put(self, key, value, lease=0):
+        """Writes an item as the operator, a replica or another system does."""
         text = value if isinstance(value, str) else json.dumps(value)
+        encoded = base64.b64encode(text.encode()).decode()
+        check_key(key)
+        check_value(encoded)
         with self.changed:
-            self.write([(key, base64.b64encode(text.encode()).decode(), lease)], [])
+            self.write([(key, encoded, lease)], [])
 
     def remove(self, key):
         with self.changed:
@@ -146,14 +244,23 @@
     def write(self, puts, removals):
         self.revision += 1
         for key, value, lease in puts:
+            if key not in self.items:
+                bisect.insort(self.sorted_keys, key)
             created = self.items.get(key, {}).get("created", self.revision)
             self.items[key] = {"key": key, "value": value, "revision": self.revision, "created": created, "lease": lease}
             self.events.append(dict(self.items[key]))
         for key in removals:
-            if self.items.pop(key, None):
+            if self.drop(key):
                 self.events.append({"key": key, "revision": self.revision, "tombstone": True})
         self.changed.notify_all()
 
+    def drop(self, key):
+        """Removes an item without an event. Returns whether it was there."""
+        if self.items.pop(key, None) is None:
+            return False
+        del self.sorted_keys[bisect.bisect_left(self.sorted_keys, key)]
+        return True
+
     def expire(self):
         while True:
             time.sleep(0.05)
@@ -179,12 +286,16 @@
             call.answer(503)
             return
         try:
-            query = read_query(path.removeprefix("/snowrudder/"), text)
-            data = json.loads(body) if body else {}
-            status, value = self.serve(call.command, path, query, data)
-        except (ValueError, KeyError) as fault:
-            self.malformed.append((call.path, body, repr(fault)))
+            name, _, number = path.removeprefix("/snowrudder/").partition("/")
+            query = read_query(name, text)
+            data = json.loads(body) if body else None
+            check_call(call.command, name, number, data)
+            status, value = self.serve(name, number, query, data)
+        except (ValueError, RecursionError) as fault:
+            self.malformed.append((call.command, call.path, body, repr(fault)))
             status, value = 400, {"error": "malformed"}
+        if status == 403:
+            self.malformed.append((call.command, call.path, body, "not the system's to write"))
         if self.garble_lists and path.endswith("kv-range"):
             value = "half a list"
         if self.lose_answers and call.command == "POST":
@@ -193,8 +304,7 @@
             return
         call.answer(status, value)
 
-    def serve(self, method, path, query, data):
-        name = path.removeprefix("/snowrudder/")
+    def serve(self, name, number, query, data):
         if name == "kv-watch":
             return self.watch(query)
         if name == "kv-range":
@@ -211,11 +321,10 @@
                 lease = 1000 + self.revision * 100 + len(self.leases)
                 self.leases[lease] = (data["ttl_ms"] / 1000, time.monotonic() + data["ttl_ms"] / 1000)
                 return 200, {"lease": lease, "ttl_ms": data["ttl_ms"]}
-            verb, _, number = name.partition("/")
-            lease = int(number or 0)
+            lease = int(number)
             if lease not in self.leases:
                 return 404, {}
-            if verb == "kv-keep":
+            if name == "kv-keep":
                 length = self.leases[lease][0]
                 self.leases[lease] = (length, time.monotonic() + length)
             else:
@@ -227,10 +336,11 @@
         items = []
         size = 0
         after = "" if self.repeats_pages else after
-        # The order of the keys' bytes.
-        for key in sorted(self.items, key=str.encode):
-            if not key.startswith(prefix) or key.encode() <= after.encode():
-                continue
+        first = max(bisect.bisect_left(self.sorted_keys, prefix), bisect.bisect_right(self.sorted_keys, after))
+        for position in range(first, len(self.sorted_keys)):
+            key = self.sorted_keys[position]
+            if not key.startswith(prefix):
+                break
             size += len(key) + len(self.items[key]["value"])
             if len(items) == self.page_items or (items and size > self.page_bytes):
                 return {"items": items, "more_pages": True}
@@ -244,7 +354,18 @@
             self.compacted = self.revision
             self.changed.notify_all()
 
+    def drop_with_history(self, key):
+        """Removes an item, and forgets the history together with its removal."""
+        with self.changed:
+            self.events.clear()
+            self.compacted = self.revision + 1
+            self.revision += 2
+            self.drop(key)
+            self.changed.notify_all()
+
     def commit(self, data):
+        if any(key.startswith(FOREIGN_PREFIXES) for key in [*(put["key"] for put in data["set_keys"]), *data["remove"]]):
+            return 403, {}
         conditions = data["expected_rev"]
         if any(self.items.get(entry["key"], {}).get("revision", 0) != entry["revision"] for entry in conditions):
             return 412, {"items": [self.items[entry["key"]] for entry in conditions if entry["key"] in self.items]}
@@ -262,8 +383,8 @@
             while True:
                 if after < self.compacted:
                     return 410, {}
-                events = [event for event in self.events
-                          if event["key"].startswith(query["path_prefix"]) and event["revision"] > after]
+                first = bisect.bisect_right(self.events, after, key=lambda event: event["revision"])
+                events = [event for event in self.events[first:] if event["key"].startswith(query["path_prefix"])]
                 left = end - time.monotonic()
                 if events or left <= 0 or self.silent:
                     return 200, {"events": events, "store_revision": self.revision}
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -403,12 +403,7 @@
 
     def test_a_watch_that_lost_its_history_is_followed_by_a_list(self):
         with Platform() as platform:
-            with platform.store.changed:
-                platform.store.events.clear()
-                platform.store.compacted = platform.store.revision + 1
-                platform.store.revision += 2
-                platform.store.items.pop("servers/i-0")
-                platform.store.changed.notify_all()
+            platform.store.drop_with_history("servers/i-0")
             wait_until(lambda: "replica_gone replica=i-0" in platform.first.log.read_text(), "the change is found")
 
     def test_one_node_does_the_duties_and_another_follows_with_a_higher_fence(self):
