Process tests and soak: the store holds entries of others, and lists have several pages

What tests could not see: in all of them the store held nothing but what the platform writes, and each list had one page, so that a fault in escaping a key or in going on to the next page stayed hidden; a malformed call was noticed by one file only.

Change: Platform and the soak's World put five entries of other systems with odd keys before, between and behind the replicas', and give lists in pages of three items; both fail their test when the store was called in a malformed way. A call whose body doesn't arrive whole, as its node was killed, is none.

test_watches_that_never_answer_do_not_delay_the_news_of_leaving_replicas_beyond_the_bound keeps its pages of 500: its list is to take 0.4 s, and that is the delay of each page. What it asks is as before, beside entries of others.

--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -10,6 +10,18 @@
 from suspension import Suspension
 
 
+# Pages of the store's lists are small by default, so that most lists have several.
+PAGE_ITEMS = 3
+# Entries of other systems beside those of the replicas: before, between and behind them.
+FOREIGN_ENTRIES = {"%7Ez": {"owner": "another system"}, "a&after=z": "no object", "i-0%25": {"service": "svc"},
+                   "i-1 +": ["svc"], "z#\u00e9?/..": ""}
+
+
+def add_foreign_entries(store):
+    for key, value in FOREIGN_ENTRIES.items():
+        store.put(f"servers/{key}", value)
+
+
 def configuration(version=1, keys=("key-alpha",), **more):
     def route(prefix, kind, **traits):
         return {"name": prefix, "host": "one.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 5000,
@@ -80,12 +92,17 @@
     """The stand-ins of the platform, and the nodes under test."""
 
     def __init__(self, nodes=1, replicas=2, first=configuration(), environment=None, settings="", suspendable=False,
-                 expect_ready=True, versions=None):
-        """`versions` are the replicas' software versions, one each; without them all are of one version."""
+                 expect_ready=True, versions=None, foreign_entries=True, page_items=PAGE_ITEMS):
+        """`versions` are the replicas' software versions, one each; without them all are of one version.
+
+        `foreign_entries`: whether the store lists entries of other systems among the replicas'"""
         self.expect_ready = expect_ready
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="snowrudder-platform-"))
         self.store_port, self.cloud_port, *ports = free_ports(2 + replicas)
         self.store, self.cloud = Store(self.store_port), Cloud(self.cloud_port)
+        self.store.page_items = page_items
+        if foreign_entries:
+            add_foreign_entries(self.store)
         self.replicas = [Replica(port, f"i-{number}") for number, port in enumerate(ports)]
         if first:
             self.store.put("op/config", first)
@@ -128,6 +145,8 @@
         for server in (self.store, self.cloud, *self.doors, *self.replicas):
             server.server.shutdown()
             server.server.server_close()
+        if self.store.malformed:
+            raise AssertionError(f"{len(self.store.malformed)} malformed calls to the store: {self.store.malformed[:5]}")
 
     def runs(self):
         return [run for replica in self.replicas for run in replica.runs]
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -285,6 +285,10 @@
         if self.busy:
             call.answer(503)
             return
+        # Its caller ended in the middle of the call.
+        if len(body) < int(call.headers.get("Content-Length") or 0):
+            call.close_connection = True
+            return
         try:
             name, _, number = path.removeprefix("/snowrudder/").partition("/")
             query = read_query(name, text)
--- a/tests/process/test_draining.py
+++ b/tests/process/test_draining.py
@@ -83,7 +83,8 @@
 
     def test_watches_that_never_answer_do_not_delay_the_news_of_leaving_replicas_beyond_the_bound(self):
         for nodes in (1, 3):
-            with self.subTest(nodes=nodes), Platform(nodes=nodes, replicas=20) as platform:
+            with self.subTest(nodes=nodes), Platform(nodes=nodes, replicas=20, page_items=500) as platform:
+                # Of each page, so that the list has one.
                 platform.store.list_delay = 0.4
                 platform.store.hang_watches = True
                 self.assert_drained(platform)
--- a/tests/process/test_store_stand_in.py
+++ b/tests/process/test_store_stand_in.py
@@ -1,11 +1,13 @@
 """Tests that the stand-in of the platform's store accepts what its contract allows, and nothing else."""
 import base64
 import json
+import socket
 import time
 import unittest
 import urllib.parse
 
 from harness import free_ports, request
+from platform_deployment import FOREIGN_ENTRIES, Platform
 from platform_stand_in import KEY_BYTES, TRANSACTION_ENTRIES, VALUE_BYTES, Store
 
 # Seconds to read 6,000 entries in pages of one.
@@ -147,6 +149,24 @@
         self.assertEqual((len(found), pages), (6000, 6000))
         self.assertLess(time.monotonic() - began, READ_TIME)
 
+    def test_a_malformed_call_fails_the_test_in_which_it_was_made(self):
+        with self.assertRaisesRegex(AssertionError, "1 malformed calls to the store.*kv-other"):
+            with Platform(nodes=0) as platform:
+                self.assertEqual(request(platform.store_port, "GET", "/snowrudder/kv-other").status, 400)
+
+    def test_a_call_whose_caller_ends_in_the_middle_of_it_is_not_malformed(self):
+        with Platform(nodes=0) as platform:
+            with socket.create_connection(("127.0.0.1", platform.store_port), 5) as caller:
+                caller.sendall(b"POST /snowrudder/kv-txn HTTP/1.1\r\nContent-Length: 60\r\n\r\n{")
+                caller.shutdown(socket.SHUT_WR)
+                self.assertEqual(caller.recv(100), b"")
+
+    def test_the_store_holds_entries_of_others_and_gives_lists_in_several_pages_by_default(self):
+        with Platform(nodes=0) as platform:
+            self.assertTrue(all(platform.store.value(f"servers/{key}") is not None for key in FOREIGN_ENTRIES))
+            page = request(platform.store_port, "GET", "/snowrudder/kv-range?path_prefix=servers/").json()
+            self.assertTrue(page["more_pages"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -304,6 +304,7 @@
     finally:
         world.close()
     broken += world.ledger.breaches(LIMITS)
+    broken += [f"malformed call to the store: {call}" for call in world.store.malformed]
     broken += duty_breaches(list(world.cloud.calls), world.ledger.resumed_at, RESUME_GRACE)
     served = sum(request.status == 200 for request in world.ledger.sent.values())
     (folder / "faults.txt").write_text("\n".join([*injected, *broken]) + "\n")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
 from harness import free_ports, wait_until  # noqa: E402  (its folder is put on the path above)
 from ledger import End, Ledger, Run, SentRequest  # noqa: E402
 from links import HoldingLink  # noqa: E402
-from platform_deployment import Node, configuration  # noqa: E402
+from platform_deployment import PAGE_ITEMS, Node, add_foreign_entries, configuration  # noqa: E402
 from platform_stand_in import Cloud, Replica, Store  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
@@ -78,6 +78,8 @@
         self.ledger = Ledger()
         self.store_port, self.cloud_port = free_ports(2)
         self.store, self.cloud = Store(self.store_port), TimedCloud(self.cloud_port)
+        self.store.page_items = PAGE_ITEMS
+        add_foreign_entries(self.store)
         self.names = (f"i-{number}" for number in itertools.count())
         self.replicas, self.proxies = {}, {}
         self.version = 1
