Soak: nodes start again while entries of other systems come and go

After all faults all nodes are killed once more while a third of the entries is still there, and each has to get ready and serve. Nodes are claimed under a lock, so that two faults don't end one process.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -191,6 +191,12 @@
             self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
             shutil.rmtree(folder)
 
+    def test_runs_in_which_nodes_start_again_among_entries_of_others_keep_every_promise(self):
+        for seed in (12, 13):
+            broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=5, callers=8, restarts=True)
+            self.assertEqual(broken, [], f"seed {seed}, logs in {folder}")
+            shutil.rmtree(folder)
+
     def test_runs_in_which_vms_are_suspended_keep_every_promise(self):
         for seed in (5, 6):
             broken, folder = soak.run_seed(seed, seconds=10, nodes=4, replicas=4, callers=8, suspensions=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,6 +7,7 @@
     python3 tests/soak/soak.py --seed 100 --suspensions    suspends VMs besides
     python3 tests/soak/soak.py --seed 100 --statements     replicas say in answers that they leave, or ask for rest, besides
     python3 tests/soak/soak.py --seed 100 --odd-answers    replicas fail requests in further ways, and duty calls are held up, besides
+    python3 tests/soak/soak.py --seed 100 --restarts       nodes start again while entries of other systems come and go, besides
 
 A seed always gives the same faults at the same times; the timing of the processes is not deterministic. The folder of a
 failed run, which has the nodes' logs, is kept and its path is printed.
@@ -15,6 +16,7 @@
 import http.client
 import pathlib
 import random
+import re
 import shutil
 import signal
 import sys
@@ -47,6 +49,21 @@
 HOLD_TIME = (0.3, 6.0)
 ODD_ANSWERS = ("break-first", "status-408", "status-429", "status-503", "status-504", "slow-unframed", "break-unframed", "end-unframed")
 
+# Seconds from one fault among entries of other systems, or series of restarts, to the next; how long entries stay, how many there are
+# in a burst, and the restarts of a series and the seconds between them.
+RESTART_GAP = (0.3, 1.5)
+STAY_TIME = (0.2, 5.0)
+BURST_SIZE = (100, 600)
+SERIES_LENGTH = 4
+SERIES_PAUSE = (0.0, 2.0)
+KEPT_SHARE = 0.3
+"""Share of the entries of other systems that stay until the end of the run."""
+# What the keys and the values of other systems' entries are made of.
+KEY_PARTS = ("%", "%25", "%41", "%00", "%zz", "&after=z", "=", "+", "#", " ", "?", "/", "..", "\\", '"', ";", ",", "\n", "\t", "\x01",
+             "\u00e9", "\u2028", "\U0001f600", "~", "i-1", "i-3", "a", "z")
+LONGEST_KEY = 200 - len("servers/")
+FOREIGN_VALUES = ("", "no object", ["svc"], 7, {"service": "svc"}, {"owner": "another system"}, {"service": "svc", "state": "ready"})
+
 OUTAGES = ("silent", "busy")
 REPLICA_TROUBLES = ("cut", "fail", "shed", "surplus", "break", "slow")
 
@@ -58,6 +75,7 @@
         self.world, self.draw = world, draw
         self.running_threads = []
         self.busy_nodes = set()
+        self.claiming = threading.Lock()
         self.kinds = [self.store_cut, self.store_cut, self.store_outage, self.lapse, self.node_killed, self.node_stopped,
                       self.node_frozen, self.herd_killed, self.reload, self.replica_cut, self.replica_trouble, self.replica_trouble,
                       self.replica_leaves, self.revoke, self.revoke, self.lost_answers, self.fatal_request]
@@ -76,12 +94,13 @@
 
     def claim_node(self, draw):
         """Picks a node that no other fault uses, and keeps at least one node unused; None when there is none."""
-        free = [node for node in self.world.nodes if node not in self.busy_nodes]
-        if len(free) <= 1:
-            return None
-        node = draw.choice(free)
-        self.busy_nodes.add(node)
-        return node
+        with self.claiming:
+            free = [node for node in self.world.nodes if node not in self.busy_nodes]
+            if len(free) <= 1:
+                return None
+            node = draw.choice(free)
+            self.busy_nodes.add(node)
+            return node
 
     def with_claimed_node(self, draw, act):
         node = self.claim_node(draw)
@@ -148,6 +167,55 @@
             proxy.set("pass")
             link.release()
 
+    def start_again(self, end, draw):
+        """Lets entries of other systems come and go among those of the replicas and kills nodes, until a time. The faults of a
+        seed stay the same without it."""
+        while time.monotonic() < end:
+            fault = draw.choice((self.entries_of_others, self.entries_of_others, self.burst_of_entries, self.series_of_restarts))
+            self.running_threads.append(threading.Thread(target=fault, args=(random.Random(draw.random()),), daemon=True))
+            self.running_threads[-1].start()
+            time.sleep(draw.uniform(*RESTART_GAP))
+
+    def entries_of_others(self, draw):
+        self.hold_entries(draw, ["".join(draw.choices(KEY_PARTS, k=draw.randint(1, 40))) for _ in range(draw.randint(1, 8))])
+
+    def burst_of_entries(self, draw):
+        first = "".join(draw.choices(KEY_PARTS, k=3))
+        self.hold_entries(draw, [f"{first}{number}" for number in range(draw.randint(*BURST_SIZE))])
+
+    def hold_entries(self, draw, keys):
+        """Writes entries of other systems, and removes most of them after a while."""
+        names = ["servers/" + key.encode()[:LONGEST_KEY].decode(errors="ignore") for key in keys]
+        # None may be taken for a replica's.
+        names = [name for name in names if not re.fullmatch(r"servers/i-\d+", name)]
+        for name in names:
+            self.world.store.put(name, draw.choice(FOREIGN_VALUES))
+        time.sleep(draw.uniform(*STAY_TIME))
+        for name in names:
+            if draw.random() >= KEPT_SHARE:
+                self.world.store.remove(name)
+
+    def series_of_restarts(self, draw):
+        """Kills some or all nodes that no other fault uses and starts them again, also before they are ready. Series overlap."""
+        with self.claiming:
+            free = [node for node in self.world.nodes if node not in self.busy_nodes]
+            nodes = draw.sample(free, draw.choice((len(free), draw.randint(0, len(free)))))
+            self.busy_nodes.update(nodes)
+        for _ in range(draw.randint(1, SERIES_LENGTH)):
+            self.restart(nodes)
+            time.sleep(draw.uniform(*SERIES_PAUSE))
+        self.busy_nodes.difference_update(nodes)
+
+    def restart(self, nodes):
+        """Kills nodes at once and starts them again."""
+        names = [node.name for node in nodes]
+        with self.world.ledger.disturbance(names), self.world.ledger.interruption(names):
+            threads = [threading.Thread(target=self.world.stop_process, args=(node, signal.SIGKILL)) for node in nodes]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+
     def leaving_stated(self, draw):
         if len(self.world.replicas) > 2:
             self.world.state_leaving(draw.choice(list(self.world.replicas)), draw.random() < 0.5)
@@ -170,8 +238,9 @@
         self.with_claimed_node(draw, act)
 
     def herd_suspended(self, seconds, draw):
-        herd = [node for node in self.world.nodes if node not in self.busy_nodes]
-        self.busy_nodes.update(herd)
+        with self.claiming:
+            herd = [node for node in self.world.nodes if node not in self.busy_nodes]
+            self.busy_nodes.update(herd)
         names = [node.name for node in herd]
         with self.world.ledger.disturbance(names), self.world.ledger.interruption(names):
             for node in herd:
@@ -262,12 +331,13 @@
         self.world.revoke(draw.choice(list(self.world.keys)))
 
 
-def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False, statements=False, odd_answers=False):
+def run_seed(seed, seconds, nodes, replicas, callers, suspensions=False, statements=False, odd_answers=False, restarts=False):
     """Runs one seed; returns the broken guarantees and the folder of the logs.
 
     `suspensions`: whether VMs are suspended besides the seed's other faults
     `statements`: whether replicas say in answers that they leave, or ask for rest, besides
-    `odd_answers`: whether replicas fail requests in further ways, and duty calls are held up, besides"""
+    `odd_answers`: whether replicas fail requests in further ways, and duty calls are held up, besides
+    `restarts`: whether nodes start again while entries of other systems come and go, besides"""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"snowrudder-soak-{seed}-"))
     world = World(seed, folder, nodes, replicas, callers, suspensions, odd_answers)
     draw = random.Random(seed)
@@ -285,6 +355,9 @@
         if odd_answers:
             answering = threading.Thread(target=faults.answer_oddly, args=(began + seconds, random.Random(f"{seed} odd answers")))
             answering.start()
+        if restarts:
+            restarting = threading.Thread(target=faults.start_again, args=(began + seconds, random.Random(f"{seed} restarts")))
+            restarting.start()
         while time.monotonic() - began < seconds:
             time.sleep(draw.uniform(0.3, 1.5))
             injected.append(f"{time.monotonic() - began:6.1f} {faults.inject()}")
@@ -294,11 +367,16 @@
             stating.join()
         if odd_answers:
             answering.join()
+        if restarts:
+            restarting.join()
         faults.wait()
         if odd_answers:
             for replica in list(world.replicas.values()):
                 replica.behave.clear()
         world.heal()
+        if restarts:
+            # What is left of the entries of other systems must keep none of them from being ready.
+            faults.restart(world.nodes)
         time.sleep(LIMITS["contact"])
         broken = world.recover()
     finally:
@@ -312,7 +390,9 @@
     print(f"seed {seed}: {len(injected)} faults, {len(world.ledger.sent)} requests, {served} served, "
           f"{sum(bool(request.signed_by) for request in resumed)} of {len(resumed)} streams taken up, "
           f"{sum(map(len, world.ledger.crashes.values()))} crashes, {len(world.ledger.told)} told of leaving, "
-          f"{len(world.ledger.rests)} asked for rest, {len(broken)} broken", flush=True)
+          f"{len(world.ledger.rests)} asked for rest, "
+          f"{sum(end.sent == signal.SIGKILL for end in world.ledger.ends)} kills, {len(world.store.items)} entries at last, "
+          f"{len(broken)} broken", flush=True)
     return broken, folder
 
 
@@ -336,6 +416,8 @@
                          help="replicas say in answers that they leave, or ask for rest, besides the seed's other faults")
     options.add_argument("--odd-answers", action="store_true",
                          help="replicas fail requests in further ways, and duty calls are held up, besides the seed's other faults")
+    options.add_argument("--restarts", action="store_true",
+                         help="nodes start again while entries of other systems come and go, besides the seed's other faults")
     given = options.parse_args()
     seeds = range(given.seed, given.seed + given.count)
     if given.regressions:
@@ -343,7 +425,7 @@
     failed = 0
     for seed in seeds:
         broken, folder = run_seed(seed, given.seconds, given.nodes, given.replicas, given.callers, given.suspensions,
-                                  given.statements, given.odd_answers)
+                                  given.statements, given.odd_answers, given.restarts)
         failed += bool(broken)
         for line in broken[:10]:
             print(f"  {line}")
