Entries of the store that can't be read cost only themselves

A node that starts lists the replicas. One entry that Boost.JSON refuses (a byte that isn't UTF-8 in its key or value, the escape of a lone surrogate, a number out of range, deep nesting) made its whole page unreadable, so that the node knew no replica (store_answer_unreadable). An entry without a text as its key became one with an empty key: at the end of a page, the list began anew.

Items without a readable key are left out and logged (store_items_unreadable); a watch with nothing else still advances its revision, so that it isn't repeated at once.

--- a/modules/snowrudder_core/snowrudder_core.h
+++ b/modules/snowrudder_core/snowrudder_core.h
@@ -31,3 +31,4 @@
 #include "time/Suspension.h"
 #include "time/Time.h"
 #include "json/JsonFields.h"
+#include "json/TolerantParsing.h"
--- a/modules/snowrudder_serving/store/ReplicaListing.cpp
+++ b/modules/snowrudder_serving/store/ReplicaListing.cpp
@@ -108,7 +108,7 @@
     listing.changesReadAt = BootClock::now();
 
     // Without a response the watch that follows the list returns them.
-    if (changed.outcome != StoreOutcome::done || changed.items.empty())
+    if (changed.outcome != StoreOutcome::done || (changed.items.empty() && changed.unreadable == 0))
         co_return;
 
     auto& state = listing.state;
--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -73,6 +73,8 @@
     std::uint64_t revision = 0;
     /** Whether there are more items behind these. */
     bool hasMore = false;
+    /** The number of items that were left out because their keys can't be read. */
+    std::size_t unreadable = 0;
 };
 
 /** A condition of a transaction: the key must be at this revision, or must not exist where it is 0. */
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -109,7 +109,7 @@
     }
 
     // An empty response does not advance the revision, as the watch may have missed changes without an error.
-    const auto hasChanges = ! changed.items.empty();
+    const auto hasChanges = ! changed.items.empty() || changed.unreadable > 0;
 
     // What a list that wasn't whole has left out may have changed before the watches began.
     if (! state.directory.isPartial)
