A watch whose changes are too many for a response is followed by a list

A response above 8 MB counted as no response. A node that relies on readers then repeated the same watch without end, and others repeated it once before they listed. The changes since that revision only grow, so that such a watch now has the outcome of one whose history is gone: the node lists the replicas and watches from there on.

Measured (StoreClientTests, 9 MB of events): before, the node that relies on readers isn't set to list, and the other one makes the watch twice; now it is set to list, and each watches once from that revision.

--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -34,7 +34,7 @@
     /** There was no response. A write may have been applied, or may still be applied later while its conditions hold.
     */
     unknown,
-    /** The store no longer keeps the changes that a watch asked for. */
+    /** The store no longer keeps the changes that a watch asked for, or they are too many for a response. */
     historyCompacted
 };
 
--- a/tests/unit/StoreClientTests.cpp
+++ b/tests/unit/StoreClientTests.cpp
@@ -97,10 +97,13 @@
             co_await http::async_read (socket, buffer, request, asio::use_awaitable);
             const auto target = std::string (request.target());
             targets.push_back (target);
+            const auto isWatch = target.starts_with (platform::store::watchPath);
+
+            if (isWatch && target.find ("&after=" + std::to_string (revision) + "&") != std::string::npos)
+                co_await pauseFor (loop, watchWait);
+
             http::response<http::string_body> response (http::status::ok, 11);
-            response.body() = target.starts_with (platform::store::watchPath) ? watchAnswer
-                              : pageAnswer                                    ? *pageAnswer
-                                                                              : page (target);
+            response.body() = isWatch ? watchAnswer : pageAnswer ? *pageAnswer : page (target);
             response.prepare_payload();
             co_await http::async_write (socket, response, asio::use_awaitable);
         }
@@ -131,7 +134,7 @@
         }
 
         return R"({"items":[)" + items + R"(],"more_pages":)" + (hasMore ? "true" : "false") +
-               R"(,"store_revision":9})";
+               R"(,"store_revision":)" + std::to_string (revision) + "}";
     }
 
     auto run (std::function<Task<void> (const StateStore&)> work) -> void
@@ -152,6 +155,9 @@
     ConnectionPool pool;
     std::vector<WireEntry> entries;
     std::size_t pageItems = 500;
+    std::uint64_t revision = 9;
+    /** How long a watch from the current revision on waits. */
+    Duration watchWait {};
     std::string watchAnswer;
     /** Sent in place of each page. */
     std::optional<std::string> pageAnswer;
@@ -351,3 +357,83 @@
         CHECK (read.items.front().key == "servers/a1");
     }
 }
+
+namespace
+{
+
+/** A node that follows the replicas of a store whose changes since revision 5 are more than a response may have. */
+struct FollowingNode
+{
+    FollowingNode() : state (store.loop, ServingSettings())
+    {
+        constexpr auto valueBytes = std::size_t { 1'000'000 };
+        store.watchAnswer = R"({"events":[)" + replica ("a1").text;
+
+        for (auto number = 0; number < 9; ++number)
+            store.watchAnswer +=
+                "," + entryOf ("k", quoted ("servers/k"), quoted (std::string (valueBytes, 'A')), "7").text;
+
+        store.watchAnswer += R"(],"store_revision":9})";
+        store.entries = soundReplicas();
+        store.watchWait = 10s;
+        formats.replicaPrefix = platform::store::replicaPrefix;
+        formats.readReplica = platform::readReplica;
+        state.configuration.current = std::make_shared<RoutingConfiguration>();
+        state.sharing.members = 1;
+        state.storeUpdates.mustListReplicas = false;
+        state.directory.revision = 5;
+    }
+
+    auto follow (std::size_t domainMembers) -> void
+    {
+        state.storeUpdates.isReader = domainMembers == 1;
+        state.storeUpdates.domainMembers = domainMembers;
+        const auto client = platform::storeClient (store.pool, store.acceptor.local_endpoint());
+        asio::co_spawn (store.loop, followReplicas (state, client, formats), asio::detached);
+        store.loop.run_for (1s);
+    }
+
+    auto callsTo (std::string_view path) const -> std::size_t
+    {
+        return static_cast<std::size_t> (std::ranges::count_if (
+            store.targets, [path] (const std::string& target) { return target.starts_with (path); }));
+    }
+
+    WireStore store;
+    ServingState state;
+    StoreFormats formats;
+};
+
+} // namespace
+
+TEST_CASE ("a node that relies on readers doesn't repeat a watch whose changes are too many for a response")
+{
+    FollowingNode node;
+    node.follow (1000);
+    CHECK (node.state.storeUpdates.mustListReplicas);
+    CHECK (node.callsTo (platform::store::watchPath) == 1);
+}
+
+TEST_CASE (
+    "a watch whose changes are too many for a response is followed by one list, and by a watch from there on")
+{
+    FollowingNode node;
+    node.store.revision = 5;
+    node.store.watchWait = 100ms;
+    asio::co_spawn (
+        node.store.loop,
+        [&]() -> Task<void>
+        {
+            // After the first list, during the first watch.
+            co_await pauseFor (node.store.loop, 50ms);
+            node.store.revision = 9;
+            node.store.watchWait = 10s;
+        },
+        asio::detached);
+    node.follow (1);
+    CHECK (node.state.directory.revision == 9);
+    CHECK (node.state.directory.entries.size() == soundNames.size());
+    CHECK (node.callsTo (platform::store::rangePath) == 2);
+    CHECK (node.callsTo (std::string (platform::store::watchPath) + "servers/&after=5") == 1);
+    CHECK (node.callsTo (std::string (platform::store::watchPath) + "servers/&after=9") == 1);
+}
