Tests of lists whose calls are rejected between pages, and of one of 5,992 pages

A list goes on after up to three rejected calls for a page, ends after four, keeps what it has read, and isn't followed by the next one at once. A store of 2,996 replicas and as many foreign entries, one on a page, is read whole by one list.

--- a/tests/unit/ListPagesTests.cpp
+++ b/tests/unit/ListPagesTests.cpp
@@ -346,3 +346,149 @@
     CHECK (directory.entries.size() == 2);
     CHECK (changesAfter (directory, 10, 1000).isComplete);
 }
+
+namespace
+{
+
+/** @returns a store without faults and changes, with that many replicas and as many foreign entries. */
+auto steadyStore (unsigned replicas, std::size_t pageItems) -> PagedStore
+{
+    PagedStore store (0);
+    store.items.clear();
+    store.events.clear();
+    store.fault = PageFault::none;
+    store.changesPerCall = 0;
+    store.pageItems = pageItems;
+
+    for (auto number = 0U; number < replicas; ++number)
+        for (const auto value : { replicaValue, std::string_view ("foreign") })
+        {
+            const auto key = std::string (prefix) + std::to_string (number) + std::string (value);
+            store.items[key] = { key, std::string (value), ++store.revision, 0, false };
+        }
+
+    return store;
+}
+
+/** A store that rejects some of its calls for pages. */
+struct RejectingStore
+{
+    auto face() -> StateStore
+    {
+        StateStore face;
+        face.listPage = [this] (std::string, std::string after, ReadFreshness) -> Task<ReadItems>
+        {
+            listsBegun += after.empty() ? 1 : 0;
+
+            if (++calls > callsBefore && calls <= callsBefore + rejections)
+                co_return ReadItems { StoreOutcome::unavailable, {}, 0 };
+
+            co_return store.answer (after);
+        };
+        face.watch = [this] (std::string, std::uint64_t, WatchTimes times) -> Task<ReadItems>
+        {
+            co_await pauseFor (*loop, times.wait);
+            co_return ReadItems { StoreOutcome::done, {}, store.revision };
+        };
+        return face;
+    }
+
+    auto list (ListingNode& node) -> ListEnd
+    {
+        ListEnd end;
+        const auto client = face();
+        asio::co_spawn (
+            node.loop,
+            [&]() -> Task<void>
+            { end = co_await listReplicas (node.state, client, node.formats, ListReason::afterGap); },
+            asio::detached);
+        node.loop.run();
+        return end;
+    }
+
+    PagedStore store = steadyStore (4, 2);
+    /** The calls before the first one that is rejected. */
+    std::size_t callsBefore = 2;
+    std::size_t rejections = 0;
+    std::size_t calls = 0;
+    std::size_t listsBegun = 0;
+    asio::io_context* loop = nullptr;
+};
+
+constexpr auto always = std::size_t { 1'000'000 };
+
+} // namespace
+
+TEST_CASE ("a list goes on where it was after up to three rejected calls for a page, and doesn't begin anew")
+{
+    RejectingStore store;
+    store.rejections = 3;
+    ListingNode node;
+    const auto end = store.list (node);
+    CHECK (end.isWhole);
+    CHECK (end.pages == 4);
+    CHECK (store.calls == 4 + 3);
+    CHECK (store.listsBegun == 1);
+    CHECK (node.known() == store.store.replicas());
+    CHECK_FALSE (node.state.directory.isPartial);
+}
+
+TEST_CASE ("a list whose calls go on being rejected ends after four, and the replicas until there are used")
+{
+    RejectingStore store;
+    store.rejections = always;
+    ListingNode node;
+    const auto end = store.list (node);
+    CHECK_FALSE (end.isWhole);
+    CHECK (end.outcome == StoreOutcome::unavailable);
+    CHECK (end.pages == 2);
+    CHECK (store.calls == 2 + 4);
+    CHECK (store.listsBegun == 1);
+    CHECK (node.known().size() == 2);
+    CHECK (node.state.directory.isPartial);
+}
+
+TEST_CASE ("a list whose first call is rejected ends there")
+{
+    RejectingStore store;
+    store.callsBefore = 0;
+    store.rejections = always;
+    ListingNode node;
+    const auto end = store.list (node);
+    CHECK_FALSE (end.isWhole);
+    CHECK (end.pages == 0);
+    CHECK (store.calls == 1);
+}
+
+TEST_CASE ("a list that was cut short isn't followed by the next one at once")
+{
+    RejectingStore store;
+    ListingNode node;
+    // The first list of a node is one page only.
+    store.callsBefore = 1 + 2;
+    store.rejections = always;
+    store.loop = &node.loop;
+    node.state.storeUpdates.isReader = true;
+    node.state.storeUpdates.domainMembers = 1;
+    node.state.sharing.members = 1;
+    node.state.configuration.current = std::make_shared<RoutingConfiguration>();
+    const auto face = store.face();
+    asio::co_spawn (node.loop, followReplicas (node.state, face, node.formats), asio::detached);
+    node.loop.run_for (3s);
+    CHECK (store.calls == 1 + 2 + 4);
+    CHECK (store.listsBegun == 2);
+    CHECK (node.known().size() == 2);
+}
+
+TEST_CASE ("a store of 2,996 replicas and as many foreign entries, one on a page, is read whole in one list")
+{
+    constexpr auto replicas = 2'996U;
+    auto store = steadyStore (replicas, 1);
+    ListingNode node;
+    const auto end = node.list (store);
+    CHECK (end.isWhole);
+    CHECK (end.pages == 2 * std::size_t { replicas });
+    CHECK (store.calls == 2 * std::size_t { replicas });
+    CHECK (node.known() == store.replicas());
+    CHECK (node.known().size() == replicas);
+}
