Process test: entries that can't be read keep no restarted node from the replicas

Real nodes start beside entries with lone surrogates, numbers out of range, deep nesting and members of wrong types, on one page and with one entry a page.

--- a/tests/process/test_store_lists.py
+++ b/tests/process/test_store_lists.py
@@ -1,4 +1,5 @@
 """Tests that nodes know all replicas whatever else the store holds, and however many pages a list has, on real processes."""
+import json
 import re
 import time
 import unittest
@@ -13,6 +14,11 @@
 ODD_KEYS = ["%7Ez", "%", "a00%25", "a00%41", "a01%2F", "a01%00", "a02&b=", "a03+", "a04%C3%A9", "a05#x", "a06 y", "a07;z", "a08é",
             "a09?q", "a10/..", "a11\\", "a12\"", "a13\n", "a14\t", "a15%zz", "a16\u2028", "a17😀", "a18=", "a19,", "z" * 190]
 
+# Members of entries that can't be used. A value of None leaves the member out.
+ODD_MEMBERS = [{"value": "\ud800"}, {"value": "e30=\udcff"}, {"value": [float("inf")]}, {"value": json.loads("[" * 100 + "]" * 100)},
+               {"value": {}}, {"lease": 10 ** 400}, {"revision": -1}, {"revision": 1.5}, {"revision": "1"}, {"revision": None},
+               {"key": 7}, {"key": None}, {"key": ""}, {"key": []}]
+
 
 def start_time(nodes):
     """Returns the seconds until all nodes are ready."""
@@ -69,6 +75,33 @@
                     platform.store.remove(f"servers/{key}")
             self.check_calls(platform)
 
+    def put_odd_entries(self, store, members_of_entries):
+        """Writes entries that can't be used as they are, some before and some behind the replicas'."""
+        with store.changed:
+            for number, members in enumerate(members_of_entries):
+                for place in "az":
+                    store.put(f"servers/{place}{number:02}", {})
+                    item = {**store.items[f"servers/{place}{number:02}"], **members}
+                    store.items[f"servers/{place}{number:02}"] = {
+                        name: member for name, member in item.items() if member is not None}
+
+    def test_entries_that_cannot_be_read_keep_no_restarted_node_from_the_replicas(self):
+        with Platform(nodes=2, replicas=3) as platform:
+            self.put_odd_entries(platform.store, ODD_MEMBERS)
+            self.restart(platform)
+            self.check_all_replicas_are_used(platform)
+            self.check_calls(platform)
+            for node in platform.nodes:
+                self.assertNotIn("store_answer_unreadable", node.log.read_text())
+
+    def test_entries_that_cannot_be_read_end_no_list_of_small_pages(self):
+        with Platform(nodes=2, replicas=3) as platform:
+            platform.store.page_items = 1
+            self.put_odd_entries(platform.store, [members for members in ODD_MEMBERS if "key" not in members])
+            self.restart(platform)
+            self.check_all_replicas_are_used(platform)
+            self.check_calls(platform)
+
     def test_replicas_whose_names_a_query_escapes_are_used(self):
         with Platform(nodes=2, replicas=3) as platform:
             platform.store.page_items = 1
