--- a/modules/snowrudder_serving/store/StateStore.h
+++ b/modules/snowrudder_serving/store/StateStore.h
@@ -34,7 +34,7 @@
     /** There was no response. A write may have been applied, or may still be applied later while its conditions hold.
     */
     unknown,
-    /** The store no longer keeps the changes that a watch asked for. */
+    /** The store no longer keeps the changes that a watch asked for, or they are too many for a response. */
     historyCompacted
 };
 
@@ -73,6 +73,8 @@
     std::uint64_t revision = 0;
     /** Whether there are more items behind these. */
     bool hasMore = false;
+    /** The number of items that were left out because their keys can't be read. */
+    std::size_t unreadable = 0;
 };
 
 /** A condition of a transaction: the key must be at this revision, or must not exist where it is 0. */
