A node's log, figures and readiness answer say why it isn't ready

Nothing said which of the things that readiness waits for was missing, since when, or what the store had answered.

Cause: readiness was one expression that nothing logged or published.

Change: readinessGapsOf() names what is missing (configuration, proof, replicas, leaving). recordReadiness() decides what to log: at the start, after 1 s, then every 5 s, and when it changes, with at most four lines at once and one a second in the long run. Lines: not_ready (since when for each gap, the latest call of the store for it with its outcome and times, of the replicas also pages, items, unreadable ones and whether the list was whole) and ready. Gauges: snowrudder_ready, snowrudder_not_ready_seconds{missing}. The readiness check's 503 names the gaps. It is looked at in the loop that runs each 100 ms; a request costs nothing more.

Measured: before, there was neither line nor gauge.

--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -196,18 +196,25 @@
 */
 auto Membership::readSecret() -> Task<void>
 {
+    auto& call = state.storeCalls.members;
+    beginCall (call, "read_secret", BootClock::now());
     auto read = co_await store.read (std::string (secretKey), ReadFreshness::secondsOld);
 
     if (read.outcome == StoreOutcome::refused)
         read = co_await store.read (std::string (secretKey), ReadFreshness::newest);
 
+    endCall (call, read.outcome, BootClock::now());
+
     for (const auto& item : read.items)
         state.fleetSecret = item.value;
 }
 
 auto Membership::listDomain (ReadFreshness age) -> Task<bool>
 {
+    auto& call = state.storeCalls.members;
+    beginCall (call, "list_domain", BootClock::now());
     const auto listed = co_await listItems (state.loop, store, domainPrefix(), age);
+    endCall (call, listed.outcome, BootClock::now());
 
     if (listed.outcome != StoreOutcome::done)
         co_return false;
@@ -280,7 +287,10 @@
 auto Membership::agreeOnSecret() -> Task<void>
 {
     const auto proposed = toString (makeUuid (wallTimeNow()));
+    auto& call = state.storeCalls.members;
+    beginCall (call, "create_secret", BootClock::now());
     const auto result = co_await store.commit (makeCreateTransaction (std::string (secretKey), proposed));
+    endCall (call, result.outcome, BootClock::now());
 
     if (result.outcome == StoreOutcome::done)
         state.fleetSecret = proposed;
--- a/modules/snowrudder_serving/node/ServingNode.cpp
+++ b/modules/snowrudder_serving/node/ServingNode.cpp
@@ -6,6 +6,7 @@
 #include "../store/ConfigurationFollower.h"
 #include "../store/StoreCallMetrics.h"
 #include "../streams/VersionRegistryLoop.h"
+#include "ReadinessReport.h"
 
 #include <unistd.h>
 
@@ -177,9 +178,15 @@
 
 auto ServingNode::answerReadiness (Exchange& exchange) -> Task<void>
 {
-    const auto isReady = exchange.path() == face.readinessPath && state.isReady (BootClock::now());
+    const auto gaps = state.readinessGaps (BootClock::now());
+    const auto isReady = exchange.path() == face.readinessPath && gaps.isEmpty();
     const auto status = isReady ? http::status::ok : http::status::service_unavailable;
-    co_await exchange.respond (status, "text/plain", isReady ? "ready\n" : "not ready\n");
+    std::string body = isReady ? "ready\n" : "not ready\n";
+
+    if (! gaps.isEmpty())
+        body = "not ready: " + toString (gaps) + "\n";
+
+    co_await exchange.respond (status, "text/plain", std::move (body));
 }
 
 auto ServingNode::answerMetrics (Exchange& exchange) -> Task<void>
@@ -212,6 +219,7 @@
 auto ServingNode::sweepLoop() -> Task<void>
 {
     SuspensionWatch suspensions;
+    ReadinessReport readinessReport (state.metrics);
     MemoryWatch memory;
     memory.limitBytes = state.settings.memoryBytes;
 
@@ -236,6 +244,7 @@
         state.crashes.evidence().removeExpired (now);
 
         state.updateShares (now);
+        readinessReport.update (state, now);
         flushLog();
         co_await pauseFor (state.loop, sweepInterval);
     }
--- a/modules/snowrudder_serving/node/ServingState.h
+++ b/modules/snowrudder_serving/node/ServingState.h
@@ -25,8 +25,10 @@
 #include "../queue/ServiceQueues.h"
 #include "../request/UpstreamProtocol.h"
 #include "../rollout/RolloutState.h"
+#include "../store/StoreCall.h"
 #include "../streams/StreamContinuation.h"
 #include "NodeStop.h"
+#include "Readiness.h"
 #include "ServingMetrics.h"
 #include "ServingSettings.h"
 
@@ -56,10 +58,11 @@
     {
     }
 
-    /** @returns whether the load balancer may send callers to this node. */
-    [[nodiscard]] auto isReady (TimePoint now) const -> bool
+    /** @returns what keeps the load balancer from sending callers to this node. */
+    [[nodiscard]] auto readinessGaps (TimePoint now) const -> ReadinessGaps
     {
-        return hasReplicas && ! leaving && isFresh (configuration, freshness, now);
+        return readinessGapsOf ({ configuration.current != nullptr, isFresh (configuration, freshness, now),
+                                  hasReplicas, leaving });
     }
 
     /** Applies the directory to rollouts and to the selection of replicas. */
@@ -277,6 +280,7 @@
     std::string fleetSecret;
     bool hasReplicas = false;
     bool isStoreReached = true;
+    StoreCalls storeCalls;
     bool leaving = false;
     /** Whether this node, which is shutting down, no longer admits requests. */
     bool isDrained = false;
--- a/modules/snowrudder_serving/store/ConfigurationFollower.cpp
+++ b/modules/snowrudder_serving/store/ConfigurationFollower.cpp
@@ -152,7 +152,10 @@
 auto readAnnouncedConfiguration (ServingState& state, const StateStore& store, const StoreFormats& formats)
     -> Task<StoreOutcome>
 {
+    auto& call = state.storeCalls.configuration;
+    beginCall (call, "read_announced", BootClock::now());
     const auto read = co_await store.read (formats.configurationKey, ReadFreshness::secondsOld);
+    endCall (call, read.outcome, BootClock::now());
     recordStoreOutcome (state, read.outcome, "configuration");
 
     for (const auto& item : read.items)
@@ -202,6 +205,7 @@
     const auto sentAt = BootClock::now();
     std::vector<StoredItem> newer;
     auto outcome = StoreOutcome::unknown;
+    beginCall (state.storeCalls.configuration, state.configuration.current ? "check" : "read", sentAt);
 
     if (state.configuration.current)
     {
@@ -221,6 +225,7 @@
         newer = std::move (result.items);
     }
 
+    endCall (state.storeCalls.configuration, outcome, BootClock::now());
     recordStoreOutcome (state, outcome, "configuration");
     logLateCheck (state, sentAt, outcome);
 
--- a/modules/snowrudder_serving/store/ReplicaListing.cpp
+++ b/modules/snowrudder_serving/store/ReplicaListing.cpp
@@ -142,6 +142,11 @@
         else if (item.key.size() <= maxSharedKeyLength)
             entries.unreadable.push_back ({ item.key, { item.revision, true } });
 
+    auto& progress = state.storeCalls.replicaList;
+    ++progress.pages;
+    progress.items += page.items.size();
+    progress.unreadable += page.items.size() - entries.entries.size();
+
     const auto now = BootClock::now();
     applyPage (state.directory, *listing.list, std::move (entries), now);
 
@@ -183,9 +188,13 @@
 {
     const auto sentAt = BootClock::now();
     PagedList listing { state, store, formats, reason, sentAt, sentAt };
+    state.storeCalls.replicaList = {};
+    beginCall (state.storeCalls.replicas, "list", sentAt);
     const auto receive = [&listing] (ReadItems page) { return receivePage (listing, std::move (page)); };
     const auto end = co_await listPages (state.loop, store, formats.replicaPrefix, ReadFreshness::newest,
                                          receive, mostPages);
+    endCall (state.storeCalls.replicas, end.outcome, BootClock::now());
+    state.storeCalls.replicaList.isWhole = end.isWhole;
     recordStoreOutcome (state, end.outcome, "replicas");
     logUnlogged (listing.unreadable);
 
--- a/modules/snowrudder_serving/store/StoreFollowers.cpp
+++ b/modules/snowrudder_serving/store/StoreFollowers.cpp
@@ -88,8 +88,10 @@
     -> Task<StoreOutcome>
 {
     const auto sentAt = BootClock::now();
+    beginCall (state.storeCalls.replicas, "watch", sentAt);
     const auto changed = co_await store.watch (formats.replicaPrefix, state.directory.revision, times);
     const auto receivedAt = BootClock::now();
+    endCall (state.storeCalls.replicas, changed.outcome, receivedAt);
     auto& provenAt = state.storeUpdates.ownDirectoryProvenAt;
     recordStoreOutcome (state, changed.outcome, "replicas");
 
