Starts in series beside a sound, silent and busy store are measured from its first answer

One, half and all of six nodes are killed and started again in a seeded order, with lists of two entries a page and entries of others first, while the store is sound, silent or busy for 0.3 to 3 s. A door of the stand-in records when the calls came that the store answered.

--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -278,13 +278,17 @@
         self.store = store
         self.shut = False
         self.shut_for_replicas = False
+        # When the calls came that the store answered.
+        self.answered = []
         self.server = Server(port, self)
 
     def handle(self, call, body):
         if self.shut or (self.shut_for_replicas and "path_prefix=servers/" in call.path):
             call.answer(503)
-        else:
-            self.store.handle(call, body)
+            return
+        if not (self.store.silent or self.store.busy):
+            self.answered.append(time.monotonic())
+        self.store.handle(call, body)
 
 
 class Cloud:
--- a/tests/process/test_starts.py
+++ b/tests/process/test_starts.py
@@ -1,4 +1,8 @@
-"""Tests that a node's log and figures say why it isn't ready, and that it soon gets ready, on real processes."""
+"""Tests that a node's log and figures say why it isn't ready, and that it soon gets ready, on real processes.
+
+SNOWRUDDER_SEED selects another series of starts."""
+import os
+import random
 import re
 import time
 import unittest
@@ -9,6 +13,11 @@
 # Seconds in which a line must follow what it is about.
 LINE_TIME = 2.5
 
+# Seconds from the first answer of the store to a node that starts until all that start are ready.
+READY_TIME = 2.0
+
+SEED = int(os.environ.get("SNOWRUDDER_SEED", "86"))
+
 
 class Watched:
     """A node that was killed and started again, and what it has logged since."""
@@ -145,5 +154,48 @@
             self.assertEqual(watched.answer(), (503, "not ready: leaving"))
 
 
+class Series(unittest.TestCase):
+    def restart(self, platform, doors, places, fault, outage):
+        """Kills nodes and starts them again beside a store with a fault that ends after some time. All must be ready in time."""
+        platform.store.silent, platform.store.busy = fault == "silent", fault == "busy"
+        nodes = [platform.nodes[place] for place in places]
+        for node in nodes:
+            node.process.kill()
+            node.process.wait()
+        for place in places:
+            doors[place].answered.clear()
+        for node in nodes:
+            node.start()
+        if fault:
+            time.sleep(outage)
+        platform.store.silent = platform.store.busy = False
+        for node in nodes:
+            wait_until(node.is_ready, f"{node.name} is ready")
+        first_answer = min(doors[place].answered[0] for place in places)
+        return time.monotonic() - first_answer
+
+    def test_nodes_that_are_killed_and_started_in_series_are_ready_soon_after_the_first_answer_of_the_store(self):
+        random_source = random.Random(SEED)
+        with Platform(nodes=0, replicas=5) as platform:
+            platform.store.page_items = 2
+            for number in range(5):
+                platform.store.put(f"servers/a{number}%25", {"owner": "another system"})
+            doors = [platform.add_node_behind_door()[1] for _ in range(6)]
+            for node in platform.nodes:
+                wait_until(node.is_ready, f"{node.name} is ready")
+            rounds = [(count, fault) for count in (1, 3, 6) for fault in (None, "silent", "busy")]
+            random_source.shuffle(rounds)
+            for count, fault in rounds:
+                places = random_source.sample(range(6), count)
+                outage = random_source.uniform(0.3, 3.0)
+                with self.subTest(nodes=count, fault=fault, outage=round(outage, 3)):
+                    taken = self.restart(platform, doors, places, fault, outage)
+                    print(f"{count} of 6 nodes, store {fault or 'sound'} for {outage if fault else 0:.2f} s: ready after {taken:.2f} s")
+                    self.assertLess(taken, READY_TIME)
+            for node in platform.nodes:
+                self.assertNotIn("process_fault", node.log.read_text())
+            self.assertEqual(platform.store.malformed, [])
+
+
 if __name__ == "__main__":
     unittest.main()
