--- a/tests/unit/StoreClientTests.cpp
+++ b/tests/unit/StoreClientTests.cpp
@@ -137,7 +137,7 @@
                R"(,"store_revision":)" + std::to_string (revision) + "}";
     }
 
-    auto run (std::function<Task<void> (const StateStore&)> work) -> void
+    auto run (const std::function<Task<void> (const StateStore&)>& work) -> void
     {
         const auto client = platform::storeClient (pool, acceptor.local_endpoint());
         asio::co_spawn (loop, work (client),
@@ -198,6 +198,7 @@
 auto soundReplicas() -> std::vector<WireEntry>
 {
     std::vector<WireEntry> entries;
+    entries.reserve (soundNames.size());
 
     for (const auto& name : soundNames)
         entries.push_back (replica (name));
