Membership: a node lists the members soon after the store has answered its other calls

What callers saw: nodes that were started while the store was silent were ready up to 2.1 s after its return; the target is 2 s.

Cause: the first list of the replicas ends after one page, and the node waits for the rest from readers until it knows the members. Its call about the members, sent before the store's return, had to time out (0.8 s), and a pause of a second followed though the store answered the node's other calls. Seen in its lines: not_ready missing=replicas list_pages=1 list_unreadable=2 list_whole=no awaits_readers=yes members_outcome=no_response_yet.

Change: the pause after a failed call of the members is the short one (0.3 s) once the store has answered the node's call for the configuration or the replicas since that call began.

Not measured: how a large fleet calls a store that answers some calls and rejects others; the virtual fleets don't run this loop.

--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -28,6 +28,8 @@
 constexpr auto firstFailurePause = Duration (300ms);
 constexpr auto failurePause = Duration (1s);
 
+constexpr auto failurePollInterval = Duration (20ms);
+
 /** Pause after a failed call to register this node or to renew its entry. */
 constexpr auto joinFailurePause = Duration (1s);
 
@@ -46,6 +48,13 @@
     return std::chrono::duration_cast<Duration> (duration * fraction);
 }
 
+auto hasAnswerSince (const StoreCalls& calls, TimePoint time) -> bool
+{
+    const auto isAnswered = [time] (const StoreCall& call)
+    { return call.endedAt && *call.endedAt > time && isConclusive (call.outcome); };
+    return isAnswered (calls.configuration) || isAnswered (calls.replicas);
+}
+
 } // namespace
 
 auto datagramEndpoint (std::string_view text) -> std::optional<asio::ip::udp::endpoint>
@@ -82,14 +91,28 @@
 {
     for (auto failures = 0U;;)
     {
+        const auto began = BootClock::now();
         const auto isStoreReachable = co_await refresh();
         failures = isStoreReachable ? 0 : failures + 1;
 
         if (! isStoreReachable)
-            co_await pauseFor (state.loop, jittered (failures < 2 ? firstFailurePause : failurePause));
+            co_await pauseAfterFailure (began, failures);
     }
 }
 
+/** Pauses after a failed call. The pause is short if the store has answered another call of this node since, as it has just
+    returned then.
+*/
+auto Membership::pauseAfterFailure (TimePoint callBegan, unsigned failures) -> Task<void>
+{
+    const auto now = BootClock::now();
+    const auto shortEnd = now + jittered (firstFailurePause);
+    const auto end = failures < 2 ? shortEnd : now + jittered (failurePause);
+
+    while (BootClock::now() < (hasAnswerSince (state.storeCalls, callBegan) ? shortEnd : end))
+        co_await pauseFor (state.loop, failurePollInterval);
+}
+
 auto Membership::refresh() -> Task<bool>
 {
     if (state.fleetSecret.empty())
--- a/modules/snowrudder_serving/members/Membership.h
+++ b/modules/snowrudder_serving/members/Membership.h
@@ -70,6 +70,7 @@
     [[nodiscard]] auto streamHolderCandidates() const -> const std::vector<Endpoint>&;
 
 private:
+    auto pauseAfterFailure (TimePoint callBegan, unsigned failures) -> Task<void>;
     auto refresh() -> Task<bool>;
     auto readSecret() -> Task<void>;
     auto agreeOnSecret() -> Task<void>;
