--- /dev/null
+++ b/tests/process/test_odd_names.py
@@ -0,0 +1,104 @@
+"""Tests that names with bytes that mean something to a header, a query, a log line or a path break no request apart and end no
+process, on real processes."""
+import random
+import time
+import unittest
+
+from harness import wait_until
+from platform_deployment import Platform, configuration
+
+# Seconds from the start of a node until it is ready, the store being in good order.
+READY_TIME = 2.0
+
+# Names with bytes that mean something to a header, a query, a log line or a path. Each can be a header as it is.
+ODD_NAMES = ["%", "a%b", "a%41", "a%n%s%D{", "a&b=c", "a+b", "a#b", "a;b,c", "a b", '"a"', "a\\", "..", "/", "a/b", "../op/config",
+             "é", "😀", "\u2028", "x" * 200, "x" * 1024]
+
+# Names that can't be a header.
+BROKEN_NAMES = ["a\rb", "a\nb", "a\r\nX-Priority: 9", "a\0b", "a\tb", "a\x7fb", "x" * 1025, "x" * 70_000]
+
+
+class OddNames(unittest.TestCase):
+    def setUp(self):
+        self.random = random.Random(86)
+        self.version = 1
+
+    def run_platform(self, **settings):
+        platform = Platform(nodes=2, replicas=2, **settings).__enter__()
+        self.addCleanup(platform.__exit__)
+        self.check_ready(platform)
+        return platform
+
+    def check_ready(self, platform):
+        began = time.monotonic()
+        for node in platform.nodes:
+            wait_until(node.is_ready, f"{node.name} is ready")
+        self.assertLess(time.monotonic() - began, READY_TIME)
+
+    def check(self, platform):
+        """All nodes run, answer sound requests, and get ready in time when they are started again together."""
+        self.assertEqual([node.process.poll() for node in platform.nodes], [None] * len(platform.nodes))
+        for node in platform.nodes:
+            self.assertEqual(node.call("POST", "/again/x", body="prompt").status, 200)
+            node.process.kill()
+            node.process.wait()
+        for node in platform.nodes:
+            node.start()
+        self.check_ready(platform)
+        for node in platform.nodes:
+            self.assertEqual(node.call("POST", "/again/x", body="prompt").status, 200)
+        self.assertEqual(platform.store.malformed, [])
+
+    def publish(self, platform, **more):
+        """Writes a configuration and waits until all nodes have adopted or refused it.
+
+        @returns the lines of the log that say so, one of each node
+        """
+        self.version += 1
+        platform.store.put("op/config", configuration(version=self.version, **more))
+
+        def line_of(node):
+            lines = node.log.read_text().split("\n")
+            return [line for line in lines if f" version={self.version} " in line and " configuration_" in line]
+        return [wait_until(lambda node=node: line_of(node), "the configuration is seen")[0] for node in platform.nodes]
+
+    def test_names_of_accounts_reach_replicas_whole(self):
+        platform = self.run_platform()
+        accounts = [{"name": name, "api_keys": [f"key-{number}"]} for number, name in enumerate(ODD_NAMES)]
+        accounts.append({"name": "alpha", "api_keys": ["key-alpha"]})
+        for line in self.publish(platform, tenants=accounts):
+            self.assertIn("configuration_adopted", line)
+        for number, name in enumerate(ODD_NAMES):
+            node = self.random.choice(platform.nodes)
+            self.assertEqual(node.call("POST", "/again/x", body="prompt", key=f"key-{number}", id=f"odd-{number}").status, 200)
+            heads = [head for replica in platform.replicas for _, _, head, _ in replica.seen if head["X-Request-Id"] == f"odd-{number}"]
+            # Headers are read as Latin-1.
+            self.assertEqual([head["X-Tenant"].encode("latin-1").decode() for head in heads], [name])
+        counted = set()
+
+        def are_counted():
+            for _, _, _, report in platform.cloud.of("/usage"):
+                counted.update(report["counts"])
+            return counted >= set(ODD_NAMES)
+        wait_until(are_counted, "the use of all accounts is reported")
+        self.check(platform)
+
+    def test_a_name_of_an_account_that_breaks_a_header_apart_is_refused_by_a_line_that_names_it(self):
+        platform = self.run_platform()
+        for name in BROKEN_NAMES:
+            with self.subTest(name=name[:20], bytes=len(name)):
+                accounts = [{"name": "alpha", "api_keys": ["key-alpha"]}, {"name": name, "api_keys": ["key-odd"]}]
+                for line in self.publish(platform, tenants=accounts):
+                    self.assertIn("configuration_refused", line)
+                    self.assertIn("member=tenants[1].name", line)
+        # The next sound one is adopted.
+        for line in self.publish(platform):
+            self.assertIn("configuration_adopted", line)
+        for node in platform.nodes:
+            self.assertEqual(node.call("POST", "/again/x", body="prompt", key="key-odd").status, 401)
+        self.check(platform)
+        self.assertTrue(all(head["X-Tenant"] == "alpha" for replica in platform.replicas for _, _, head, _ in replica.seen))
+
+
+if __name__ == "__main__":
+    unittest.main()
