--- a/tests/process/test_odd_names.py
+++ b/tests/process/test_odd_names.py
@@ -1,11 +1,12 @@
 """Tests that names with bytes that mean something to a header, a query, a log line or a path break no request apart and end no
 process, on real processes."""
 import random
+import subprocess
 import time
 import unittest
 
 from harness import wait_until
-from platform_deployment import Platform, configuration
+from platform_deployment import BUILD, Platform, configuration
 
 # Seconds from the start of a node until it is ready, the store being in good order.
 READY_TIME = 2.0
@@ -99,6 +100,20 @@
         self.check(platform)
         self.assertTrue(all(head["X-Tenant"] == "alpha" for replica in platform.replicas for _, _, head, _ in replica.seen))
 
+    def test_a_name_of_a_node_that_breaks_a_header_or_a_message_apart_is_refused_by_a_line_that_names_it(self):
+        platform = self.run_platform()
+        for member, usual in (("node_name", "front-0"), ("zone", "a")):
+            for name in (b"a\rb", b"a\0b", b"a\tb", b"a\x7fb", b"a\xff\xfeb", b"a\xed\xa0\x80", b"x" * 257, b"x" * 70_000):
+                with self.subTest(member=member, name=name[:20]):
+                    file = platform.folder / "odd.conf"
+                    file.write_bytes(platform.first.settings.read_bytes().replace(f"{member}={usual}\n".encode(),
+                                                                                  member.encode() + b"=" + name + b"\n"))
+                    run = subprocess.run([BUILD / "snowrudder-router", "--face", "platform", "--settings", file], timeout=5,
+                                         capture_output=True, check=False)
+                    self.assertNotEqual(run.returncode, 0)
+                    self.assertIn(f"{member}: must have".encode(), run.stderr)
+        self.check(platform)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/PlatformFaceTests.cpp
+++ b/tests/unit/PlatformFaceTests.cpp
@@ -102,6 +102,31 @@
     CHECK (platform::readBootSettings ("not-there.conf", settings).size() == 1);
 }
 
+TEST_CASE ("no node starts with a name that breaks a header or a message between nodes apart")
+{
+    for (const auto* name : { "a\rb", "a\tb", "a\x7f", "a\xff", "a\xed\xa0\x80" })
+        for (const auto& [text, line] : { std::pair (std::string ("node_name=") + name + "\nzone=a\n", 1),
+                                          std::pair (std::string ("node_name=n\nzone=") + name + "\n", 2) })
+        {
+            ServingSettings settings;
+            const SettingsFile file (text);
+            const auto errors = platform::readBootSettings (file.path, settings);
+            REQUIRE_FALSE (errors.empty());
+            INFO (toString (errors[0]));
+            CHECK (toString (errors[0]).find (":" + std::to_string (line) + ": ") != std::string::npos);
+            CHECK (toString (errors[0]).find ("without control characters") != std::string::npos);
+        }
+
+    ServingSettings settings;
+    const SettingsFile file ("node_name=%&/é\nzone=a b\n");
+
+    for (const auto& error : platform::readBootSettings (file.path, settings))
+        CHECK (toString (error).find ("control") == std::string::npos);
+
+    CHECK (settings.node == "%&/é");
+    CHECK (settings.failureDomain == "a b");
+}
+
 TEST_CASE ("a caller's request is decoded without its API key and the headers reserved for nodes")
 {
     const auto decoded = decode (callerMessage());
