Members: any name of a node or zone makes one key that fits into the store

What callers saw: limits shared by the wrong number of nodes. A node with a slash in its name took its own entry for that of another node and counted one node too many; a node whose name and zone made a key of more than 200 bytes never joined the others, as the store refuses such a key.

Cause: keys of members were put together from the names as they are, and the name was read back as what follows the last slash.

Change: memberKeyPart() escapes a name, slashes included, and replaces the end of a long one by a hash; a node finds its own entry by that part of the key. Names of up to 80 letters, digits and -._~ make the same keys as before, so that nodes of both versions find each other. The stand-in store refuses longer keys, as the platform's does.

--- a/modules/snowrudder_serving/members/Membership.cpp
+++ b/modules/snowrudder_serving/members/Membership.cpp
@@ -2,6 +2,7 @@
 
 #include "../store/ListPages.h"
 #include "../store/StoreTransactions.h"
+#include "MemberKey.h"
 #include "ReportTimes.h"
 
 #include <algorithm>
@@ -267,14 +268,14 @@
 auto Membership::ownEntry() const -> StoredItem
 {
     StoredItem item;
-    item.key = domainPrefix() + state.settings.node;
+    item.key = domainPrefix() + memberKeyPart (state.settings.node);
     item.value = formatMember ({ state.settings.listenPeers, state.settings.failureDomain });
     return item;
 }
 
 auto Membership::domainPrefix() const -> std::string
 {
-    return std::string (memberPrefix) + state.settings.failureDomain + "/";
+    return std::string (memberPrefix) + memberKeyPart (state.settings.failureDomain) + "/";
 }
 
 auto Membership::agreeOnSecret() -> Task<void>
@@ -353,14 +354,15 @@
 
 /** Reads a list of members, and records the addresses of the others.
 
-    @returns the members by name, this node included
+    @returns the members by the last parts of their keys, this node included
 */
 auto Membership::readMembers (const ReadItems& listed) -> std::map<std::string, MemberInfo>
 {
     std::map<std::string, MemberInfo> members;
     endpointsOfOthers.clear();
     membersOfDomain.clear();
-    members[state.settings.node] = { state.settings.listenPeers, state.settings.failureDomain };
+    const auto own = memberKeyPart (state.settings.node);
+    members[own] = { state.settings.listenPeers, state.settings.failureDomain };
 
     for (const auto& item : listed.items)
     {
@@ -368,7 +370,7 @@
         auto member = parseMember (item.value);
         const auto endpoint = datagramEndpoint (member.endpoint);
 
-        if (name == state.settings.node || ! endpoint)
+        if (name == own || ! endpoint)
             continue;
 
         endpointsOfOthers.push_back (*endpoint);
@@ -393,8 +395,8 @@
     for (const auto& item : listed.items)
         hash = hashBytes (item.value, hashBytes (item.key, hash));
 
-    state.memberPosition =
-        static_cast<std::size_t> (std::distance (members.begin(), members.find (state.settings.node)));
+    state.memberPosition = static_cast<std::size_t> (
+        std::distance (members.begin(), members.find (memberKeyPart (state.settings.node))));
     auto& storeUpdates = state.storeUpdates;
     storeUpdates.membersHash = hash;
     storeUpdates.membersListedAt = BootClock::now();
--- a/tests/process/platform_deployment.py
+++ b/tests/process/platform_deployment.py
@@ -26,13 +26,14 @@
 
 
 class Node:
-    """A router process. One that is suspendable can be suspended as if its VM were."""
+    """A router process. One that is suspendable can be suspended as if its VM were. `named` is its name in the settings, where
+    that can't be part of a file's name."""
 
-    def __init__(self, platform, name, store_port=None, zone="a", environment=None, settings="", suspendable=False):
+    def __init__(self, platform, name, store_port=None, zone="a", environment=None, settings="", suspendable=False, named=None):
         self.name = name
         self.front, self.readiness, self.peers, self.metrics = free_ports(4)
         self.settings = platform.folder / f"{name}.conf"
-        self.settings.write_text(f"node_name={name}\nzone={zone}\nip=127.0.0.1\nlisten.front=127.0.0.1:{self.front}\n"
+        self.settings.write_text(f"node_name={named or name}\nzone={zone}\nip=127.0.0.1\nlisten.front=127.0.0.1:{self.front}\n"
                                  f"listen.readiness=127.0.0.1:{self.readiness}\nport_range={self.peers},{self.peers}\n"
                                  f"platform.address=127.0.0.1:{store_port or platform.store_port}\n"
                                  f"cloud.address=127.0.0.1:{platform.cloud_port}\ncloud.duties=metered,autoscale\n"
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -99,6 +99,10 @@
     return dict(pairs)
 
 
+# The longest key, in bytes.
+KEY_BYTES = 200
+
+
 class Store:
     """The state store: revisions, conditions, leases and watches. Its boolean attributes switch on faults.
 
@@ -246,6 +250,8 @@
 
     def commit(self, data):
         conditions = data["expected_rev"]
+        if any(len(put["key"].encode()) > KEY_BYTES for put in data["set_keys"]):
+            raise ValueError("a key is too long")
         if any(self.items.get(entry["key"], {}).get("revision", 0) != entry["revision"] for entry in conditions):
             return 412, {"items": [self.items[entry["key"]] for entry in conditions if entry["key"] in self.items]}
         if any(put["lease"] and put["lease"] not in self.leases for put in data["set_keys"]):
--- a/tests/process/test_odd_names.py
+++ b/tests/process/test_odd_names.py
@@ -1,12 +1,13 @@
 """Tests that names with bytes that mean something to a header, a query, a log line or a path break no request apart and end no
 process, on real processes."""
 import random
+import re
 import subprocess
 import time
 import unittest
 
 from harness import wait_until
-from platform_deployment import BUILD, Platform, configuration
+from platform_deployment import BUILD, Node, Platform, configuration
 
 # Seconds from the start of a node until it is ready, the store being in good order.
 READY_TIME = 2.0
@@ -100,6 +101,23 @@
         self.check(platform)
         self.assertTrue(all(head["X-Tenant"] == "alpha" for replica in platform.replicas for _, _, head, _ in replica.seen))
 
+    def test_nodes_and_failure_domains_of_any_name_join_the_members_once(self):
+        platform = self.run_platform()
+        names = ["a/b", "a%n%s%D{", "x" * 200] + self.random.sample([name for name in ODD_NAMES if len(name) < 200], 5)
+        zones = self.random.sample(names, len(names))
+        odd = [Node(platform, f"odd-{number}", zone=zone, named=name) for number, (name, zone) in enumerate(zip(names, zones))]
+        platform.nodes += odd
+        self.check_ready(platform)
+
+        def counts():
+            return [re.findall(r" members_changed before=\d+ now=(\d+)", node.log.read_text())[-1:] for node in platform.nodes]
+        expected = [[str(len(platform.nodes))]] * len(platform.nodes)
+        wait_until(lambda: counts() == expected, "all nodes know all members")
+        # The members are listed some times a second at first.
+        time.sleep(1.0)
+        self.assertEqual(counts(), expected)
+        self.check(platform)
+
     def test_a_name_of_a_node_that_breaks_a_header_or_a_message_apart_is_refused_by_a_line_that_names_it(self):
         platform = self.run_platform()
         for member, usual in (("node_name", "front-0"), ("zone", "a")):
--- a/tests/unit/MembershipTests.cpp
+++ b/tests/unit/MembershipTests.cpp
@@ -1,9 +1,12 @@
+#include "snowrudder_serving/members/MemberKey.h"
 #include "snowrudder_serving/members/Membership.h"
 
 #include <catch2/catch.hpp>
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace snowrudder;
@@ -110,6 +113,27 @@
 
 } // namespace
 
+TEST_CASE (
+    "no name of a node or a failure domain makes a key that is another one's, or too long for the store")
+{
+    const auto longName = std::string (256, 'x');
+    const auto odd =
+        std::vector<std::string> { "",     "%", "%25", "a/b", "a%2Fb", "a+b",    "a b",
+                                   "\xff", "é", "/",   "..",  "%%",    longName, longName + "y" };
+    std::set<std::string> parts;
+
+    for (const auto& name : odd)
+    {
+        const auto part = memberKeyPart (name);
+        INFO (name << " " << part);
+        CHECK (parts.insert (part).second);
+        CHECK (part.size() <= 80);
+        CHECK (part.find ('/') == std::string::npos);
+    }
+
+    CHECK (memberKeyPart ("front-hall-a_1.x~") == "front-hall-a_1.x~");
+}
+
 TEST_CASE ("a restarted node reads the secret and the members, and writes only its entry")
 {
     // Otherwise hundreds of nodes that restart at once each make a write to obtain a secret that already exists.
