Log: names can't garble lines, whatever bytes they have

What operators saw: with a percent sign in a node's name, each line of its log had a date, a file name or a line break in place of the name, or the text of the line was missing; with a blank in it the columns were shifted. Keys of other systems' entries put escape characters and other control characters into the log as they are.

Cause: the program's name went into the pattern of the log's layout, which reads % as a conversion; and only values with a tab, a carriage return or a line feed among the control characters were quoted.

Change: the name is quoted like a value and escaped for the pattern. Values with any control character are quoted, with a blank for each.

--- a/modules/snowrudder_core/log/Log.cpp
+++ b/modules/snowrudder_core/log/Log.cpp
@@ -53,9 +53,47 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
+auto isControl (char character) -> bool
+{
+    constexpr auto deleteCharacter = '\x7F';
+    return static_cast<unsigned char> (character) < ' ' || character == deleteCharacter;
+}
+
 auto needsQuotes (std::string_view value) -> bool
 {
-    return value.empty() || value.find_first_of (" \"=\n\r\t") != std::string_view::npos;
+    return value.empty() || value.find_first_of (" \"=") != std::string_view::npos ||
+           std::ranges::any_of (value, isControl);
+}
+
+/** @returns a value as a log line holds it, which is one word or quoted. */
+auto quotedIfNeeded (std::string_view value) -> std::string
+{
+    if (! needsQuotes (value))
+        return std::string (value);
+
+    std::string quoted = "\"";
+
+    for (const auto character : value)
+    {
+        if (character == '"' || character == '\\')
+            quoted += '\\';
+
+        quoted += isControl (character) ? ' ' : character;
+    }
+
+    quoted += '"';
+    return quoted;
+}
+
+/** @returns a text that a layout's pattern writes as it is. */
+auto patternText (std::string_view text) -> std::string
+{
+    std::string escaped;
+
+    for (const auto character : text)
+        escaped.append (character == '%' ? 2 : 1, character);
+
+    return escaped;
 }
 
 /** Owned by the logger; nullptr before logging is started. */
@@ -66,7 +104,7 @@
 auto startAppender (const BoundedAppender::Options& options, std::string_view program, LogLevel level) -> void
 {
     auto& logger = rootLogger();
-    const auto pattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + std::string (program) + " %m%n";
+    const auto pattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + patternText (quotedIfNeeded (program)) + " %m%n";
     currentAppender = new BoundedAppender (options);
     faultDescriptor = options.descriptor;
     const log4cplus::SharedAppenderPtr appender (currentAppender);
@@ -108,21 +146,7 @@
 
 auto LogLine::with (std::string_view name, std::string_view value) -> LogLine&
 {
-    if (! needsQuotes (value))
-        return withRaw (name, value);
-
-    std::string quoted = "\"";
-
-    for (const auto character : value)
-    {
-        if (character == '"' || character == '\\')
-            quoted += '\\';
-
-        quoted += static_cast<unsigned char> (character) < ' ' ? ' ' : character;
-    }
-
-    quoted += '"';
-    return withRaw (name, quoted);
+    return withRaw (name, quotedIfNeeded (value));
 }
 
 auto LogLine::with (std::string_view name, double value) -> LogLine&
--- a/modules/snowrudder_core/log/Log.h
+++ b/modules/snowrudder_core/log/Log.h
@@ -17,7 +17,7 @@
 };
 
 /** A structured log line: the name of an event, then `name=value` pairs. Empty values and values with spaces, quotation
-    marks, '=', tabs or line breaks are quoted. Prompts, bodies and keys must not be logged.
+    marks, '=' or control characters are quoted. Prompts, bodies and keys must not be logged.
 */
 class LogLine
 {
--- a/tests/process/test_odd_names.py
+++ b/tests/process/test_odd_names.py
@@ -20,6 +20,10 @@
 BROKEN_NAMES = ["a\rb", "a\nb", "a\r\nX-Priority: 9", "a\0b", "a\tb", "a\x7fb", "x" * 1025, "x" * 70_000]
 
 
+# The start of a line of the log: the time, the level, the node's name as one word or quoted, and the event.
+LINE = re.compile(r'\d{4}-\d\d-\d\dT[\d:.]+Z (?:DEBUG|INFO|WARN|ERROR) (?:"((?:[^"\\]|\\.)*)"|([^ "=]+)) [a-z_]+(?: |$)')
+
+
 class OddNames(unittest.TestCase):
     def setUp(self):
         self.random = random.Random(86)
@@ -117,6 +121,14 @@
         time.sleep(1.0)
         self.assertEqual(counts(), expected)
         self.check(platform)
+        for node in odd:
+            node.process.terminate()
+        for node, name in zip(odd, names):
+            node.process.wait(10)
+            for line in node.log.read_text().rstrip("\n").split("\n"):
+                self.assertRegex(line, LINE)
+                quoted, plain = LINE.match(line).groups()
+                self.assertEqual(plain or re.sub(r"\\(.)", r"\1", quoted), name)
 
     def test_a_name_of_a_node_that_breaks_a_header_or_a_message_apart_is_refused_by_a_line_that_names_it(self):
         platform = self.run_platform()
@@ -132,6 +144,23 @@
                     self.assertIn(f"{member}: must have".encode(), run.stderr)
         self.check(platform)
 
+    def test_no_name_of_an_entry_forges_a_field_or_a_line_of_the_log(self):
+        platform = self.run_platform()
+        keys = ["\x1b[2Jx", "\vx", "x\0", "x\x7f", "x\x1cINFO", "x forged=1", "x\nforged=1", 'x" forged=1', "x\\\" forged=1", "%n%m", "x\\"]
+        for number, key in enumerate(keys, 1):
+            platform.store.put(f"servers/{key}", "no object")
+            # Only some of the entries of one list are logged each.
+            for node in platform.nodes:
+                wait_until(lambda node=node, number=number: node.log.read_text().count(" replica_unreadable ") == number,
+                           f"entry {key!r} is logged")
+        for node in platform.nodes:
+            text = node.log.read_text()
+            self.assertNotRegex(text, r"[\x00-\x09\x0b-\x1f\x7f]")
+            for line in text.rstrip("\n").split("\n"):
+                self.assertRegex(line, LINE)
+                self.assertNotIn("forged", re.sub(r'"(?:[^"\\]|\\.)*"', "", line))
+        self.check(platform)
+
 
 if __name__ == "__main__":
     unittest.main()
