Configuration: a service's name that no message between nodes can hold is refused

What callers saw: limits that were counted by each node for itself. After a request to a service with a name of 9,000 bytes the node's reports no longer fitted into a datagram and weren't sent, so that other nodes knew nothing of what it admitted.

Cause: a report names each service that had requests, and its part about services isn't divided.

Change: a service's name has at most 256 bytes, which is the most that a replica's entry can name; otherwise the configuration is refused by a line that names the member.

--- a/tests/process/test_odd_names.py
+++ b/tests/process/test_odd_names.py
@@ -105,6 +105,32 @@
         self.check(platform)
         self.assertTrue(all(head["X-Tenant"] == "alpha" for replica in platform.replicas for _, _, head, _ in replica.seen))
 
+    def test_no_name_of_a_service_keeps_a_node_from_reporting_to_others(self):
+        platform = self.run_platform()
+        usual = configuration()
+
+        def publish(names):
+            routes = [{**usual["routes"][0], "path_prefix": f"/odd-{number}/", "service": name} for number, name in enumerate(names)]
+            return self.publish(platform, routes=usual["routes"] + routes, services=usual["services"] + [
+                {"name": name, "max_conns": 1, "scaling": {"min": 1, "max": 2, "boot_s": 1}} for name in names])
+        names = [name for name in ODD_NAMES if len(name) <= 256] + ["a\r\nb", "a\0"]
+        for line in publish(names):
+            self.assertIn("configuration_adopted", line)
+        for number in range(len(names)):
+            # No replica is there.
+            self.assertEqual(platform.first.call("POST", f"/odd-{number}/x", body="prompt").status, 503)
+        for name in ("x" * 257, "x" * 9000):
+            for line in publish([name]):
+                self.assertIn("configuration_refused", line)
+                self.assertIn("member=services[1].name", line)
+            platform.first.call("POST", "/odd-0/x", body="prompt")
+        # Nodes report some times a second.
+        time.sleep(1.0)
+        self.assertFalse(any("datagram_too_large" in node.log.read_text() for node in platform.nodes))
+        for line in publish([]):
+            self.assertIn("configuration_adopted", line)
+        self.check(platform)
+
     def test_nodes_and_failure_domains_of_any_name_join_the_members_once(self):
         platform = self.run_platform()
         names = ["a/b", "a%n%s%D{", "x" * 200] + self.random.sample([name for name in ODD_NAMES if len(name) < 200], 5)
--- a/tests/unit/ConfigurationDocumentTests.cpp
+++ b/tests/unit/ConfigurationDocumentTests.cpp
@@ -203,6 +203,11 @@
         CHECK (reading.firstFault.found.find ("key-") == std::string::npos);
     }
 
+    const auto nameOf = [] (std::size_t bytes) { return "\"" + std::string (bytes, 'x') + "\""; };
+    CHECK (read (withValue ("/services/0/name", nameOf (257).c_str())).firstFault.path == "services[0].name");
+    CHECK (read (withValue ("/tenants/1/name", nameOf (1025).c_str())).firstFault.path == "tenants[1].name");
+    CHECK (read (withValue ("/tenants/1/name", nameOf (1024).c_str())).configuration);
+
     for (const auto* member : { "version", "routes", "services" })
     {
         INFO (member);
