--- a/tests/unit/ConfigurationDocumentTests.cpp
+++ b/tests/unit/ConfigurationDocumentTests.cpp
@@ -185,6 +185,9 @@
              { "/tenants/0", "7", "tenants[0]" },
              { "/tenants/0/name", R"("")", "tenants[0].name" },
              { "/tenants/1/name", R"("alpha")", "tenants[1].name" },
+             { "/tenants/1/name", R"("a\r\nX-Priority: 9")", "tenants[1].name" },
+             { "/tenants/1/name", R"("a\u0000")", "tenants[1].name" },
+             { "/tenants/1/name", R"("a\u007f")", "tenants[1].name" },
              { "/tenants/0/api_keys", R"("key-1")", "tenants[0].api_keys" },
              { "/tenants/0/api_keys", R"(["key-1",""])", "tenants[0].api_keys" },
              { "/tenants/1/api_keys", R"(["key-1"])", "tenants[1].api_keys" },
@@ -200,6 +203,11 @@
         CHECK (reading.firstFault.found.find ("key-") == std::string::npos);
     }
 
+    const auto nameOf = [] (std::size_t bytes) { return "\"" + std::string (bytes, 'x') + "\""; };
+    CHECK (read (withValue ("/services/0/name", nameOf (257).c_str())).firstFault.path == "services[0].name");
+    CHECK (read (withValue ("/tenants/1/name", nameOf (1025).c_str())).firstFault.path == "tenants[1].name");
+    CHECK (read (withValue ("/tenants/1/name", nameOf (1024).c_str())).configuration);
+
     for (const auto* member : { "version", "routes", "services" })
     {
         INFO (member);
