Relays: a replica's name is one segment of the request's target

Found by the review, by reading; not seen at a caller. Cause: a node that has lost its paths to the replicas asks another one by CONNECT with the replica's name as it is in the target, which is taken apart at the first slash. A name with a blank broke the request line, one with a slash the endpoint, so that such a replica was never reached through another node.

Change: segmentText() escapes a name as one segment, unescapedText() reads it back; the keys of members use it as well.

Measured: "a connection to a replica of any name can be relayed" passes (nine names); it was not run on the code before.

--- a/modules/snowrudder_net/client/QueryText.h
+++ b/modules/snowrudder_net/client/QueryText.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,4 +12,10 @@
 */
 auto queryText (std::string_view text) -> std::string;
 
+/** @returns a text of any bytes as one segment of a path: like queryText(), but slashes are escaped too. */
+auto segmentText (std::string_view text) -> std::string;
+
+/** @returns the text that was escaped by one of these, or nothing if an escape is malformed. */
+auto unescapedText (std::string_view text) -> std::optional<std::string>;
+
 } // namespace snowrudder
--- a/modules/snowrudder_serving/members/MemberKey.cpp
+++ b/modules/snowrudder_serving/members/MemberKey.cpp
@@ -10,10 +10,7 @@
 {
     constexpr auto maxLength = std::size_t { 80 };
     constexpr auto keptLength = std::size_t { 48 };
-    std::string part;
-
-    for (const auto character : queryText (name))
-        part += character == '/' ? std::string ("%2F") : std::string (1, character);
+    const auto part = segmentText (name);
 
     // No escaped text contains two percent signs in a row.
     return part.size() <= maxLength ? part
--- a/modules/snowrudder_serving/paths/RelayRequest.cpp
+++ b/modules/snowrudder_serving/paths/RelayRequest.cpp
@@ -1,6 +1,7 @@
 #include "RelayRequest.h"
 
 #include <charconv>
+#include <utility>
 
 namespace snowrudder
 {
@@ -16,7 +17,7 @@
 auto encodeRelayRequest (const RelayRequest& request, std::string_view secret, std::string_view node)
     -> HttpRequest
 {
-    const auto target = request.replica + separator + request.endpoint + separator +
+    const auto target = segmentText (request.replica) + separator + request.endpoint + separator +
                         std::to_string (request.timeLeft.count());
     HttpRequest message (http::verb::connect, target, 11);
     message.set (http::field::host, "snowrudder");
@@ -34,8 +35,13 @@
         endOfEndpoint == endOfName)
         return {};
 
+    auto replica = unescapedText (target.substr (0, endOfName));
+
+    if (! replica)
+        return {};
+
     RelayRequest request;
-    request.replica = target.substr (0, endOfName);
+    request.replica = std::move (*replica);
     request.endpoint = target.substr (endOfName + 1, endOfEndpoint - endOfName - 1);
 
     const auto time = target.substr (endOfEndpoint + 1);
--- a/tests/unit/NetTests.cpp
+++ b/tests/unit/NetTests.cpp
@@ -29,6 +29,19 @@
         CHECK (queryText ("a" + std::string (1, character) + "b") == "a" + expected + "b");
     }
 
+    std::string all;
+
+    for (auto code = 0; code < 256; ++code)
+        all += static_cast<char> (code);
+
+    CHECK (unescapedText (queryText (all)) == all);
+    CHECK (unescapedText (segmentText (all)) == all);
+    CHECK (segmentText ("a/b c") == "a%2Fb%20c");
+    CHECK (unescapedText ("a+b") == "a+b");
+
+    for (const auto* malformed : { "%", "a%4", "%zz", "%%41" })
+        CHECK_FALSE (unescapedText (malformed).has_value());
+
     CHECK (queryText ("").empty());
     CHECK (queryText ("servers/a02&b=1+%C3 \u00e9") == "servers/a02%26b%3D1%2B%25C3%20%C3%A9");
 }
--- a/tests/unit/PathTests.cpp
+++ b/tests/unit/PathTests.cpp
@@ -255,6 +255,23 @@
     CHECK (relays.nodes.empty());
 }
 
+TEST_CASE ("a connection to a replica of any name can be relayed")
+{
+    constexpr auto unreservedOrSeparator =
+        std::string_view ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~%/:");
+
+    for (const auto* name : { "i 2 +", "x/y", "/", "%", "%41", "a?b#c", "..", "\u00e9", "\xff" })
+    {
+        INFO (name);
+        const auto message = encodeRelayRequest ({ name, "10.0.0.1:80", 1500ms }, "secret", "front-1");
+        CHECK (toView (message.target()).find_first_not_of (unreservedOrSeparator) == std::string_view::npos);
+        const auto read = decodeRelayRequest (message);
+        REQUIRE (read.has_value());
+        CHECK (read->replica == name);
+        CHECK (read->endpoint == "10.0.0.1:80");
+    }
+}
+
 TEST_CASE ("a request to relay a connection is read as it was written, and malformed ones are rejected")
 {
     const auto message = encodeRelayRequest ({ "i-1", "10.0.0.1:80", 1500ms }, "secret", "front-1");
@@ -265,8 +282,8 @@
     CHECK (read->timeLeft == 1500ms);
     CHECK (verifiedSigner ("secret", message) == "front-1");
 
-    for (const auto* target :
-         { "", "/", "//", "a/b", "i-1/10.0.0.1/5", "i-1/10.0.0.1:80/", "i-1/10.0.0.1:80/x" })
+    for (const auto* target : { "", "/", "//", "a/b", "i-1/10.0.0.1/5", "i-1/10.0.0.1:80/",
+                                "i-1/10.0.0.1:80/x", "i-%/10.0.0.1:80/5", "i-%zz/10.0.0.1:80/5" })
         CHECK_FALSE (decodeRelayRequest (HttpRequest (http::verb::connect, target, 11)).has_value());
 
     CHECK_FALSE (decodeRelayRequest (HttpRequest (http::verb::get, "i-1/10.0.0.1:80/5", 11)).has_value());
