Tests: ports for 40 files at a time; the pause after a list that was cut short is a second

Blocks have 550 ports instead of 700.

It looks at 1.6 s now, before which the next list may not begin: the list ends after 0.75 s at the earliest. Its counts of calls and lists are unchanged.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -40,7 +40,7 @@
     first port. All blocks lie below the ephemeral port range (32,768 and up on Linux).
     """
 
-    BLOCKS = range(10_000, 32_000, 700)
+    BLOCKS = range(10_000, 32_000, 550)
 
     def __init__(self):
         for first in self.BLOCKS:
--- a/tests/unit/ListPagesTests.cpp
+++ b/tests/unit/ListPagesTests.cpp
@@ -680,7 +680,8 @@
     node.state.configuration.current = std::make_shared<RoutingConfiguration>();
     const auto face = store.face();
     asio::co_spawn (node.loop, followReplicas (node.state, face, node.formats), asio::detached);
-    node.loop.run_for (3s);
+    // The list ends after three pauses of 0.25 s, and the next one follows a second later.
+    node.loop.run_for (1600ms);
     CHECK (store.calls == 1 + 2 + 4);
     CHECK (store.listsBegun == 2);
     CHECK (node.known().size() == 2);
